--- a/dunlinway/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""dunlinway: the decisions of an HTTP load balancer that runs as a small bank of proxies."""
--- a/dunlinway/adapter.py
+++ b/lupinlink/adapter.py
@@ -10,8 +10,8 @@
 from collections.abc import Callable
 from typing import Any, TextIO
 
-from dunlinway.brain import Balancer
-from dunlinway.interface import (
+from lupinlink.brain import Balancer
+from lupinlink.interface import (
     Action,
     Arrival,
     Cancel,
@@ -284,7 +284,7 @@
         host.serve(sys.stdin, sys.stdout)
     except (WireError, ValueError, KeyError, IndexError) as exc:
         fault = str(exc) if isinstance(exc, WireError) else f"{type(exc).__name__}: {exc}"
-        print(f"dunlinway: line {host.line_number}: {fault}", file=sys.stderr)
+        print(f"lupinlink: line {host.line_number}: {fault}", file=sys.stderr)
         return 2
     return 0
 
--- a/dunlinway/brain.py
+++ b/lupinlink/brain.py
@@ -1,4 +1,4 @@
-"""Every decision and setting of a dunlinway node; its types, events and actions are in interface.py.
+"""Every decision and setting of a lupinlink node; its types, events and actions are in interface.py.
 
 Admission and split follow Liu, Heo, Sha and Zhu, "Adaptive Control of Multi-Tiered Web Applications
 Using Queueing Predictor", sections III and IV; docs/design.md lists what was kept and changed.
@@ -12,9 +12,9 @@
 from itertools import accumulate
 from random import Random
 
-from dunlinway import interface as api
-from dunlinway.interface import Attempt, Effect, Group, LatencyStats, Period, Request, Scope, Server, Status
-from dunlinway.node import Node
+from lupinlink import interface as api
+from lupinlink.interface import Attempt, Effect, Group, LatencyStats, Period, Request, Scope, Server, Status
+from lupinlink.node import Node
 
 # Admission. Delays are counted in aims: a latency over its class's aim, so one target serves all classes.
 TARGET, LATE_TARGET = 0.45, 0.4  # D_ref: so much of the aim, and more the more a late answer is worth
--- a/dunlinway/node.py
+++ b/lupinlink/node.py
@@ -5,8 +5,8 @@
 from collections.abc import Callable
 from random import Random
 
-from dunlinway import interface as api
-from dunlinway.interface import Attempt, EndpointState, Group, MembershipKind, Request, Server
+from lupinlink import interface as api
+from lupinlink.interface import Attempt, EndpointState, Group, MembershipKind, Request, Server
 
 
 class Node:
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -4,9 +4,9 @@
 
 from random import Random
 
-from dunlinway import interface as api
-from dunlinway.brain import Balancer
-from dunlinway.interface import Effect, Endpoint, MembershipKind, RequestClass, Settings, Status
+from lupinlink import interface as api
+from lupinlink.brain import Balancer
+from lupinlink.interface import Effect, Endpoint, MembershipKind, RequestClass, Settings, Status
 
 SAFE = RequestClass(300.0, 1000.0, 5.0, 0.5, Effect.SAFE)
 UNSAFE = RequestClass(300.0, 1000.0, 5.0, 0.5, Effect.UNSAFE)
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -13,8 +13,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from dunlinway.adapter import Host, WireError, parse_settings
-from dunlinway.interface import Effect
+from lupinlink.adapter import Host, WireError, parse_settings
+from lupinlink.interface import Effect
 
 SETTINGS = json.dumps(
     {
@@ -94,10 +94,10 @@
 )
 def test_malformed_input_stops_with_one_plain_line(text: str) -> None:
     done = subprocess.run(
-        [sys.executable, "-m", "dunlinway.adapter"], input=text, capture_output=True, text=True, cwd=ROOT
+        [sys.executable, "-m", "lupinlink.adapter"], input=text, capture_output=True, text=True, cwd=ROOT
     )
     assert done.returncode != 0 and done.stdout == ""
-    assert done.stderr.startswith("dunlinway: line ") and done.stderr.count("\n") == 1
+    assert done.stderr.startswith("lupinlink: line ") and done.stderr.count("\n") == 1
 
 
 def test_a_failing_decision_is_reported_for_its_instance() -> None:
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from dunlinway.brain import FLOOR, LATE_TARGET, SEED_X, TARGET, THETA, Admission, SheddingOrder
-from dunlinway.interface import Arrival, Effect, LatencyStats, RequestClass, Settings, Status, Tenant
+from lupinlink.brain import FLOOR, LATE_TARGET, SEED_X, TARGET, THETA, Admission, SheddingOrder
+from lupinlink.interface import Arrival, Effect, LatencyStats, RequestClass, Settings, Status, Tenant
 from tests.helpers import SAFE, Stand, sends
 
 D_REF = TARGET + LATE_TARGET * 0.5
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -6,8 +6,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from dunlinway import interface as api
-from dunlinway.interface import (
+from lupinlink import interface as api
+from lupinlink.interface import (
     Effect,
     Endpoint,
     EndpointState,
--- a/tests/test_split.py
+++ b/tests/test_split.py
@@ -8,9 +8,9 @@
 
 import pytest
 
-from dunlinway.brain import FADE_MS, LATENCY, REPORT, SlowStart, Split
-from dunlinway.interface import Endpoint, Group, Server, Settings
-from dunlinway.node import Node
+from lupinlink.brain import FADE_MS, LATENCY, REPORT, SlowStart, Split
+from lupinlink.interface import Endpoint, Group, Server, Settings
+from lupinlink.node import Node
 from tests.helpers import SAFE, Stand
 
 
