Serve on real sockets: the proxy round the decision module

Seen: there was no program, only the module and its simulator adapter. Built: settings moved out of the adapter as the one type and parser; lupinlink/net with parsers, slots, deadlines, wheel, user agents, application servers, farm, proxy, service; serve, check, version. Ruled out: Twisted's own call timing (time.time) for deadlines, since a stepped wall clock would move them. Given up openly: zope's typed interfaces (untyped under strict mypy); net/typed.py names the calls used instead.

--- a/.ci/smoke.py
+++ b/.ci/smoke.py
@@ -8,7 +8,7 @@
 
 root = Path(__file__).resolve().parent.parent
 deploy = tomllib.loads((root / "deploy" / "balancer.toml").read_text())
-assert set(deploy) == {"build", "sim", "policy", "packages"}, sorted(deploy)
+assert set(deploy) == {"build", "run", "sim", "policy", "node", "packages"}, sorted(deploy)
 subprocess.run(["/bin/sh", "-c", deploy["build"]], cwd=root, check=True)
 settings = json.dumps({"Classes": [{"AimMs": 300.0, "HardLimitMs": 1000.0, "Effect": "pure"}]})
 batch = f"""BEGIN_BATCH 100.0
--- a/lupinlink/__init__.py
+++ b/lupinlink/__init__.py
@@ -1,1 +1,3 @@
-"""lupinlink: the decisions of an HTTP load balancer that runs as a small bank of proxies."""
+"""lupinlink: an HTTP proxy around the decisions of a small bank of proxies."""
+
+__version__ = "0.2.0"
--- /dev/null
+++ b/lupinlink/__main__.py
@@ -0,0 +1,7 @@
+"""python -m lupinlink"""
+
+import sys
+
+from lupinlink.cli import main
+
+sys.exit(main())
--- a/lupinlink/adapter.py
+++ b/lupinlink/adapter.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import gc
-import json
 import random
 import sys
 import traceback
@@ -16,7 +15,6 @@
     Arrival,
     Cancel,
     ClientGone,
-    Effect,
     Endpoint,
     EndpointState,
     Event,
@@ -27,17 +25,14 @@
     Probe,
     ProbeResult,
     Refuse,
-    RequestClass,
-    Scope,
     Send,
     SetTimer,
-    Settings,
     Status,
     StreamStarted,
     Subscribe,
-    Tenant,
     TimerFired,
 )
+from lupinlink.settings import REPORT_FIELDS, SettingsError, parse_settings
 
 STATUS = {
     "OK": Status.OK,
@@ -49,74 +44,12 @@
     "CANCELLED": Status.CANCELLED,
     "TOO_LATE": Status.NOT_SENT,
 }
-EFFECT = {"pure": Effect.SAFE, "token": Effect.KEYED, "side_effect": Effect.UNSAFE}
-SCOPE = {"all": Scope.ALL, "zone": Scope.ZONE, "cell": Scope.CELL}
-REPORT_FIELDS = {
-    "rif": "in_flight",
-    "q": "queued",
-    "busy": "utilization",
-    "lat_ms": "latency_ms",
-    "rate": "rate",
-    "fail_rate": "error_rate",
-}
 
 
 class WireError(Exception):
     """The input breaks the wire's rules."""
 
 
-def _get(table: Any, key: str, default: Any) -> Any:
-    value = table.get(key)
-    return default if value is None else value
-
-
-def parse_settings(text: str) -> Settings:
-    """Read the start-up settings; unknown keys are skipped, absent ones take defaults."""
-    try:
-        raw = json.loads(text)
-        limits, rules = _get(raw, "Limits", {}), _get(raw, "Invariants", {})
-        report = _get(raw, "Report", {})
-        classes = tuple(
-            RequestClass(
-                aim_ms=max(1.0, float(_get(c, "AimMs", c["HardLimitMs"]))),
-                deadline_ms=float(c["HardLimitMs"]),
-                worth=float(_get(c, "Importance", 1.0)),
-                late_worth=min(1.0, max(0.0, float(_get(c, "LateWorth", 0.0)))),
-                effect=EFFECT[_get(c, "Effect", "side_effect")],
-                scope=SCOPE[_get(c, "Group", "cell")],
-                dedup_ms=float(_get(c, "MemorySpanMs", 0.0)),
-            )
-            for c in raw["Classes"]
-        )
-        if not classes:
-            raise WireError("settings name no class")
-        how = _get(report, "How", "none")
-        return Settings(
-            classes=classes,
-            tenants=tuple(Tenant(float(_get(t, "QuotaPerS", 0.0))) for t in _get(raw, "Tenants", [])),
-            zone=int(_get(raw, "MyZone", 0)),
-            peers=max(1, int(_get(raw, "PeersTotal", 1))),
-            subscribe=_get(raw, "MembershipMode", "automatic") == "subscribe",
-            must_ask_ms=float(_get(rules, "MustAskInMs", 10000.0)),
-            over_quota_worth=float(_get(raw, "OverShareWorth", 1.0)),
-            worth_by_work=_get(raw, "ValueBy", "request") == "work",
-            cross_zone_price=float(_get(_get(raw, "Prices", {}), "CrossZone", 0.0)),
-            cold_share=float(_get(rules, "ColdShare", 0.1)),
-            cold_ms=float(_get(rules, "ColdMs", 0.0)),
-            max_attempts=int(_get(limits, "AttemptsCap", 1)),
-            may_cancel=bool(_get(limits, "Cancel", False)),
-            may_probe=bool(_get(limits, "Probes", False)),
-            max_retry_after_ms=(
-                float(_get(limits, "MaxRetryAfterMs", 0.0)) if _get(limits, "RetryAfter", False) else 0.0
-            ),
-            clients_mark_retries=bool(_get(_get(raw, "ClientHabits", {}), "MarksRetry", False)),
-            reports_in_answers=how == "answers",
-            reports_in_probes=how in ("answers", "probe"),
-        )
-    except (ValueError, KeyError, TypeError, AttributeError) as exc:
-        raise WireError(f"bad settings: {type(exc).__name__}: {exc}") from exc
-
-
 def _number(text: str) -> float:
     return 0.0 if text == "-" else float(text)
 
@@ -283,7 +216,7 @@
     try:
         host.serve(sys.stdin, sys.stdout)
     except (WireError, ValueError, KeyError, IndexError) as exc:
-        fault = str(exc) if isinstance(exc, WireError) else f"{type(exc).__name__}: {exc}"
+        fault = str(exc) if isinstance(exc, WireError | SettingsError) else f"{type(exc).__name__}: {exc}"
         print(f"lupinlink: line {host.line_number}: {fault}", file=sys.stderr)
         return 2
     return 0
--- a/lupinlink/interface.py
+++ b/lupinlink/interface.py
@@ -1,4 +1,4 @@
-"""Types of the decision core: settings, events and actions. No decision is taken here.
+"""Types of the decision core: events, actions and records. No decision is taken here.
 
 Times are milliseconds on the caller's clock. Names follow the field's terms: endpoint, attempt,
 outcome, admission, outlier ejection, slow start.
@@ -9,21 +9,11 @@
 from dataclasses import dataclass, field
 from enum import IntEnum
 
-
-class Effect(IntEnum):
-    """What a repeat of a request may do."""
-
-    SAFE = 0
-    KEYED = 1  # a group of endpoints drops repeats of the same request for a while
-    UNSAFE = 2
-
-
-class Scope(IntEnum):
-    """The endpoints that share one memory of keyed requests."""
-
-    ALL = 0
-    ZONE = 1
-    CELL = 2
+from lupinlink.settings import Effect as Effect
+from lupinlink.settings import RequestClass as RequestClass
+from lupinlink.settings import Scope as Scope
+from lupinlink.settings import Settings as Settings
+from lupinlink.settings import Tenant as Tenant
 
 
 class Status(IntEnum):
@@ -60,50 +50,6 @@
     DELTA = 3
 
 
-@dataclass(slots=True, frozen=True)
-class RequestClass:
-    """One class of requests."""
-
-    aim_ms: float
-    deadline_ms: float
-    worth: float = 1.0
-    late_worth: float = 0.0  # share of the worth that an answer after the aim still has
-    effect: Effect = Effect.UNSAFE
-    scope: Scope = Scope.CELL
-    dedup_ms: float = 0.0
-
-
-@dataclass(slots=True, frozen=True)
-class Tenant:
-    """One tenant; ``quota_per_s`` is its share for all nodes together."""
-
-    quota_per_s: float
-
-
-@dataclass(slots=True, frozen=True)
-class Settings:
-    """What a node is told at its start."""
-
-    classes: tuple[RequestClass, ...]
-    tenants: tuple[Tenant, ...] = ()
-    zone: int = 0
-    peers: int = 1
-    subscribe: bool = False  # membership must be asked for
-    must_ask_ms: float = 10000.0
-    over_quota_worth: float = 1.0
-    worth_by_work: bool = False
-    cross_zone_price: float = 0.0
-    cold_share: float = 0.1
-    cold_ms: float = 0.0
-    max_attempts: int = 1
-    may_cancel: bool = False
-    may_probe: bool = False
-    max_retry_after_ms: float = 0.0
-    clients_mark_retries: bool = False
-    reports_in_answers: bool = False
-    reports_in_probes: bool = False
-
-
 @dataclass(slots=True)
 class Endpoint:
     """One row of a membership list."""
--- /dev/null
+++ b/lupinlink/net/http1.py
@@ -0,0 +1,266 @@
+"""HTTP/1.1 messages: incremental parsers and writers. No I/O here."""
+
+from __future__ import annotations
+
+import re
+from dataclasses import dataclass, field
+
+MAX_HEAD = 16 * 1024
+MAX_BODY = 64 * 1024
+MAX_HEADERS = 100
+MAX_CHUNK_LINE = 256
+
+TOKEN = r"[!#$%&'*+.^_`|~0-9A-Za-z-]+"
+REQUEST_LINE = re.compile(rf"({TOKEN}) (/[\x21-\x7e]*) HTTP/1\.([01])")
+STATUS_LINE = re.compile(r"HTTP/1\.([01]) ([1-5][0-9][0-9])(?: [^\x00-\x08\x0a-\x1f\x7f]*)?")
+HEADER = re.compile(rf"({TOKEN}):[ \t]*([^\x00-\x08\x0a-\x1f\x7f]*?)[ \t]*")
+CHUNK_SIZE = re.compile(rb"([0-9A-Fa-f]{1,8})[ \t]*(?:;[^\r\n]*)?")
+BARE_LF = re.compile(rb"(?<!\r)\n")
+
+REASONS = {
+    200: "OK",
+    400: "Bad Request",
+    404: "Not Found",
+    405: "Method Not Allowed",
+    408: "Request Timeout",
+    413: "Content Too Large",
+    431: "Request Header Fields Too Large",
+    500: "Internal Server Error",
+    501: "Not Implemented",
+    502: "Bad Gateway",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+    505: "HTTP Version Not Supported",
+}
+# A connection's own headers, which end here, and what a proxy writes itself.
+HOP_BY_HOP = frozenset(
+    "connection keep-alive proxy-connection te trailer transfer-encoding upgrade content-length"
+    " expect".split()
+)
+
+
+class MessageError(Exception):
+    """Bytes that are no message; ``status`` is what a user agent is told."""
+
+    def __init__(self, status: int, why: str) -> None:
+        super().__init__(why)
+        self.status = status
+
+
+@dataclass(slots=True)
+class Message:
+    """A request or an answer; header names keep their letters, look-ups don't mind them."""
+
+    version: int  # minor
+    headers: list[tuple[str, str]]
+    method: str = ""
+    target: str = ""
+    status: int = 0
+    body: bytes = b""
+    lookup: dict[str, str] = field(default_factory=dict)
+
+    def get(self, name: str) -> str | None:
+        """The value of a header, by its name in lower case."""
+        return self.lookup.get(name)
+
+    def keeps_open(self) -> bool:
+        """Whether the other side means the connection to stay."""
+        options = {o.strip().lower() for o in self.lookup.get("connection", "").split(",")}
+        return "close" not in options and (self.version == 1 or "keep-alive" in options)
+
+
+class Parser:
+    """Bytes in, whole messages out, one at a time."""
+
+    def __init__(self, max_body: int = MAX_BODY) -> None:
+        self.buffer = bytearray()
+        self.head: Message | None = None  # the message that is being read
+        self._max_body = max_body
+        self._body = bytearray()
+        self._length: int | None = None  # None: to the end of the connection
+        self._chunked = False
+        self._chunk = -1  # bytes left of this chunk; -1: a size line, -2: trailers
+
+    def feed(self, data: bytes) -> None:
+        self.buffer += data
+
+    def begun(self) -> bool:
+        """Whether a part of a message is here."""
+        return self.head is not None or bool(self.buffer)
+
+    def next(self) -> Message | None:
+        """The next whole message, if all its bytes are here."""
+        if self.head is None and not self._read_head():
+            return None
+        if self._chunked:
+            whole = self._read_chunks()
+        elif self._length is None:
+            self._keep(len(self.buffer))
+            whole = False
+        else:
+            whole = len(self.buffer) >= self._length
+            if whole:
+                self._keep(self._length)
+        return self._done() if whole else None
+
+    def drain(self) -> bytes:
+        """The body so far, for an answer that is read as it comes."""
+        data = bytes(self._body)
+        self._body.clear()
+        return data
+
+    def eof(self) -> Message | None:
+        """The connection has ended; a body without a length is whole now."""
+        ended = self.head is not None and self._length is None and not self._chunked
+        return self._done() if ended else None
+
+    def start_line(self, line: str) -> Message:
+        raise NotImplementedError
+
+    def without_length(self, message: Message) -> int | None:
+        """The body's length where no header tells it."""
+        raise NotImplementedError
+
+    def _done(self) -> Message:
+        message = self.head
+        assert message is not None
+        message.body = bytes(self._body)
+        self.head, self._chunked, self._chunk = None, False, -1
+        self._body.clear()
+        return message
+
+    def _keep(self, count: int) -> None:
+        if len(self._body) + count > self._max_body:
+            raise MessageError(413, "body too large")
+        self._body += self.buffer[:count]
+        del self.buffer[:count]
+
+    def _read_head(self) -> bool:
+        while self.buffer.startswith(b"\r\n"):  # empty lines before a message are allowed
+            del self.buffer[:2]
+        end = self.buffer.find(b"\r\n\r\n", 0, MAX_HEAD)
+        if end < 0:
+            if BARE_LF.search(self.buffer, 0, MAX_HEAD):
+                raise MessageError(400, "line end without CR")
+            if len(self.buffer) >= MAX_HEAD:
+                raise MessageError(431, "head too large")
+            return False
+        text = self.buffer[:end].decode("latin-1")
+        del self.buffer[: end + 4]
+        lines = text.split("\r\n")
+        message = self.start_line(lines[0])
+        if len(lines) > MAX_HEADERS:
+            raise MessageError(431, "too many headers")
+        for line in lines[1:]:
+            match = HEADER.fullmatch(line)
+            if match is None:
+                raise MessageError(400, "malformed header")
+            name, value = match.group(1), match.group(2)
+            message.headers.append((name, value))
+            low = name.lower()
+            known = message.lookup.get(low)
+            message.lookup[low] = value if known is None else f"{known}, {value}"
+        self._frame(message)
+        self.head = message
+        return True
+
+    def _frame(self, message: Message) -> None:
+        coding, length = message.get("transfer-encoding"), message.get("content-length")
+        self._chunked, self._chunk = False, -1
+        if coding is not None:
+            # Two framings in one message let requests be smuggled past a proxy.
+            if length is not None or coding.strip().lower() != "chunked":
+                raise MessageError(400, "unknown framing")
+            self._chunked = True
+        elif length is not None:
+            values = {v.strip() for v in length.split(",")}
+            value = values.pop()
+            if values or not value.isascii() or not value.isdigit():
+                raise MessageError(400, "malformed Content-Length")
+            if len(value) > 9 or int(value) > self._max_body:
+                raise MessageError(413, "body too large")
+            self._length = int(value)
+        else:
+            self._length = self.without_length(message)
+
+    def _read_chunks(self) -> bool:
+        while True:
+            if self._chunk > 0:
+                count = min(self._chunk, len(self.buffer))
+                self._keep(count)
+                self._chunk -= count
+                if self._chunk:
+                    return False
+                self._chunk = -3  # the line end behind the chunk
+            line = self._line()
+            if line is None:
+                return False
+            if self._chunk == -3:
+                if line:
+                    raise MessageError(400, "chunk is longer than its size")
+                self._chunk = -1
+            elif self._chunk == -2:
+                if not line:
+                    return True
+            else:
+                match = CHUNK_SIZE.fullmatch(line)
+                if match is None:
+                    raise MessageError(400, "malformed chunk size")
+                self._chunk = int(match.group(1), 16) or -2
+                if self._chunk > self._max_body:
+                    raise MessageError(413, "body too large")
+
+    def _line(self) -> bytes | None:
+        end = self.buffer.find(b"\r\n", 0, MAX_CHUNK_LINE)
+        if end < 0:
+            if len(self.buffer) >= MAX_CHUNK_LINE or BARE_LF.search(self.buffer):
+                raise MessageError(400, "malformed chunk line")
+            return None
+        line = bytes(self.buffer[:end])
+        del self.buffer[: end + 2]
+        return line
+
+
+class RequestParser(Parser):
+    """Reads what a user agent sends."""
+
+    def start_line(self, line: str) -> Message:
+        match = REQUEST_LINE.fullmatch(line)
+        if match is None:
+            known = re.fullmatch(rf"{TOKEN} [\x21-\x7e]+ HTTP/[0-9]\.[0-9]", line)
+            raise MessageError(505 if known and "HTTP/1." not in line else 400, "malformed request line")
+        return Message(int(match.group(3)), [], method=match.group(1), target=match.group(2))
+
+    def without_length(self, message: Message) -> int | None:
+        return 0
+
+
+class AnswerParser(Parser):
+    """Reads what an application server or discovery answers."""
+
+    def start_line(self, line: str) -> Message:
+        match = STATUS_LINE.fullmatch(line)
+        if match is None:
+            raise MessageError(502, "malformed status line")
+        return Message(int(match.group(1)), [], status=int(match.group(2)))
+
+    def without_length(self, message: Message) -> int | None:
+        return 0 if message.status < 200 or message.status in (204, 304) else None
+
+
+def request(method: str, target: str, headers: list[tuple[str, str]], body: bytes = b"") -> bytes:
+    """A request's bytes; the framing is added here."""
+    lines = [f"{method} {target} HTTP/1.1", *(f"{name}: {value}" for name, value in headers)]
+    if body or method == "POST":
+        lines.append(f"Content-Length: {len(body)}")
+    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + body
+
+
+def answer(status: int, headers: list[tuple[str, str]], body: bytes, close: bool) -> bytes:
+    """An answer's bytes; the framing is added here."""
+    lines = [f"HTTP/1.1 {status} {REASONS.get(status, 'Unknown')}"]
+    lines += [f"{name}: {value}" for name, value in headers]
+    lines.append(f"Content-Length: {len(body)}")
+    if close:
+        lines.append("Connection: close")
+    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + body
--- /dev/null
+++ b/lupinlink/net/proxy.py
@@ -0,0 +1,304 @@
+"""Between sockets and decisions: news becomes the module's events, its actions become I/O.
+
+Nothing here knows a protocol. A user agent's side hands in a Call and is told of one final answer
+through UserAgentSide; the application servers' side carries proxy passes. Another protocol needs
+its own two sides, not another proxy. No decision is taken here.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import Enum
+from random import Random
+from typing import Protocol
+
+from twisted.internet.defer import Deferred
+
+from lupinlink import interface as api
+from lupinlink.brain import Balancer
+from lupinlink.interface import MembershipKind, Status
+from lupinlink.net.counters import Counters
+from lupinlink.net.slots import Slots
+from lupinlink.net.wheel import Clockwork
+from lupinlink.settings import Settings
+
+log = logging.getLogger(__name__)
+MARGIN_MS = 20.0  # the module's deadline lies this far before the client's: an answer takes time to arrive
+GUARD_MS = 10.0  # and this long after the module's, what is still open is ended here
+
+
+class Failure(Enum):
+    """Why a final answer is 'failed'."""
+
+    NOT_SERVED = "not served"
+    TOO_LATE = "no answer in time"
+    INTERNAL = "internal error"
+
+
+@dataclass(slots=True)
+class Call:
+    """What a user agent asks, in terms that the decisions and the application servers share."""
+
+    class_index: int
+    tenant: int
+    expires_ms: float
+    is_retry: bool
+    method: str
+    target: str
+    headers: list[tuple[str, str]]
+    body: bytes
+
+
+@dataclass(slots=True)
+class Reply:
+    """What an application server answered to a call that it served."""
+
+    headers: list[tuple[str, str]]
+    body: bytes
+
+
+@dataclass(slots=True)
+class PassEnd:
+    """How a proxy pass ended."""
+
+    status: Status
+    reply: Reply | None = None
+    report: dict[str, float] | None = None
+
+
+class UserAgentSide(Protocol):
+    """Takes the one final answer of a call."""
+
+    def served(self, reply: Reply) -> None: ...
+    def unavailable(self, retry_after_ms: float) -> None: ...
+    def failed(self, why: Failure) -> None: ...
+
+
+class ProxyPass(Protocol):
+    """One attempt that is out; ``ended`` fires once."""
+
+    ended: Deferred[PassEnd]
+
+    def give_up(self, status: Status) -> None: ...
+
+
+class ApplicationServerSide(Protocol):
+    """Carries proxy passes and probes."""
+
+    def start(self, server: str, call: Call, timeout_ms: float) -> ProxyPass: ...
+    def probe(self, server: str) -> Deferred[PassEnd]: ...
+
+
+@dataclass(slots=True)
+class Taken:
+    """A request from its receipt until it has its answer and no pass of it is out."""
+
+    call: Call
+    side: UserAgentSide | None  # None once nothing is owed any more
+    deadline: float
+    guard: int = 0
+    out: int = 0
+    passes: list[ProxyPass] = field(default_factory=list)
+
+
+class Proxy:
+    """One node's decisions on real sockets."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        seed: int,
+        clock: Clockwork,
+        servers: ApplicationServerSide,
+        watch: Callable[[], None],
+        counters: Counters,
+    ) -> None:
+        self._module = Balancer(settings, Random(seed))
+        self._clock, self._servers, self._watch, self.counters = clock, servers, watch, counters
+        self._requests: Slots[Taken] = Slots(settings.most_held)
+        self._events: deque[api.Event] = deque()
+        self._busy = False
+        self._carry: dict[type, Callable[..., None]] = {
+            api.Send: self._send,
+            api.Cancel: self._cancel,
+            api.Refuse: self._refuse,
+            api.Fail: self._fail,
+            api.SetTimer: self._set_timer,
+            api.Probe: self._probe,
+            api.Subscribe: self._subscribe,
+        }
+
+    @property
+    def open(self) -> int:
+        """Requests that still owe an answer."""
+        return sum(1 for taken in self._requests if taken.side is not None)
+
+    def take(self, call: Call, side: UserAgentSide) -> int | None:
+        """A call is here with its last byte; its handle, or None if it was answered on the spot."""
+        if self._requests.full:
+            self.counters["refused_table_full"] += 1
+            side.unavailable(0.0)
+            return None
+        self.counters["requests"] += 1
+        now = self._clock.now()
+        deadline = now + max(call.expires_ms - MARGIN_MS, call.expires_ms / 2.0)
+        handle = self._requests.add(Taken(call, side, deadline))
+        taken = self._requests.get(handle)
+        assert taken is not None
+        taken.guard = self._clock.at(deadline + GUARD_MS, lambda: self.end(handle, Failure.TOO_LATE))
+        self.tell(api.Arrival(str(handle), call.class_index, call.tenant, deadline, call.is_retry))
+        return handle
+
+    def gone(self, handle: int) -> None:
+        """The user agent has left."""
+        taken = self._requests.get(handle)
+        if taken is not None and taken.side is not None:
+            self.counters["clients_gone"] += 1
+            self._settle(taken)
+            self.tell(api.ClientGone(str(handle)))
+            self._release(handle)
+
+    def end(self, handle: int, why: Failure) -> None:
+        """Answer what the module did not, so that no request is lost to a fault or a stop."""
+        taken = self._requests.get(handle)
+        if taken is not None and taken.side is not None:
+            log.warning("request ended without the module", extra={"kv": {"why": why.value}})
+            self._answer_failed(taken, why)
+            self.tell(api.ClientGone(str(handle)))
+            self._release(handle)
+
+    def end_all(self) -> None:
+        """The program must stop: every open request gets a whole answer now."""
+        for handle in self._requests.handles():
+            self.end(handle, Failure.TOO_LATE)
+
+    def news(self, kind: MembershipKind, endpoints: list[api.Endpoint]) -> None:
+        """The farm has changed, or asking for it failed."""
+        self.tell(api.Membership(kind, endpoints))
+
+    def tell(self, event: api.Event) -> None:
+        """Give the module an event and carry out its actions; what they cause waits for its turn."""
+        self._events.append(event)
+        if self._busy:
+            return
+        self._busy = True
+        try:
+            while self._events:
+                self._step(self._events.popleft())
+        finally:
+            self._busy = False
+
+    def _step(self, event: api.Event) -> None:
+        broken = False
+        try:
+            actions = self._module.handle(self._clock.now(), event)
+        except Exception:
+            # What the module had decided before it broke still holds: without its timers it would stop.
+            log.exception("decision failed", extra={"kv": {"event": type(event).__name__}})
+            self.counters["internal_errors"] += 1
+            actions, broken = self._module.actions, True
+        for action in actions:
+            try:
+                self._carry[type(action)](action)
+            except Exception:
+                log.exception("action failed", extra={"kv": {"action": type(action).__name__}})
+                self.counters["internal_errors"] += 1
+                if isinstance(action, api.Send | api.Refuse | api.Fail):
+                    self.end(int(action.request_id), Failure.INTERNAL)
+        if broken and isinstance(event, api.Arrival | api.Outcome):
+            self.end(int(event.request_id), Failure.INTERNAL)
+
+    def _settle(self, taken: Taken) -> UserAgentSide | None:
+        """Nothing is owed for this request from here on."""
+        side, taken.side = taken.side, None
+        self._clock.deadlines.drop(taken.guard)
+        return side
+
+    def _release(self, handle: int) -> None:
+        taken = self._requests.get(handle)
+        if taken is not None and taken.side is None and not taken.out:
+            self._requests.remove(handle)
+
+    def _answer_failed(self, taken: Taken, why: Failure) -> None:
+        side = self._settle(taken)
+        if side is not None:
+            self.counters["failed"] += 1
+            side.failed(why)
+
+    def _send(self, action: api.Send) -> None:
+        handle = int(action.request_id)
+        taken = self._requests.get(handle)
+        if taken is None:
+            return
+        now = self._clock.now()
+        left = taken.deadline - now
+        timeout = left if action.timeout_ms == 0.0 else min(action.timeout_ms, left)
+        self.counters["passes"] += 1
+        index = len(taken.passes)
+        proxy_pass = self._servers.start(action.endpoint, taken.call, timeout)
+        taken.passes.append(proxy_pass)
+        taken.out += 1
+        proxy_pass.ended.addCallback(self._pass_ended, handle, index, action.endpoint, now)
+        proxy_pass.ended.addErrback(self._pass_broken, handle)
+
+    def _pass_ended(self, end: PassEnd, handle: int, index: int, server: str, sent_at: float) -> None:
+        self.counters[f"passes_{end.status.name.lower()}"] += 1
+        taken = self._requests.get(handle)
+        if taken is None:
+            return
+        taken.out -= 1
+        if end.reply is not None:
+            side = self._settle(taken)
+            if side is not None:
+                self.counters["served"] += 1
+                side.served(end.reply)
+        took = self._clock.now() - sent_at
+        closed = taken.side is None
+        self.tell(api.Outcome(str(handle), end.status, took, index, closed, server, end.report))
+        self._release(handle)
+
+    def _pass_broken(self, failure: object, handle: int) -> None:
+        log.error("proxy pass failed inside", extra={"kv": {"why": str(failure)}})
+        self.counters["internal_errors"] += 1
+        self.end(handle, Failure.INTERNAL)
+
+    def _cancel(self, action: api.Cancel) -> None:
+        taken = self._requests.get(int(action.request_id))
+        if taken is not None and 0 <= action.attempt < len(taken.passes):
+            taken.passes[action.attempt].give_up(Status.CANCELLED)
+
+    def _refuse(self, action: api.Refuse) -> None:
+        handle = int(action.request_id)
+        taken = self._requests.get(handle)
+        side = self._settle(taken) if taken is not None else None
+        if side is not None:
+            self.counters["unavailable"] += 1
+            side.unavailable(action.retry_after_ms)
+        self._release(handle)
+
+    def _fail(self, action: api.Fail) -> None:
+        handle = int(action.request_id)
+        taken = self._requests.get(handle)
+        if taken is not None:
+            late = self._clock.now() >= taken.deadline
+            self._answer_failed(taken, Failure.TOO_LATE if late else Failure.NOT_SERVED)
+        self._release(handle)
+
+    def _set_timer(self, action: api.SetTimer) -> None:
+        token = action.token
+        self._clock.after(action.delay_ms, lambda: self.tell(api.TimerFired(token)))
+
+    def _probe(self, action: api.Probe) -> None:
+        self.counters["probes"] += 1
+        sent_at, server = self._clock.now(), action.endpoint
+
+        def probed(end: PassEnd) -> None:
+            self.tell(api.ProbeResult(server, end.status, self._clock.now() - sent_at, end.report))
+
+        self._servers.probe(server).addCallback(probed)
+
+    def _subscribe(self, action: api.Subscribe) -> None:
+        self._watch()
--- /dev/null
+++ b/lupinlink/net/service.py
@@ -0,0 +1,143 @@
+"""One real proxy as a process: startup, signals, exit."""
+
+from __future__ import annotations
+
+import gc
+import logging
+import signal
+import time
+from types import FrameType
+from typing import cast
+
+from twisted.internet.error import CannotListenError
+
+from lupinlink.interface import Endpoint, MembershipKind
+from lupinlink.net import log as logs
+from lupinlink.net.application_servers import ApplicationServers
+from lupinlink.net.counters import Counters
+from lupinlink.net.farm import Farm, ListError
+from lupinlink.net.proxy import Proxy
+from lupinlink.net.typed import Reactor
+from lupinlink.net.user_agents import UserAgents
+from lupinlink.net.wheel import Clockwork
+from lupinlink.settings import Config, SettingsError
+
+log = logging.getLogger(__name__)
+RESERVE, RESERVE_SHARE = 24, 0.05  # descriptors for all else: listener, watch, log, reactor, closing ones
+AGENT_SHARE = 0.55  # of the rest; user agents keep idle connections, pools give theirs up
+BACKLOG = 1024
+# After SIGTERM: connections keep coming for up to 0.4 s, and the kill comes 3.7 s after it at the
+# earliest. So idle connections are closed after the last new one may have come, and what is still
+# open shortly before the kill gets its answer then.
+CLOSE_IDLE_MS, QUIET_MS, LAST_MS, CHECK_MS = 500.0, 700.0, 3400.0, 20.0
+
+
+class Service:
+    """Puts the parts together and takes them down again."""
+
+    def __init__(self, config: Config, reactor: Reactor) -> None:
+        self._config, self._reactor = config, reactor
+        # Twisted times calls by the wall clock, which may be set; deadlines must not follow it.
+        reactor.seconds = time.monotonic
+        self._counters = Counters()
+        self._clock = Clockwork(reactor)
+        settings = config.settings
+        usable = config.sockets - max(RESERVE, int(config.sockets * RESERVE_SHARE))
+        agents = int(usable * AGENT_SHARE)
+        self._servers = ApplicationServers(
+            reactor,
+            self._clock,
+            settings,
+            usable - agents,
+            self._counters,
+        )
+        self._farm = Farm(
+            reactor,
+            self._clock,
+            config.discovery,
+            settings,
+            self._servers,
+            self._counters,
+        )
+        self._proxy = Proxy(settings, config.seed, self._clock, self._servers, self._ask_farm, self._counters)
+        self._agents = UserAgents(self._proxy, self._farm, self._clock, settings, agents, self._counters)
+        self._farm.news = self._news
+        self._stopping_since: float | None = None
+
+    def run(self) -> int:
+        """Serve until a signal ends it."""
+        try:
+            self._farm.start(self._config.known)
+        except ListError as exc:
+            raise SettingsError(f"known: {exc}") from exc
+        host, port = self._config.listen
+        try:
+            listening = self._reactor.listenTCP(port, self._agents, backlog=BACKLOG, interface=host)
+        except CannotListenError as exc:
+            raise SettingsError(f"listen: {host}:{port}: {exc.socketError}") from exc
+        self._agents.port = listening
+        self._reactor.callWhenRunning(self._started)
+        self._reactor.run()
+        self._counters.show("exit")
+        return 0
+
+    def _started(self) -> None:
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, self._on_stop)
+        signal.signal(signal.SIGUSR1, self._on_show)
+        # What startup has made stays for good; collections over it would only be pauses.
+        gc.collect()
+        gc.freeze()
+        gc.set_threshold(20000, 20, 50)
+        assert self._agents.port is not None
+        where = self._agents.port.getHost()
+        log.info("serving", extra={"kv": {"host": where.host, "port": where.port}})
+
+    def _ask_farm(self) -> None:
+        self._farm.watch().addErrback(lambda failure: log.error(str(failure)))
+
+    def _news(self, kind: MembershipKind, rows: list[Endpoint]) -> None:
+        self._proxy.news(kind, rows)
+
+    def _on_show(self, number: int, frame: FrameType | None) -> None:
+        self._reactor.callFromThread(self._show)
+
+    def _show(self) -> None:
+        self._counters.show(
+            "signal",
+            open=self._proxy.open,
+            user_agents_now=len(self._agents.connections),
+            server_connections_now=len(self._servers.connections),
+            servers_ready=self._farm.ready,
+        )
+
+    def _on_stop(self, number: int, frame: FrameType | None) -> None:
+        self._reactor.callFromThread(self._stop)
+
+    def _stop(self) -> None:
+        if self._stopping_since is None:
+            self._stopping_since = self._clock.now()
+            self._agents.stopping = True
+            log.info("stopping", extra={"kv": {"open": self._proxy.open}})
+            self._clock.after(CLOSE_IDLE_MS, self._check)
+
+    def _check(self) -> None:
+        """Go once all that was taken is answered and nothing more can come."""
+        assert self._stopping_since is not None
+        since = self._clock.now() - self._stopping_since
+        if since >= LAST_MS:
+            self._proxy.end_all()
+        left = not self._agents.close_idle()
+        if since >= LAST_MS + 200.0 or (since >= QUIET_MS and not left and not self._proxy.open):
+            self._farm.stop()
+            self._reactor.stop()
+        else:
+            self._clock.after(CHECK_MS, self._check)
+
+
+def serve(config: Config) -> int:
+    """Run one proxy in this process."""
+    from twisted.internet import reactor
+
+    logs.set_up(config.name)
+    return Service(config, cast(Reactor, reactor)).run()
--- /dev/null
+++ b/lupinlink/net/slots.py
@@ -0,0 +1,64 @@
+"""Numbered tables with generations: a handle to something that has ended finds nothing."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import Generic, TypeVar
+
+T = TypeVar("T")
+INDEX_BITS = 20
+
+
+class Slots(Generic[T]):
+    """A table whose handles are never used twice; the numbers of freed slots are."""
+
+    def __init__(self, capacity: int) -> None:
+        self.capacity = capacity
+        self._items: list[T | None] = []
+        self._generations: list[int] = []
+        self._free: list[int] = []
+
+    def __len__(self) -> int:
+        return len(self._items) - len(self._free)
+
+    def __iter__(self) -> Iterator[T]:
+        return iter([item for item in self._items if item is not None])
+
+    def handles(self) -> list[int]:
+        """The handles of all that is in the table."""
+        numbered = enumerate(zip(self._items, self._generations, strict=True))
+        return [generation << INDEX_BITS | i for i, (item, generation) in numbered if item is not None]
+
+    @property
+    def full(self) -> bool:
+        return len(self) >= self.capacity
+
+    def add(self, item: T) -> int:
+        """Take a slot; the caller asks ``full`` first."""
+        if self.full:
+            raise OverflowError("table is full")
+        if self._free:
+            index = self._free.pop()
+            self._items[index] = item
+        else:
+            index = len(self._items)
+            self._items.append(item)
+            self._generations.append(0)
+        return self._generations[index] << INDEX_BITS | index
+
+    def get(self, handle: int) -> T | None:
+        """What the handle stands for, or None once that has ended."""
+        index, generation = handle & ((1 << INDEX_BITS) - 1), handle >> INDEX_BITS
+        if index >= len(self._items) or self._generations[index] != generation:
+            return None
+        return self._items[index]
+
+    def remove(self, handle: int) -> T | None:
+        """Free the slot; a stale handle frees nothing."""
+        item = self.get(handle)
+        if item is not None:
+            index = handle & ((1 << INDEX_BITS) - 1)
+            self._items[index] = None
+            self._generations[index] += 1
+            self._free.append(index)
+        return item
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -13,8 +13,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from lupinlink.adapter import Host, WireError, parse_settings
-from lupinlink.interface import Effect
+from lupinlink.adapter import Host, WireError
+from lupinlink.settings import Effect, parse_settings
 
 SETTINGS = json.dumps(
     {
