Test the real program as a process, and cap connections by memory

Seen: no test met the sockets. A peer that drips bytes reset the 10 s limit for a whole request with each byte; entries that are gone stayed in the pools' and the farm's tables; errors inside Twisted protocols were logged nowhere. Wrong lines: user_agents.py _sweep counted from the last byte; ApplicationServers.learn and Farm._apply kept gone rows.

--- a/lupinlink/net/application_servers.py
+++ b/lupinlink/net/application_servers.py
@@ -287,6 +287,8 @@
             pool.current = row.state == EndpointState.READY
             if not pool.current:
                 pool.void()
+            if row.state == EndpointState.GONE:
+                del self._pools[row.name]
         for name in [n for n in self._pools if n not in named] if full else ():
             self._pools.pop(name).void()
 
--- a/lupinlink/net/farm.py
+++ b/lupinlink/net/farm.py
@@ -192,6 +192,8 @@
         if full:
             self._states.clear()
         self._states.update((row.name, row.state) for row, _, _ in rows)
+        for name in [n for n, state in self._states.items() if state == EndpointState.GONE]:
+            del self._states[name]
         self.ready = sum(state == EndpointState.READY for state in self._states.values())
         self._counters["lists"] += 1
         self._servers.learn(rows, full)
--- a/lupinlink/net/log.py
+++ b/lupinlink/net/log.py
@@ -7,6 +7,8 @@
 import sys
 import time
 
+from twisted.python.log import PythonLoggingObserver
+
 
 def pair(key: str, value: object) -> str:
     """One key=value; what would break the line is quoted."""
@@ -44,3 +46,6 @@
     root = logging.getLogger()
     root.handlers[:] = [handler]
     root.setLevel(level)
+    # What Twisted catches inside protocols would otherwise vanish.
+    PythonLoggingObserver("twisted").start()  # type: ignore[no-untyped-call]
+    logging.getLogger("twisted").setLevel(logging.WARNING)
--- a/lupinlink/net/service.py
+++ b/lupinlink/net/service.py
@@ -24,7 +24,9 @@
 
 log = logging.getLogger(__name__)
 RESERVE, RESERVE_SHARE = 24, 0.05  # descriptors for all else: listener, watch, log, reactor, closing ones
+BASE_MB, CONNECTION_MB = 64.0, 0.125  # memory of the program, and of one connection at its worst
 AGENT_SHARE = 0.55  # of the rest; user agents keep idle connections, pools give theirs up
+LEAST_CONNECTIONS = 16
 BACKLOG = 1024
 # After SIGTERM: connections keep coming for up to 0.4 s, and the kill comes 3.7 s after it at the
 # earliest. So idle connections are closed after the last new one may have come, and what is still
@@ -43,6 +45,9 @@
         self._clock = Clockwork(reactor)
         settings = config.settings
         usable = config.sockets - max(RESERVE, int(config.sockets * RESERVE_SHARE))
+        usable = min(usable, int((config.memory_mb - BASE_MB) / CONNECTION_MB))
+        if usable < LEAST_CONNECTIONS:
+            raise SettingsError(f"limits leave room for {max(0, usable)} connections only")
         agents = int(usable * AGENT_SHARE)
         self._servers = ApplicationServers(
             reactor,
--- a/lupinlink/net/user_agents.py
+++ b/lupinlink/net/user_agents.py
@@ -47,6 +47,7 @@
         self._keep = True  # the user agent means the connection to stay
         self._advancing = self._choked = self._paused = self._deaf = False
         self.last = agents.clock.now()
+        self.since = 0.0  # when the first bytes of an unfinished request came; 0: none are here
         self.closing_at = 0.0  # when to close what does not close itself; 0: not closing
         self.handle = 0
 
@@ -166,6 +167,8 @@
             self._advancing = False
         if self._deaf:
             return
+        # Counted from the first byte: a peer that drips bytes must not hold its connection for ever.
+        self.since = (self.since or self.last) if self.partial else 0.0
         if len(self._parser.buffer) > READ_AHEAD and (self._waiting or self._choked):
             if not self._paused:
                 self._paused = True
@@ -285,7 +288,7 @@
             if agent.closing_at:
                 if now >= agent.closing_at:
                     agent.transport.abortConnection()
-            elif agent.partial and now - agent.last > PARTIAL_MS:
+            elif agent.since and now - agent.since > PARTIAL_MS:
                 agent.reject(408, "request did not arrive")
             elif now - agent.last > IDLE_MS and agent.idle:
                 agent.close()
--- /dev/null
+++ b/tests/stage.py
@@ -0,0 +1,215 @@
+"""The shared helper of the process tests: the real program, and what stands around it on loopback."""
+
+from __future__ import annotations
+
+import http.client
+import json
+import os
+import queue
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import threading
+import unittest
+from collections import deque
+from collections.abc import Callable
+from contextlib import suppress
+from pathlib import Path
+from typing import Any, ClassVar
+
+ROOT = Path(__file__).resolve().parent.parent
+WAIT = 10.0  # so long may anything take before a test gives up on it
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+NEVER_RAN = b"HTTP/1.1 503 No\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n"
+BROKEN_BYTES = b"\x00\xffnothing of HTTP\r\n\r\n"
+SETTINGS: dict[str, Any] = {
+    "Classes": [
+        {"Name": "look", "AimMs": 400.0, "HardLimitMs": 2000.0, "Effect": "pure"},
+        {"Name": "scan", "AimMs": 400.0, "HardLimitMs": 2000.0, "Effect": "token", "Group": "zone",
+         "MemorySpanMs": 2000.0},
+    ],
+    "Tenants": [{"Name": "acme", "QuotaPerS": 100.0}],
+    "Zones": ["a", "b"],
+    "MembershipMode": "subscribe",
+    "Limits": {"AttemptsCap": 3, "Cancel": True, "RetryAfter": True, "MaxRetryAfterMs": 2000.0},
+}  # fmt: skip
+
+
+class Peer:
+    """A listening socket with a thread for each connection; ``ends`` gets a token as each one ends."""
+
+    def __init__(self) -> None:
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.port: int = self.listener.getsockname()[1]
+        self.ends: queue.Queue[int] = queue.Queue()
+        self.accepted = 0
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self) -> None:
+        with suppress(OSError):
+            while True:
+                connection, _ = self.listener.accept()
+                self.accepted += 1
+                threading.Thread(target=self._serve, args=(connection, self.accepted), daemon=True).start()
+
+    def _serve(self, connection: socket.socket, number: int) -> None:
+        with suppress(OSError), connection:
+            self.talk(connection)
+        self.ends.put(number)
+
+    def talk(self, connection: socket.socket) -> None:
+        raise NotImplementedError
+
+    def close(self) -> None:
+        with suppress(OSError):
+            self.listener.shutdown(socket.SHUT_RDWR)
+        self.listener.close()
+
+
+def read_request(stream: Any) -> tuple[str, dict[str, str], bytes] | None:
+    """One request off a socket's file: first line, headers, body."""
+    line = stream.readline().decode().strip()
+    if not line:
+        return None
+    headers = {k.lower(): v for k, v in http.client.parse_headers(stream).items()}
+    return line, headers, stream.read(int(headers.get("content-length", 0)))
+
+
+class ApplicationServer(Peer):
+    """Answers as told: bytes are sent, None is silence, b"" or what says close ends the connection."""
+
+    def __init__(self, answer: bytes | None = OK) -> None:
+        self.answer: Callable[[dict[str, str]], bytes | None] = lambda headers: answer
+        self.seen: queue.Queue[tuple[str, dict[str, str], bytes]] = queue.Queue()
+        self.met: queue.Queue[ApplicationServer] = queue.Queue()  # may be shared by several
+        super().__init__()
+
+    def talk(self, connection: socket.socket) -> None:
+        stream = connection.makefile("rb")
+        while (request := read_request(stream)) is not None:
+            answer = self.answer(request[1])
+            self.seen.put(request)
+            self.met.put(self)
+            if answer is not None:
+                connection.sendall(answer)
+                if not answer or b"Connection: close" in answer:
+                    return
+
+
+class Discovery(Peer):
+    """Holds watches open; ``say`` writes to the newest one, ``asked`` tells of each call."""
+
+    def __init__(self) -> None:
+        self.asked: queue.Queue[str] = queue.Queue()
+        self.watches: queue.Queue[socket.socket] = queue.Queue()
+        super().__init__()
+
+    def talk(self, connection: socket.socket) -> None:
+        request = read_request(connection.makefile("rb"))
+        assert request is not None
+        connection.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        self.watches.put(connection)
+        self.asked.put(request[0])
+        connection.recv(1)  # until the proxy ends it
+
+    def watch(self) -> socket.socket:
+        return self.watches.get(timeout=WAIT)
+
+
+def chunk(text: str) -> bytes:
+    return f"{len(text):x}\r\n{text}\r\n".encode()
+
+
+def listing(rev: int, full: bool, *rows: dict[str, Any]) -> dict[str, Any]:
+    return {"rev": rev, "all": full, "targets": list(rows)}
+
+
+def row(uid: str, server: Peer, state: str = "in_service", **more: Any) -> dict[str, Any]:
+    return {"uid": uid, "endpoint": f"127.0.0.1:{server.port}", "az": "a", "model": "m", "pod_group": 0,
+            "state": state, "capacity_hint": 1.0, "boot_ms": 0, **more}  # fmt: skip
+
+
+class Stage(unittest.TestCase):
+    """A test with the real program running between peers of its own."""
+
+    settings: ClassVar[dict[str, Any]] = {}
+    limits: ClassVar[dict[str, Any]] = {"cores": 1.0, "memory_mb": 192, "sockets": 1024}
+
+    def setUp(self) -> None:
+        self.discovery = self.peer(Discovery())
+
+    def peer(self, peer: Any) -> Any:
+        self.addCleanup(peer.close)
+        return peer
+
+    def config(self, *rows: dict[str, Any]) -> dict[str, Any]:
+        return {"name": "n1", "listen": "127.0.0.1:0", "discovery": f"127.0.0.1:{self.discovery.port}",
+                "seed": "8c1f30d27a5be964", "limits": self.limits, "known": listing(41, True, *rows),
+                "settings": {**SETTINGS, **self.settings}}  # fmt: skip
+
+    def program(self, config: object, *words: str) -> subprocess.Popen[str]:
+        """The real program as a process of its own."""
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        file = Path(folder.name) / "config.json"
+        file.write_text(config if isinstance(config, str) else json.dumps(config))
+        env = {**os.environ, "LB_CONFIG": str(file)}
+        for name in ("LB_NAME", "LB_LISTEN", "LB_DISCOVERY"):
+            env.pop(name, None)
+        process = subprocess.Popen(
+            [sys.executable, "-m", "lupinlink", *words],
+            cwd=ROOT, env=env, stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True,
+        )  # fmt: skip
+        self.addCleanup(process.communicate)
+        self.addCleanup(process.kill)
+        return process
+
+    def start(self, *rows: dict[str, Any]) -> None:
+        """Start it and wait until it says that it serves."""
+        self.process = self.program(self.config(*rows))
+        stderr = self.process.stderr
+        assert stderr is not None
+        self.log: queue.Queue[str] = queue.Queue()
+        threading.Thread(target=lambda: deque(map(self.log.put, stderr), 0), daemon=True).start()
+        self.port = int(self.line("msg=serving").rsplit("port=", 1)[1])
+
+    def line(self, part: str) -> str:
+        """The next log line that holds ``part``."""
+        while part not in (text := self.log.get(timeout=WAIT)):
+            pass
+        return text
+
+    def client(self) -> http.client.HTTPConnection:
+        client = http.client.HTTPConnection("127.0.0.1", self.port, timeout=WAIT)
+        self.addCleanup(client.close)
+        return client
+
+    def ask(
+        self, client: http.client.HTTPConnection | None = None, path: str = "/look/1", ms: int = 1500
+    ) -> http.client.HTTPResponse:
+        """One request and its answer, the body still to be read."""
+        client = client or self.client()
+        self.send(client, path, ms)
+        return client.getresponse()
+
+    def send(self, client: http.client.HTTPConnection, path: str = "/look/1", ms: int = 1500) -> None:
+        headers = {"X-Trace-Id": "t1", "X-Customer": "acme", "X-Expires-In-Ms": str(ms)}
+        if path.startswith("/scan"):
+            client.request("POST", path, b"body", {"Idempotency-Key": "k1", **headers})
+        else:
+            client.request("GET", path, headers=headers)
+
+    def raw(self, data: bytes) -> bytes:
+        """What comes back on a connection of its own until the proxy ends it."""
+        with socket.create_connection(("127.0.0.1", self.port), WAIT) as connection:
+            connection.sendall(data)
+            got = b""
+            while piece := connection.recv(65536):
+                got += piece
+            return got
+
+    def stop(self) -> int:
+        self.process.send_signal(signal.SIGTERM)
+        return self.process.wait(WAIT)
--- /dev/null
+++ b/tests/test_net_parts.py
@@ -0,0 +1,203 @@
+"""The network's parts by themselves, without a socket."""
+
+from __future__ import annotations
+
+import unittest
+from itertools import pairwise
+from typing import Any
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from twisted.internet.defer import Deferred
+from twisted.internet.task import Clock
+
+from lupinlink.interface import Endpoint, MembershipKind, Status
+from lupinlink.net import http1
+from lupinlink.net.application_servers import outcome, read_report
+from lupinlink.net.counters import Counters
+from lupinlink.net.deadlines import STALE_FLOOR, Deadlines
+from lupinlink.net.farm import number
+from lupinlink.net.log import pair
+from lupinlink.net.proxy import Call, Failure, PassEnd, Proxy, Reply
+from lupinlink.net.slots import Slots
+from lupinlink.net.wheel import SPOKES, TICK_MS, Clockwork, Wheel
+from lupinlink.settings import Effect, RequestClass, Scope, Settings
+
+STREAM = (
+    b"\r\nPOST /a HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc"
+    b"POST /b HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n2;x=y\r\nde\r\n1\r\nf\r\n0\r\nT: t\r\n\r\n"
+    b"GET /c HTTP/1.0\r\nConnection: Keep-Alive\r\n\r\n"
+)
+
+
+class Http1(unittest.TestCase):
+    @settings(derandomize=True, deadline=None)
+    @given(st.lists(st.integers(1, len(STREAM) - 1), max_size=20))
+    def test_messages_are_the_same_however_the_bytes_are_cut(self, cuts: list[int]) -> None:
+        parser, got = http1.RequestParser(), []
+        marks = [0, *sorted(cuts), len(STREAM)]
+        for start, end in pairwise(marks):
+            parser.feed(STREAM[start:end])
+            while (message := parser.next()) is not None:
+                got.append((message.target, message.body, message.keeps_open()))
+        self.assertEqual(got, [("/a", b"abc", True), ("/b", b"def", True), ("/c", b"", True)])
+        self.assertFalse(parser.begun())
+
+    @settings(derandomize=True, deadline=None, max_examples=300)
+    @given(st.binary(max_size=200), st.booleans())
+    def test_noise_is_a_plain_error_or_waits_for_more(self, noise: bytes, head: bool) -> None:
+        for parser in (http1.RequestParser(), http1.AnswerParser()):
+            parser.feed((b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" if head else b"") + noise)
+            try:
+                parser.next()
+            except http1.MessageError as exc:
+                self.assertIn(exc.status, http1.REASONS)
+
+    def test_what_an_answer_says(self) -> None:
+        def end(text: bytes) -> PassEnd:
+            parser = http1.AnswerParser()
+            parser.feed(
+                text + b"\r\nContent-Length: 0\r\nEndpoint-Load-Metrics: TEXT util=0.5, qps=x\r\n\r\n"
+            )
+            message = parser.next()
+            assert message is not None
+            return outcome(message)
+
+        self.assertEqual(end(b"HTTP/1.1 200 OK").status, Status.OK)
+        self.assertEqual(end(b"HTTP/1.1 503 No\r\nX-Never-Ran: 1").status, Status.OVERLOADED)
+        self.assertEqual(end(b"HTTP/1.1 503 No").status, Status.ERROR)  # it may have run
+        self.assertEqual(end(b"HTTP/1.1 500 No\r\nX-Never-Ran: 1").status, Status.ERROR)
+        self.assertEqual(end(b"HTTP/1.1 200 OK").report, {"utilization": 0.5})
+
+    def test_reports_zones_and_log_values(self) -> None:
+        got = read_report("TEXT inflight=7, queue=2, util=0.61, new=1")
+        self.assertEqual(got, {"in_flight": 7.0, "queued": 2.0, "utilization": 0.61})
+        self.assertIsNone(read_report("nothing"))
+        self.assertEqual([number(("a", "b"), z) for z in ("b", "c", None)], [1, 2, 2])
+        self.assertEqual(pair("why", 'a "b"\nc'), 'why="a \\"b\\"\\nc"')
+
+
+class Tables(unittest.TestCase):
+    def test_a_stale_handle_finds_nothing(self) -> None:
+        table: Slots[str] = Slots(1)
+        first = table.add("a")
+        self.assertTrue(table.full)
+        with self.assertRaises(OverflowError):
+            table.add("b")
+        table.remove(first)
+        second = table.add("b")
+        self.assertEqual((table.get(first), table.remove(first), table.get(second)), (None, None, "b"))
+        self.assertEqual((table.handles(), list(table), len(table)), ([second], ["b"], 1))
+
+    def test_deadlines_come_in_order_and_dropped_ones_do_not_pile_up(self) -> None:
+        deadlines, seen = Deadlines(), list[int]()
+        numbers = [deadlines.add(1000.0 - i, lambda i=i: seen.append(i)) for i in range(900)]  # type: ignore[misc]
+        for n in numbers[3:]:
+            deadlines.drop(n)
+        self.assertLessEqual(len(deadlines._heap), STALE_FLOOR + 6)
+        self.assertEqual(deadlines.next_at(), 998.0)
+        for call in deadlines.due(999.5):
+            call()
+        self.assertEqual((seen, len(deadlines)), ([2, 1], 1))
+
+    def test_the_wheel_is_never_early_and_at_most_a_tick_late(self) -> None:
+        wheel, now = Wheel(0.0), 0.0
+        late: list[float] = []
+        for delay in (0.0, 3.0, 5.0, 12.0, 700.0, TICK_MS * SPOKES, TICK_MS * SPOKES * 2.5):
+            wheel.add(delay, lambda d=delay: late.append(now - d))  # type: ignore[misc]
+        dropped = wheel.add(10.0, lambda: late.append(-1.0))
+        dropped.drop()
+        while (at := wheel.next_at()) is not None:
+            now = at
+            for call in wheel.due(now):
+                call()
+        self.assertEqual(len(late), 7)
+        self.assertTrue(all(0.0 <= x <= TICK_MS for x in late), late)
+
+
+class Side:
+    """A user agent's side that keeps its answers."""
+
+    def __init__(self) -> None:
+        self.answers: list[str] = []
+
+    def served(self, reply: Reply) -> None:
+        self.answers.append("served")
+
+    def unavailable(self, retry_after_ms: float) -> None:
+        self.answers.append("unavailable")
+
+    def failed(self, why: Failure) -> None:
+        self.answers.append(why.name)
+
+
+class Held:
+    """A pass that ends when the test says so."""
+
+    def __init__(self) -> None:
+        self.ended: Deferred[PassEnd] = Deferred()
+
+    def give_up(self, status: Status) -> None:
+        self.ended.callback(PassEnd(status))
+
+
+class Servers:
+    def __init__(self) -> None:
+        self.passes: list[Held] = []
+
+    def start(self, server: str, call: Call, timeout_ms: float) -> Held:
+        self.passes.append(Held())
+        return self.passes[-1]
+
+    def probe(self, server: str) -> Deferred[PassEnd]:
+        raise NotImplementedError
+
+
+class OneAnswer(unittest.TestCase):
+    def setUp(self) -> None:
+        reactor: Any = Clock()
+        keyed = RequestClass(300.0, 1000.0, 1.0, 0.0, Effect.KEYED, Scope.ZONE, 500.0)
+        self.servers, self.side, self.counters = Servers(), Side(), Counters()
+        told = Settings(classes=(keyed,), max_attempts=3, may_cancel=True)
+        clock = Clockwork(reactor)
+        self.proxy = Proxy(told, 1, clock, self.servers, lambda: None, self.counters)
+        self.proxy.news(MembershipKind.FULL, [Endpoint("a")])
+
+    def take(self) -> int:
+        handle = self.proxy.take(Call(0, 0, 900.0, False, "POST", "/", [], b""), self.side)
+        assert handle is not None
+        return handle
+
+    def test_an_internal_error_still_gives_a_whole_answer(self) -> None:
+        self.proxy._module.arrived = lambda request, now: 1 / 0  # type: ignore[method-assign,assignment]
+        with self.assertLogs("lupinlink.net.proxy"):
+            self.take()
+        self.assertEqual((self.side.answers, self.proxy.open), (["INTERNAL"], 0))
+
+    def test_a_module_that_breaks_on_an_outcome_does_not_lose_the_request(self) -> None:
+        self.take()
+        self.proxy._module.ended = lambda *args: 1 / 0  # type: ignore[method-assign,assignment]
+        with self.assertLogs("lupinlink.net.proxy"):
+            self.servers.passes[0].ended.callback(PassEnd(Status.RESET))
+        self.assertEqual(self.side.answers, ["INTERNAL"])
+
+    def test_only_one_answer_and_nothing_for_a_user_agent_that_left(self) -> None:
+        self.take()
+        self.servers.passes[0].ended.callback(PassEnd(Status.OK, Reply([], b"")))
+        self.assertEqual(self.side.answers, ["served"])
+        gone = self.take()
+        self.proxy.gone(gone)
+        self.assertEqual(self.servers.passes[1].ended.called, True)  # given up
+        self.proxy.end(gone, Failure.TOO_LATE)
+        self.assertEqual((self.side.answers, self.counters["clients_gone"]), (["served"], 1))
+
+    def test_what_the_module_leaves_open_is_ended(self) -> None:
+        handle = self.take()
+        with self.assertLogs("lupinlink.net.proxy"):
+            self.proxy.end_all()
+            self.proxy.end(handle, Failure.TOO_LATE)
+        self.assertEqual(self.side.answers, ["TOO_LATE"])
+
+
+if __name__ == "__main__":
+    unittest.main()
