End a connection's own headers at the proxy and evict idle user agents in one turn

Seen: headers named by Connection passed on to pooled connections (application_servers.py NOT_PASSED knew fixed names only); an HTTP/1.0 user agent was kept open without being told; an evicted connection held its table slot until its socket closed, so several new ones in one turn were turned away (user_agents.py _make_room).

--- a/lupinlink/net/application_servers.py
+++ b/lupinlink/net/application_servers.py
@@ -26,7 +26,7 @@
 IDLE_SHARE = 0.6  # of the application server's idle limit: a request must never meet its close half-way
 SWEEP_MS = 250.0
 PROBE_MS = 1000.0
-NOT_PASSED = http1.HOP_BY_HOP | {"x-expires-in-ms", "host"}
+REPLACED = ("x-expires-in-ms", "host")
 KEPT = ("content-type", "content-encoding", "etag", "last-modified", "cache-control")  # of an answer's
 
 
@@ -205,6 +205,7 @@
 
     def made(self, connection: Connection) -> None:
         """It is up."""
+        self._pool.dialled()
         proxy_pass = self._settle()
         if proxy_pass is None:
             connection.drop()
@@ -215,6 +216,8 @@
         self._servers.connections.remove(self.handle)
         proxy_pass = self._settle()
         if proxy_pass is not None:
+            self._servers.counters["dials_failed"] += 1
+            self._pool.dialled(reason.getErrorMessage())
             proxy_pass.end(PassEnd(Status.UNREACHABLE))
 
     def abandon(self) -> None:
@@ -228,6 +231,8 @@
         proxy_pass = self._pass
         self.abandon()
         if proxy_pass is not None:
+            self._servers.counters["dials_too_slow"] += 1
+            self._pool.dialled("too slow")
             proxy_pass.end(PassEnd(Status.UNREACHABLE))
 
     def _settle(self) -> Pass | None:
@@ -249,8 +254,16 @@
     port: int
     started_ms: float
     current: bool = True  # False: that process is gone, or wants nothing more
+    reached: bool = True  # whether the last connection came up; its changes are logged, not each failure
     idle: list[Connection] = field(default_factory=list)  # the most recently used last
 
+    def dialled(self, why: str = "") -> None:
+        """A connection came up, or did not and why."""
+        if self.reached == bool(why):
+            self.reached = not why
+            what = "application server out of reach" if why else "application server in reach again"
+            log.info(what, extra={"kv": {"server": self.name, "why": why or "connected"}})
+
     def forget(self, connection: Connection) -> None:
         if connection in self.idle:
             self.idle.remove(connection)
@@ -295,7 +308,7 @@
     def start(self, server: str, call: Call, timeout_ms: float) -> Pass:
         """Send a pass on an idle connection, or on a new one."""
         pool = self._pools.get(server)
-        headers = [(n, v) for n, v in call.headers if n.lower() not in NOT_PASSED]
+        headers = [(n, v) for n, v in call.headers if n.lower() not in REPLACED]
         host = f"{pool.host}:{pool.port}" if pool is not None else server
         headers += [("Host", host), ("X-Expires-In-Ms", str(max(1, int(timeout_ms))))]
         data = http1.request(call.method, call.target, headers, call.body)
--- a/lupinlink/net/http1.py
+++ b/lupinlink/net/http1.py
@@ -63,9 +63,13 @@
         """The value of a header, by its name in lower case."""
         return self.lookup.get(name)
 
+    def options(self) -> set[str]:
+        """What the Connection header names."""
+        return {o.strip().lower() for o in self.lookup.get("connection", "").split(",")}
+
     def keeps_open(self) -> bool:
         """Whether the other side means the connection to stay."""
-        options = {o.strip().lower() for o in self.lookup.get("connection", "").split(",")}
+        options = self.options()
         return "close" not in options and (self.version == 1 or "keep-alive" in options)
 
 
--- a/lupinlink/net/user_agents.py
+++ b/lupinlink/net/user_agents.py
@@ -26,6 +26,7 @@
 IDLE_MS = 90000.0  # so long may a connection stand idle
 LINGER_MS = 2000.0  # so long may a user agent take to read its last answer
 READ_AHEAD = 64 * 1024  # bytes kept of what comes while a request is open
+PASSED = {"x-trace-id", "idempotency-key"}
 STATUS = {Failure.NOT_SERVED: 502, Failure.TOO_LATE: 504, Failure.INTERNAL: 500}
 
 
@@ -177,7 +178,8 @@
             self._resume()
 
     def _take(self, message: http1.Message) -> None:
-        self._keep = message.keeps_open()
+        # An older user agent takes an answer for ended only when the connection is.
+        self._keep = message.version == 1 and message.keeps_open()
         self._waiting, self._request = True, None
         path = message.target.partition("?")[0]
         if path == "/up":
@@ -209,6 +211,7 @@
         self._classes = {c.name: i for i, c in enumerate(settings.classes)}
         self._tenants = {t.name: i for i, t in enumerate(settings.tenants)}
         self._waiting_for_room = False
+        self._leaving: set[UserAgent] = set()  # evicted, their sockets not yet closed
         clock.after(SWEEP_MS, self._sweep)
 
     @property
@@ -234,6 +237,8 @@
             if not text.isascii() or not text.isdigit() or len(text) > 9 or int(text) == 0:
                 raise http1.MessageError(400, "malformed X-Expires-In-Ms")
             expires = min(float(text), expires)
+        # A connection's own headers, and what it names as such, end here; the two ids always pass.
+        own = (http1.HOP_BY_HOP | message.options()) - PASSED
         return Call(
             index,
             self._tenants.get(message.get("x-customer") or "", -1) if self._tenants else 0,
@@ -241,7 +246,7 @@
             message.get("x-second-try") == "1",
             message.method,
             message.target,
-            message.headers,
+            [(n, v) for n, v in message.headers if n.lower() not in own],
             message.body,
         )
 
@@ -265,6 +270,7 @@
     def lost(self, agent: UserAgent) -> None:
         """A connection has ended."""
         self.connections.remove(agent.handle)
+        self._leaving.discard(agent)
         if self._waiting_for_room and self.port is not None:
             self._waiting_for_room = False
             self.port.startReading()
@@ -273,7 +279,11 @@
         """The connection that has been idle longest goes; its user agent opens another when it needs to."""
         idle = [agent for agent in self.connections if agent.idle]
         if idle:
-            min(idle, key=lambda agent: agent.last).close()
+            agent = min(idle, key=lambda agent: agent.last)
+            agent.close()
+            # Its socket is freed a turn later, out of the reserve: several user agents may come in one turn.
+            self.connections.remove(agent.handle)
+            self._leaving.add(agent)
 
     def close_idle(self) -> bool:
         """Close what is between requests; True if nothing is left."""
@@ -284,7 +294,7 @@
 
     def _sweep(self) -> None:
         now = self.clock.now()
-        for agent in self.connections:
+        for agent in [*self.connections, *self._leaving]:
             if agent.closing_at:
                 if now >= agent.closing_at:
                     agent.transport.abortConnection()
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -204,7 +204,8 @@
     def raw(self, data: bytes) -> bytes:
         """What comes back on a connection of its own until the proxy ends it."""
         with socket.create_connection(("127.0.0.1", self.port), WAIT) as connection:
-            connection.sendall(data)
+            with suppress(ConnectionError):
+                connection.sendall(data)
             got = b""
             while piece := connection.recv(65536):
                 got += piece
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -42,6 +42,32 @@
         line, headers, body = self.server.seen.get(timeout=WAIT)
         self.assertEqual((line.split()[0], headers["idempotency-key"], body), ("POST", "k1", b"body"))
 
+    def test_the_largest_bodies_pass_both_ways(self) -> None:
+        body = b"x" * 65536
+        self.server.answer = lambda headers: b"HTTP/1.1 200 OK\r\nContent-Length: 65536\r\n\r\n" + body
+        client = self.client()
+        client.request("POST", "/scan/1", body, {"Idempotency-Key": "k", "X-Trace-Id": "t"})
+        self.assertEqual(client.getresponse().read(), body)
+        self.assertEqual(self.server.seen.get(timeout=WAIT)[2], body)
+
+    def test_a_connections_own_headers_end_at_the_proxy(self) -> None:
+        # What a user agent says of its connection must not reach the pooled one behind the proxy.
+        head = b"GET /look/1 HTTP/1.1\r\nX-Trace-Id: t\r\nConnection: close, X-Hop\r\n"
+        self.assertTrue(self.raw(head + b"X-Hop: 1\r\nX-End: 1\r\n\r\n").endswith(b"ok"))
+        headers = self.server.seen.get(timeout=WAIT)[1]
+        self.assertEqual([n for n in ("connection", "x-hop", "x-end") if n in headers], ["x-end"])
+
+    def test_an_older_user_agent_gets_its_answer_and_the_end(self) -> None:
+        head = b"GET /look/1 HTTP/1.0\r\nX-Trace-Id: t\r\nConnection: keep-alive\r\n\r\n"
+        self.assertTrue(self.raw(head).endswith(b"ok"))
+
+    def test_requests_sent_ahead_are_answered_in_order(self) -> None:
+        self.server.answer = lambda headers: OK[:-2] + headers["x-trace-id"].encode()
+        ahead = b"".join(b"GET /look/1 HTTP/1.1\r\nX-Trace-Id: a%d\r\n\r\n" % i for i in range(3))
+        got = self.raw(ahead + b"GET /look/1 HTTP/1.1\r\nX-Trace-Id: a3\r\nConnection: close\r\n\r\n")
+        self.assertEqual([got.count(b"a%d" % i) for i in range(4)], [1, 1, 1, 1])
+        self.assertTrue(got.index(b"a0") < got.index(b"a1") < got.index(b"a2") < got.index(b"a3"))
+
     def test_connections_are_kept_on_both_sides(self) -> None:
         # A handshake costs the application server work: it is paid once here, not five times.
         client = self.client()
@@ -155,6 +181,7 @@
         self.assertEqual(answer.status, 503)
         self.assertGreater(float(answer.headers["Retry-After"]), 0.0)
         self.assertEqual(self.seen(), 0)
+        self.line("out of reach")
 
     def test_silence_is_answered_before_the_deadline_and_the_pass_given_up(self) -> None:
         for server in self.servers:
@@ -283,6 +310,11 @@
         clients = [self.client() for _ in range(60)]
         for client in clients:
             self.assertEqual(self.ask(client).read(), b"ok")
+        for client in clients[:15]:  # many at once: each makes room for itself
+            client.close()
+            client.connect()
+        for client in clients[:15]:
+            self.assertEqual(self.ask(client).read(), b"ok")
         self.assertLess(len(os.listdir(f"/proc/{self.process.pid}/fd")), 64)
 
 
