--- a/lupinlink/net/service.py
+++ b/lupinlink/net/service.py
@@ -4,6 +4,7 @@
 
 import gc
 import logging
+import resource
 import signal
 import time
 from types import FrameType
@@ -34,6 +35,16 @@
 CLOSE_IDLE_MS, QUIET_MS, LAST_MS, CHECK_MS = 500.0, 700.0, 3400.0, 20.0
 
 
+def allowed(sockets: int) -> int:
+    """As many descriptors as told, or fewer where the system grants this process fewer."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if soft != resource.RLIM_INFINITY and soft < sockets:
+        soft = sockets if hard == resource.RLIM_INFINITY else min(sockets, hard)
+        resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+        return soft
+    return sockets
+
+
 class Service:
     """Puts the parts together and takes them down again."""
 
@@ -44,7 +55,8 @@
         self._counters = Counters()
         self._clock = Clockwork(reactor)
         settings = config.settings
-        usable = config.sockets - max(RESERVE, int(config.sockets * RESERVE_SHARE))
+        sockets = allowed(config.sockets)
+        usable = sockets - max(RESERVE, int(sockets * RESERVE_SHARE))
         usable = min(usable, int((config.memory_mb - BASE_MB) / CONNECTION_MB))
         if usable < LEAST_CONNECTIONS:
             raise SettingsError(f"limits leave room for {max(0, usable)} connections only")
--- a/lupinlink/net/user_agents.py
+++ b/lupinlink/net/user_agents.py
@@ -227,9 +227,11 @@
         if index is None:
             raise http1.MessageError(404, "unknown class")
         cls = self._settings.classes[index]
-        if not message.get("x-trace-id"):
+        # Given twice, an id says nothing: application servers may take either, and drop no repeat by it.
+        trace, key = message.get("x-trace-id"), message.get("idempotency-key")
+        if not trace or "," in trace:
             raise http1.MessageError(400, "no X-Trace-Id")
-        if cls.effect == Effect.KEYED and not message.get("idempotency-key"):
+        if (cls.effect == Effect.KEYED and not key) or "," in (key or ""):
             raise http1.MessageError(400, "no Idempotency-Key")
         text = message.get("x-expires-in-ms")
         expires = cls.deadline_ms
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -6,6 +6,7 @@
 import os
 import signal
 import socket
+import threading
 import time
 import unittest
 from typing import Any, ClassVar
@@ -114,6 +115,7 @@
             (b"POST /scan/1 HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", 400),
             (b"GET /look/1 HTTP/1.1\r\n" + trace + b"X-Expires-In-Ms: soon\r\n\r\n", 400),
             (b"POST /scan/1 HTTP/1.1\r\n" + trace + b"\r\n", 400),
+            (b"GET /look/1 HTTP/1.1\r\n" + trace + trace + b"\r\n", 400),
             (b"GET /nothing/1 HTTP/1.1\r\n" + trace + b"\r\n", 404),
             (b"POST /scan/1 HTTP/1.1\r\nContent-Length: 65537\r\n\r\n", 413),
             (b"POST /scan/1 HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nFFFFFFF\r\n", 413),
@@ -318,6 +320,38 @@
         self.assertEqual(idle.sock.recv(1), b"")
         self.assertEqual(self.process.wait(WAIT), 0)
 
+    def test_no_request_is_lost_while_user_agents_keep_coming(self) -> None:
+        self.server.answer = lambda headers: OK
+        lost: list[str] = []
+        over, served = threading.Event(), threading.Barrier(5)
+
+        def work() -> None:
+            client, fresh, first = self.client(), True, True
+            while not over.is_set():
+                try:
+                    answer = self.ask(client)
+                    answer.read()
+                    client, fresh = (self.client(), True) if answer.will_close else (client, False)
+                except ConnectionError as exc:
+                    # A connection that closes between two requests may be crossed by the next one.
+                    if fresh:
+                        lost.append(repr(exc))
+                    client, fresh = self.client(), True
+                if first:
+                    served.wait(WAIT)
+                    first = False
+
+        threads = [threading.Thread(target=work) for _ in range(4)]
+        for thread in threads:
+            thread.start()
+        served.wait(WAIT)
+        self.process.send_signal(signal.SIGTERM)
+        over.wait(0.3)  # so long new connections keep coming
+        over.set()
+        for thread in threads:
+            thread.join(WAIT)
+        self.assertEqual((lost, self.process.wait(WAIT)), ([], 0))
+
 
 class FewSockets(Stage):
     limits: ClassVar[dict[str, Any]] = {"cores": 1.0, "memory_mb": 192, "sockets": 64}
