Let user agents beyond the cap wait for room instead of losing them

Seen in a new test with 64 descriptors, 22 busy user agents and 12 more: the 22nd got no answer for 10 s. Wrong lines, user_agents.py: UserAgents.buildProtocol put the new connection into the table before it had a transport, and UserAgent.idle took it for idle, so it was evicted in its own set-up and close() broke; _answer kept connections while others waited in the kernel's queue; Twisted accepts a burst in one turn, those beyond the cap were closed unread. Checked by the traceback and Twisted's Port.doRead. Ruled out: the application servers' cap (those requests got 503 at once). Now: one accept a turn (Listener), connections close after their answer while others wait, new ones are not idle. Conclusion: at the cap no request that was taken is lost.

--- a/lupinlink/net/service.py
+++ b/lupinlink/net/service.py
@@ -18,8 +18,8 @@
 from lupinlink.net.counters import Counters
 from lupinlink.net.farm import Farm, ListError
 from lupinlink.net.proxy import Proxy
-from lupinlink.net.typed import Reactor
-from lupinlink.net.user_agents import UserAgents
+from lupinlink.net.typed import Port, Reactor
+from lupinlink.net.user_agents import Listener, UserAgents
 from lupinlink.net.wheel import Clockwork
 from lupinlink.settings import Config, SettingsError
 
@@ -89,10 +89,11 @@
             raise SettingsError(f"known: {exc}") from exc
         host, port = self._config.listen
         try:
-            listening = self._reactor.listenTCP(port, self._agents, backlog=BACKLOG, interface=host)
+            listening = Listener(port, self._agents, BACKLOG, host, self._reactor)  # type: ignore[arg-type]
+            listening.startListening()
         except CannotListenError as exc:
             raise SettingsError(f"listen: {host}:{port}: {exc.socketError}") from exc
-        self._agents.port = listening
+        self._agents.port = cast(Port, listening)
         self._reactor.callWhenRunning(self._started)
         self._reactor.run()
         self._counters.show("exit")
--- a/lupinlink/net/typed.py
+++ b/lupinlink/net/typed.py
@@ -8,7 +8,7 @@
 from typing import Any, Protocol
 
 from twisted.internet.base import DelayedCall
-from twisted.internet.protocol import ClientFactory, ServerFactory
+from twisted.internet.protocol import ClientFactory
 
 
 class Transport(Protocol):
@@ -57,6 +57,5 @@
     def connectTCP(
         self, host: str, port: int, factory: ClientFactory, timeout: float | None = 30
     ) -> Connector: ...
-    def listenTCP(self, port: int, factory: ServerFactory, backlog: int, interface: str) -> Port: ...
     def run(self) -> None: ...
     def stop(self) -> None: ...
--- a/lupinlink/net/user_agents.py
+++ b/lupinlink/net/user_agents.py
@@ -8,6 +8,7 @@
 
 from twisted.internet.interfaces import IPushProducer
 from twisted.internet.protocol import Protocol, ServerFactory, connectionDone
+from twisted.internet.tcp import Port as TcpPort
 from twisted.python.failure import Failure as Reason
 from zope.interface import implementer  # type: ignore[import-untyped]
 
@@ -82,7 +83,8 @@
     @property
     def idle(self) -> bool:
         """Between two requests, with nothing of the next one here or on its way."""
-        if self._waiting or self.closing_at or self._parser.begun():
+        # A connection that is only being set up must not be chosen to make room for itself.
+        if not self.connected or self._waiting or self.closing_at or self._parser.begun():
             return False
         with suppress(OSError, AttributeError):
             handle = self.transport.getHandle()
@@ -131,7 +133,8 @@
         self._waiting, self._request = False, None
         self._agents.counters[f"answers_{status}"] += 1
         self.last = self._agents.clock.now()
-        stay = self._keep and not self._agents.stopping
+        # While others wait in the kernel's queue, a kept connection would leave them there for good.
+        stay = self._keep and not self._agents.stopping and not self._agents.crowded
         self.transport.write(http1.answer(status, headers, body, close=not stay))
         if stay:
             self._advance()
@@ -194,6 +197,18 @@
         self._request = self._agents.proxy.take(call, self)
 
 
+class Listener(TcpPort):
+    """Accepts one connection a turn, so that the cap can stop it before the next.
+
+    Twisted takes a whole burst in one turn; those beyond the cap would have to be closed unread, and
+    a request that was already written to one of them would be lost.
+    """
+
+    def doRead(self) -> None:  # noqa: N802
+        self.numberAccepts = 1
+        super().doRead()  # type: ignore[no-untyped-call]
+
+
 class UserAgents(ServerFactory):
     """The listener: it holds every connection of user agents under one cap."""
 
@@ -210,7 +225,7 @@
         self._settings = settings
         self._classes = {c.name: i for i, c in enumerate(settings.classes)}
         self._tenants = {t.name: i for i, t in enumerate(settings.tenants)}
-        self._waiting_for_room = False
+        self.crowded = False  # full of busy connections: the listener is not read
         self._leaving: set[UserAgent] = set()  # evicted, their sockets not yet closed
         clock.after(SWEEP_MS, self._sweep)
 
@@ -261,11 +276,11 @@
         agent = UserAgent(self)
         agent.handle = self.connections.add(agent)
         self.counters["user_agents"] += 1
-        if self.connections.full and not self._waiting_for_room and self.port is not None:
+        if self.connections.full and not self.crowded and self.port is not None:
             # The rest waits in the kernel's queue until there is room, instead of being turned away.
             self._make_room()
             if self.connections.full:
-                self._waiting_for_room = True
+                self.crowded = True
                 self.port.stopReading()
         return agent
 
@@ -273,8 +288,8 @@
         """A connection has ended."""
         self.connections.remove(agent.handle)
         self._leaving.discard(agent)
-        if self._waiting_for_room and self.port is not None:
-            self._waiting_for_room = False
+        if self.crowded and self.port is not None:
+            self.crowded = False
             self.port.startReading()
 
     def _make_room(self) -> None:
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -370,6 +370,19 @@
             self.assertEqual(self.ask(client).read(), b"ok")
         self.assertLess(len(os.listdir(f"/proc/{self.process.pid}/fd")), 64)
 
+    def test_user_agents_beyond_the_cap_wait_for_room_and_are_served(self) -> None:
+        # Closed unread, a connection would take the request that was already written to it along.
+        server = self.peer(ApplicationServer(None))
+        self.start(row("s-1", server))
+        held = [self.client() for _ in range(22)]
+        for client in held:
+            self.send(client, ms=800)
+        late = [self.client() for _ in range(12)]
+        for client in late:
+            self.send(client, "/nothing/1")
+        self.assertTrue(all(client.getresponse().status in (503, 504) for client in held))
+        self.assertEqual([client.getresponse().status for client in late], [404] * 12)
+
     def test_a_pass_beyond_the_cap_is_not_sent_and_its_request_refused_at_once(self) -> None:
         server = self.peer(ApplicationServer(None))
         self.start(row("s-1", server))
