Hear load reports, blame no server for a bad request, and eject what hangs

Now Status.REJECTED: the request fails at once and no server is blamed. - 202 were spoilt answers, spread over all servers alike. One of them set the failing share to 0.5, which is EJECT_AT (brain.ERROR_GAIN 0.5). Now 0.2: four in a row eject; a connection that does not come up still counts 0.5. - No report was ever read: answers name their figures as the settings do (busy, rate), read_report knew only util and qps. Both now; and nan, inf, negative and absurd figures are skipped. - 90 ran into their clients' deadline with not a byte back, in clusters on one server at a time: a hang. Three overdue attempts in a row with nothing heard now eject it, and what is overdue there goes elsewhere where another server may take it. A server that comes back is on trial, one attempt at a time. Ruled out: descriptors (252 of 384), CPU (5 s of 25), descriptors' cap on passes (no passes_over_cap).

--- a/lupinlink/brain.py
+++ b/lupinlink/brain.py
@@ -43,7 +43,9 @@
 PROBE_MOST, PROBE_DRAWS = 2.0, 4  # probes an arrival if unheard of; the longest so of those drawn
 FULL_FIGURE, FULL_DELAY = 4.0, 1.5  # turned away by a full server: latency over usual, and delay in aims
 # Health
-OK_GAIN, ERROR_GAIN, TIMEOUT_GAIN = 0.2, 0.5, 0.3  # sound servers hardly err, a time-out may be load
+# An answer that can't be used says little of the next one; a connection that does not come up says much.
+OK_GAIN, ERROR_GAIN, DIAL_GAIN, TIMEOUT_GAIN = 0.2, 0.2, 0.5, 0.3
+SILENT_MOST = 3  # so many attempts overdue in a row and nothing heard since the first was sent: it hangs
 EJECT_AT, OVER_FLEET = 0.5, 3.0  # failing share to be ejected, and over the fleet's: all fail, none is out
 EJECT_MS, EJECT_MAX_MS, MAX_EJECTED = 2000.0, 16000.0, 0.4  # doubled each time in a row; share at a time
 RETURN_LOAD = 1.5  # a returning server is taken for this loaded (log), fading: it returns gently
@@ -182,14 +184,18 @@
         server.failing += gain * (failed - server.failing)
         self.fleet += 0.02 * (failed - self.fleet)
         server.ejections *= server.failing >= 0.05
-        if not failed or server.failing < max(EJECT_AT, min(0.9, OVER_FLEET * self.fleet)):
-            return
+        server.trial = server.trial and failed
+        if failed and server.failing >= max(EJECT_AT, min(0.9, OVER_FLEET * self.fleet)):
+            self.eject(server, now, ready)
+
+    def eject(self, server: Server, now: float, ready: int) -> None:
+        """Leave it out for a while, doubled each time in a row; it comes back on trial."""
         self.ejected = [s for s in self.ejected if s.ejected_until > now]
         if server in self.ejected or len(self.ejected) + 1 > MAX_EJECTED * ready:
             return
         span = min(EJECT_MS * 2.0**server.ejections, EJECT_MAX_MS) * self.rng.uniform(0.75, 1.25)
         self.ejected.append(server)
-        server.ejected_until, server.ejections = now + span, server.ejections + 1
+        server.ejected_until, server.ejections, server.trial = now + span, server.ejections + 1, True
         server.load, server.known_at = max(server.load, RETURN_LOAD), now + span
 
 
@@ -315,20 +321,24 @@
         spent = now >= request.arrival.deadline or len(request.attempts) >= self.settings.max_attempts
         if request.done or spent or not server.ready:
             return False
-        cls, row = request.cls, server.row
-        for a in request.attempts:
-            if a.status is None:
-                return False  # no second copies: they cost the fleet more than they save (docs/design.md)
-            if cls.effect == Effect.SAFE or not a.may_have_run():
-                continue
-            if cls.effect == Effect.UNSAFE or now >= a.sent_at + cls.dedup_ms:
-                return False  # a second effect
-            if cls.scope != Scope.ALL and row.zone != a.server.row.zone:
-                return False
-            if cls.scope == Scope.CELL and row.cell != a.server.row.cell:
+        for (
+            a
+        ) in request.attempts:  # no second copies: they cost the fleet more than they save (docs/design.md)
+            if a.status is None or not self.may_follow(a, request.cls, server.row, now):
                 return False
         return self.slow_start.allows(server, now)
 
+    @staticmethod
+    def may_follow(a: Attempt, cls: api.RequestClass, row: api.Endpoint, now: float) -> bool:
+        """Whether an attempt at that endpoint after this one is no second effect."""
+        if cls.effect == Effect.SAFE or not a.may_have_run():
+            return True
+        if cls.effect == Effect.UNSAFE or now >= a.sent_at + cls.dedup_ms:
+            return False
+        if cls.scope != Scope.ALL and row.zone != a.server.row.zone:
+            return False
+        return cls.scope != Scope.CELL or row.cell == a.server.row.cell
+
     def may_refuse(self, request: Request) -> bool:
         """The guard for every refusal, which says that trying again is harmless."""
         cls = request.cls
@@ -340,8 +350,12 @@
         if self.may_refuse(request):
             wait = min(self.settings.max_retry_after_ms, RETRY_AFTER * request.cls.aim_ms)
             self.actions.append(api.Refuse(request.arrival.request_id, wait * self.rng.uniform(0.5, 1.0)))
+            self.close(request)
         else:
-            self.actions.append(api.Fail(request.arrival.request_id))
+            self.fail(request)
+
+    def fail(self, request: Request) -> None:
+        self.actions.append(api.Fail(request.arrival.request_id))
         self.close(request)
 
     def dispatch(self, request: Request, now: float) -> None:
@@ -351,7 +365,8 @@
         used = [a.server for a in request.attempts]
 
         def fits(server: Server) -> bool:
-            return now >= server.ejected_until and server not in used and self.may_send(request, server, now)
+            out = now < server.ejected_until or (server.trial and server.out > 0)
+            return not out and server not in used and self.may_send(request, server, now)
 
         server = self.split.pick(now, self, fits)
         if server is not None:
@@ -360,36 +375,58 @@
             server.tokens -= 1.0
             stats = self.latency[request.arrival.class_index]
             late = min(stats.mean + OVERDUE_DEVS * stats.dev, request.cls.aim_ms)
-            self.after(late, lambda t: self.overdue(request, attempt, t))
+            self.after(late, lambda t: self.overdue(request, attempt, t, 1))
         elif now + PARK_MS < min(request.arrival.deadline - ANSWER_MARGIN_MS, request.aim_at):
             self.after(PARK_MS, lambda t: self.dispatch(request, t))
         else:
             self.finish(request)
 
-    def overdue(self, request: Request, attempt: Attempt, now: float) -> None:
+    def overdue(self, request: Request, attempt: Attempt, now: float, first: int = 0) -> None:
         """Danger: a jammed server answers late and so reports late; the age of what it holds is evidence."""
         if attempt.status is None:
-            age, mean = now - attempt.sent_at, self.latency[request.arrival.class_index].mean
-            self.split.observe(attempt.server, age / mean, LATENCY, OVERDUE_GAIN, now)
+            server, age = attempt.server, now - attempt.sent_at
+            self.split.observe(
+                server, age / self.latency[request.arrival.class_index].mean, LATENCY, OVERDUE_GAIN, now
+            )
             self.after((OVERDUE_AGAIN - 1.0) * age, lambda t: self.overdue(request, attempt, t))
+            if server.heard_at >= attempt.sent_at:
+                return
+            # Danger: a server that hangs says nothing, and eats what it is sent until the clients give up.
+            server.silent += first
+            if server.silent >= SILENT_MOST or server.trial:
+                self.health.eject(server, now, self.ready)
+                used = [a.server for a in request.attempts]
+                elsewhere = any(
+                    s.ready and s not in used and now >= s.ejected_until
+                    and self.may_follow(attempt, request.cls, s.row, now)
+                    for s in self.servers.values()
+                )  # fmt: skip
+                if elsewhere and self.settings.may_cancel and self.again(request, now):
+                    self.actions.append(api.Cancel(request.arrival.request_id, len(request.attempts) - 1))
 
     def ended(self, request: Request, attempt: Attempt, event: api.Outcome, now: float) -> None:
         self.evidence(request, attempt, event, now)
         if request.done:
             return
-        # Another attempt while it can still be useful and the budget lasts, so that retries make no storm.
-        final = request.cls.effect == Effect.UNSAFE and attempt.may_have_run()
-        need = ANSWER_MARGIN_MS + self.latency[request.arrival.class_index].mean / 2
-        if final or self.retry_tokens < 1.0 or request.arrival.deadline - now < need:
+        if event.status == Status.REJECTED:  # no server will take it
+            return self.fail(request)
+        if not self.again(request, now) or (request.cls.effect == Effect.UNSAFE and attempt.may_have_run()):
             return self.finish(request)
         self.retry_tokens -= 1.0
         self.dispatch(request, now)
 
+    def again(self, request: Request, now: float) -> bool:
+        """Whether another attempt can still be useful and the budget lasts: retries must make no storm."""
+        need = ANSWER_MARGIN_MS + self.latency[request.arrival.class_index].mean / 2
+        return self.retry_tokens >= 1.0 and request.arrival.deadline - now >= need
+
     def evidence(self, request: Request, attempt: Attempt, event: api.Outcome, now: float) -> None:
         """What an outcome says of the server and, for d, of all; quick errors say nothing of load."""
         server, status, aim = attempt.server, event.status, request.cls.aim_ms
         stats, delay = self.latency[request.arrival.class_index], (now - attempt.sent_at) / aim
         self.report(server, event.report, now)
+        if status in (Status.OK, Status.ERROR, Status.OVERLOADED, Status.REJECTED):
+            server.heard_at, server.silent = now, 0
         if status == Status.OK:
             gain = 0.0 if self.settings.reports_in_answers else LATENCY_GAIN
             self.split.observe(server, delay * aim / stats.mean, LATENCY, gain, now)
@@ -398,8 +435,8 @@
         elif status == Status.OVERLOADED:
             self.split.observe(server, FULL_FIGURE, LATENCY, OVERDUE_GAIN, now)
             delay = FULL_DELAY
-        elif status not in (Status.CANCELLED, Status.NOT_SENT):
-            gain = TIMEOUT_GAIN if status == Status.TIMEOUT else ERROR_GAIN
+        elif status not in (Status.CANCELLED, Status.NOT_SENT, Status.REJECTED):
+            gain = {Status.TIMEOUT: TIMEOUT_GAIN, Status.UNREACHABLE: DIAL_GAIN}.get(status, ERROR_GAIN)
             self.health.record(server, gain, True, now, self.ready)
         if status in (Status.OK, Status.OVERLOADED, Status.TIMEOUT) and server.load < OUTLIER:
             # One bad server must not shed traffic that others could carry.
--- a/lupinlink/interface.py
+++ b/lupinlink/interface.py
@@ -27,6 +27,7 @@
     RESET = 5
     CANCELLED = 6
     NOT_SENT = 7
+    REJECTED = 8  # the request itself was turned down as unusable; no fault of the server
 
 
 NEVER_RAN = frozenset({Status.OVERLOADED, Status.UNREACHABLE, Status.NOT_SENT})
@@ -106,6 +107,9 @@
     ejections: int = 0  # in a row
     ejected_until: float = 0.0
     out: int = 0  # attempts of this node that are out
+    heard_at: float = 0.0  # when an attempt last brought anything back
+    silent: int = 0  # attempts overdue in a row, with nothing heard since they were sent
+    trial: bool = False  # back from ejection and not yet proven: one attempt at a time
 
 
 @dataclass(slots=True)
--- a/lupinlink/net/application_servers.py
+++ b/lupinlink/net/application_servers.py
@@ -26,20 +26,26 @@
 IDLE_SHARE = 0.6  # of the application server's idle limit: a request must never meet its close half-way
 SWEEP_MS = 250.0
 PROBE_MS = 1000.0
+MOST_BUSY, MOST_FIGURE, MOST_REPORT = 16.0, 1e6, 1024  # beyond these a load report is noise
 REPLACED = ("x-expires-in-ms", "host")
 KEPT = ("content-type", "content-encoding", "etag", "last-modified", "cache-control")  # of an answer's
 
 
 def read_report(text: str | None) -> dict[str, float] | None:
-    """``TEXT inflight=7, util=0.61`` as the module names it; unknown and broken figures are skipped."""
+    """``TEXT inflight=7, util=0.61`` as the module names it; unknown and unreadable figures are skipped.
+
+    A figure that no server can mean (nan, inf, below zero, a million cores) is one that can't be read.
+    """
     if not text:
         return None
     report = {}
-    for pair in text.strip().removeprefix("TEXT").split(","):
+    for pair in text[:MOST_REPORT].strip().removeprefix("TEXT").split(","):
         name, _, value = pair.strip().partition("=")
         if name in SOCKET_FIELDS:
             with suppress(ValueError):
-                report[SOCKET_FIELDS[name]] = float(value)
+                known, figure = SOCKET_FIELDS[name], float(value)
+                if 0.0 <= figure <= (MOST_BUSY if known == "utilization" else MOST_FIGURE):
+                    report[known] = figure
     return report or None
 
 
@@ -51,6 +57,8 @@
         return PassEnd(Status.OK, Reply(headers, message.body), report)
     if message.status in (503, 504) and message.get("x-never-ran") == "1":
         return PassEnd(Status.OVERLOADED, None, report)
+    if 400 <= message.status < 500 and message.status not in (408, 429):
+        return PassEnd(Status.REJECTED, None, report)
     return PassEnd(Status.ERROR, None, report)  # it may have run
 
 
--- a/lupinlink/settings.py
+++ b/lupinlink/settings.py
@@ -100,7 +100,8 @@
     "rate": "rate",
     "fail_rate": "error_rate",
 }
-SOCKET_FIELDS = {  # the same figures under the names that sockets use
+SOCKET_FIELDS = {  # sockets use these names for the same figures, or those above, as the settings name them
+    **REPORT_FIELDS,
     "inflight": "in_flight",
     "queue": "queued",
     "util": "utilization",
--- a/tests/test_net_parts.py
+++ b/tests/test_net_parts.py
@@ -70,12 +70,17 @@
         self.assertEqual(end(b"HTTP/1.1 503 No\r\nX-Never-Ran: 1").status, Status.OVERLOADED)
         self.assertEqual(end(b"HTTP/1.1 503 No").status, Status.ERROR)  # it may have run
         self.assertEqual(end(b"HTTP/1.1 500 No\r\nX-Never-Ran: 1").status, Status.ERROR)
+        self.assertEqual(end(b"HTTP/1.1 400 Bad Request").status, Status.REJECTED)
         self.assertEqual(end(b"HTTP/1.1 200 OK").report, {"utilization": 0.5})
 
     def test_reports_zones_and_log_values(self) -> None:
         got = read_report("TEXT inflight=7, queue=2, util=0.61, new=1")
         self.assertEqual(got, {"in_flight": 7.0, "queued": 2.0, "utilization": 0.61})
         self.assertIsNone(read_report("nothing"))
+        # The settings may name the figures as the simulator does; none of these must go unheard.
+        self.assertEqual(read_report("TEXT busy=0.478, rate=67.6"), {"utilization": 0.478, "rate": 67.6})
+        for noise in ("nan", "inf", "-inf", "-1", "1e9", "1e999", "0x1", ""):
+            self.assertEqual(read_report(f"TEXT busy={noise}, rate=5"), {"rate": 5.0}, noise)
         self.assertEqual([number(("a", "b"), z) for z in ("b", "c", None)], [1, 2, 2])
         self.assertEqual(pair("why", 'a "b"\nc'), 'why="a \\"b\\"\\nc"')
 
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -171,6 +171,18 @@
                 status = self.ask(path="/scan/1").status
                 self.assertEqual(status, 200)  # the same zone drops the repeat
 
+    def test_a_request_that_servers_reject_fails_at_once_and_blames_none(self) -> None:
+        # Sent on to one server after the other, a bad client's request had them all left out.
+        for server in self.servers:
+            server.answer = lambda headers: b"HTTP/1.1 400 No\r\nContent-Length: 0\r\n\r\n"
+        self.assertEqual([self.ask().status for _ in range(10)], [502] * 10)
+        self.assertEqual(self.seen(), 10)
+        for server in self.servers:
+            server.answer = lambda headers: OK
+        for _ in range(10):
+            self.ask().read()
+        self.assertTrue(all(s.seen.qsize() >= 3 for s in self.servers))
+
     def test_keyed_that_may_have_run_is_never_refused(self) -> None:
         for server in self.servers:
             server.answer = lambda headers: b""
@@ -205,6 +217,24 @@
         met.ends.get(timeout=WAIT)
 
 
+class Hanging(Stage):
+    def test_requests_on_a_silent_server_go_elsewhere_long_before_their_deadline(self) -> None:
+        # A machine that is cut off keeps its connections and says nothing.
+        silent, sound = self.peer(ApplicationServer(None)), [self.peer(ApplicationServer()) for _ in range(2)]
+        self.start(row("s-0", silent), *(row(f"s-{i + 1}", s) for i, s in enumerate(sound)))
+        clients = [self.client() for _ in range(30)]
+        began = time.monotonic()
+        for client in clients:
+            self.send(client, ms=2000)
+        self.assertEqual([client.getresponse().read() for client in clients], [b"ok"] * 30)
+        self.assertLess(time.monotonic() - began, 1.5)
+        self.assertGreaterEqual(silent.seen.qsize(), 3)
+        before = silent.seen.qsize()
+        for client in clients:
+            self.assertEqual(self.ask(client).read(), b"ok")
+        self.assertEqual(silent.seen.qsize(), before)  # left out
+
+
 class Unreachable(Stage):
     def test_a_connection_that_never_comes_up_never_ran(self) -> None:
         # A machine that vanished says nothing: the dial must end by itself, and the request go elsewhere.
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -165,6 +165,16 @@
     assert sum(v.ejected_until > s.now for v in s.node.servers.values()) <= 3
 
 
+def test_one_answer_that_cannot_be_used_ejects_nobody() -> None:
+    # Where a few answers in a hundred come spoilt, ejecting for each one left out half of the fleet.
+    s = stand(SAFE, "abcdefgh")
+    for i in range(200):
+        s.until(i * 10.0)
+        for x in sends(s.ask(str(i))):
+            s.end(str(i), Status.OK if i % 16 else Status.RESET, x.endpoint)
+            assert not s.node.health.ejected
+
+
 CLASSES = (
     SAFE,
     UNSAFE,
