Bound bad clients by phases in order of time, and never reuse a spoilt server connection

Ruled out: second copies and noise behind an answer are good answers with too much behind (607 traced, none short).

New ones have 2.2 s, resting ones 2.1 s, and new silent ones make room before resting ones.
- Bodies on their way in share one budget of memory; more than 8 KiB sent ahead of an answer is an error.
- An id that is open gets 409, its owner is untouched.
SIGUSR1 shows the size of every table.
- An idle server connection is peeked at before use; an answer ahead of its request's end, one that is not whole 300 ms after it began, and one without a length that was not announced to end are spoilt.
- A single slow request under light traffic is no jam (brain.delay).

--- a/lupinlink/brain.py
+++ b/lupinlink/brain.py
@@ -471,6 +471,8 @@
         """
         out = [(now - a.sent_at, r.cls.aim_ms) for r, a in self.outstanding() if a.server.load < OUTLIER]
         if not period.count:
+            if len(out) < MIN_SAMPLES:
+                return None  # a single slow request is no jam
             oldest = max((age / aim for age, aim in out), default=0.0)
             return oldest if oldest > self.admission.target else None
         served, span = period.delay_sum / period.count, seconds * 1000.0
--- a/lupinlink/net/application_servers.py
+++ b/lupinlink/net/application_servers.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 
 from twisted.internet.defer import Deferred
+from twisted.internet.error import ConnectionDone
 from twisted.internet.interfaces import IPullProducer
 from twisted.internet.protocol import ClientFactory, Protocol, connectionDone
 from twisted.python.failure import Failure
@@ -26,6 +27,7 @@
 IDLE_SHARE = 0.6  # of the application server's idle limit: a request must never meet its close half-way
 SWEEP_MS = 250.0
 PROBE_MS = 1000.0
+WHOLE_MS = 300.0  # once an answer has begun, its rest is due by then: servers write their answers in one go
 MOST_BUSY, MOST_FIGURE, MOST_REPORT = 16.0, 1e6, 1024  # beyond these a load report is noise
 REPLACED = ("x-expires-in-ms", "host")
 KEPT = ("content-type", "content-encoding", "etag", "last-modified", "cache-control")  # of an answer's
@@ -110,6 +112,7 @@
         self._parser = http1.AnswerParser()
         self._unsent: bytes | None = None
         self._written = True
+        self._whole_by: Timer | None = None
         self.idle_since = 0.0
         self.handle = 0
 
@@ -137,15 +140,34 @@
     def drop(self) -> None:
         """Close at once. Twisted closes on its next turn, after other writes: the end must go first."""
         self._pass = None
+        self._settle()
         with suppress(OSError, AttributeError):
             self.transport.getHandle().shutdown(socket.SHUT_RDWR)
         self.transport.abortConnection()
 
+    def stale(self) -> bool:
+        """Whether this idle connection has ended, or brought what nobody asked for: no request may meet it.
+
+        Danger: bytes that came behind the last answer would be taken for the answer to the next request.
+        """
+        try:
+            self.transport.getHandle().recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return False
+        except OSError:
+            pass
+        return True
+
     def dataReceived(self, data: bytes) -> None:
         if self._pass is None:
             self.pool.forget(self)
             self.transport.abortConnection()  # nothing was asked
             return
+        if not self._written:
+            # No answer precedes its request; nor can that one run now, with its end never to be written.
+            self._servers.counters["early_answers"] += 1
+            self._finish(PassEnd(Status.NOT_SENT), reuse=False)
+            return
         self._parser.feed(data)
         try:
             message = self._parser.next()
@@ -157,15 +179,23 @@
             self._finish(PassEnd(Status.RESET), reuse=False)
             return
         if message is not None:
-            clean = self._written and not self._parser.buffer and message.keeps_open()
-            self._finish(outcome(message), reuse=clean)
+            self._finish(outcome(message), reuse=not self._parser.buffer and message.keeps_open())
+        elif self._whole_by is None and self._parser.begun():
+            self._whole_by = self._servers.clock.after(WHOLE_MS, self._unfinished)
+
+    def _unfinished(self) -> None:
+        self._servers.counters["unfinished_answers"] += 1
+        if self._pass is not None:
+            self._finish(PassEnd(Status.RESET), reuse=False)
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         self.pool.forget(self)
         self._servers.connections.remove(self.handle)
+        self._settle()
         if self._pass is not None:
-            message = self._parser.eof()
-            if message is not None:
+            # Without a length, only an orderly end that was announced shows that the answer is whole.
+            message = self._parser.eof() if isinstance(reason.value, ConnectionDone) else None
+            if message is not None and not message.keeps_open():
                 end = outcome(message)
             else:
                 end = PassEnd(Status.RESET if self._written else Status.UNREACHABLE)
@@ -173,7 +203,13 @@
             proxy_pass.connection = None
             proxy_pass.end(end)
 
+    def _settle(self) -> None:
+        if self._whole_by is not None:
+            self._whole_by.drop()
+            self._whole_by = None
+
     def _finish(self, end: PassEnd, reuse: bool) -> None:
+        self._settle()
         proxy_pass, self._pass = self._pass, None
         assert proxy_pass is not None
         proxy_pass.connection = None
@@ -343,7 +379,7 @@
             return proxy_pass
         while pool.idle:
             connection = pool.idle.pop()
-            if now - connection.idle_since < self._idle_ms:
+            if now - connection.idle_since < self._idle_ms and not connection.stale():
                 self.counters["connections_reused"] += 1
                 connection.carry(proxy_pass)
                 return proxy_pass
@@ -379,6 +415,12 @@
                 pool.idle.pop(0).drop()
         self.clock.after(SWEEP_MS, self._sweep)
 
+    def gauges(self) -> dict[str, int]:
+        """The size of every table here."""
+        idle = sum(len(pool.idle) for pool in self._pools.values())
+        return {"server_connections_now": len(self.connections), "server_connections_idle": idle,
+                "pools": len(self._pools)}  # fmt: skip
+
     def close(self) -> None:
         """Close what is idle; for a stop."""
         for pool in self._pools.values():
--- a/lupinlink/net/http1.py
+++ b/lupinlink/net/http1.py
@@ -23,6 +23,7 @@
     404: "Not Found",
     405: "Method Not Allowed",
     408: "Request Timeout",
+    409: "Conflict",
     413: "Content Too Large",
     431: "Request Header Fields Too Large",
     500: "Internal Server Error",
@@ -92,6 +93,10 @@
         """Whether a part of a message is here."""
         return self.head is not None or bool(self.buffer)
 
+    def size(self) -> int:
+        """Bytes that are kept here."""
+        return len(self.buffer) + len(self._body)
+
     def next(self) -> Message | None:
         """The next whole message, if all its bytes are here."""
         if self.head is None and not self._read_head():
--- a/lupinlink/net/proxy.py
+++ b/lupinlink/net/proxy.py
@@ -36,12 +36,14 @@
     NOT_SERVED = "not served"
     TOO_LATE = "no answer in time"
     INTERNAL = "internal error"
+    DUPLICATE = "a request of this id is open"
 
 
 @dataclass(slots=True)
 class Call:
     """What a user agent asks, in terms that the decisions and the application servers share."""
 
+    identity: str  # no two open calls may share it
     class_index: int
     tenant: int
     expires_ms: float
@@ -119,6 +121,7 @@
         self._module = Balancer(settings, Random(seed))
         self._clock, self._servers, self._watch, self.counters = clock, servers, watch, counters
         self._requests: Slots[Taken] = Slots(settings.most_held)
+        self._identities: set[str] = set()  # of all calls that are open, or have a pass out
         self._events: deque[api.Event] = deque()
         self._busy = False
         self._carry: dict[type, Callable[..., None]] = {
@@ -131,6 +134,11 @@
             api.Subscribe: self._subscribe,
         }
 
+    def gauges(self) -> dict[str, int]:
+        """The size of every table here."""
+        return {"requests_now": len(self._requests), "identities": len(self._identities),
+                **self._module.sizes()}  # fmt: skip
+
     @property
     def open(self) -> int:
         """Requests that still owe an answer."""
@@ -138,6 +146,11 @@
 
     def take(self, call: Call, side: UserAgentSide) -> int | None:
         """A call is here with its last byte; its handle, or None if it was answered on the spot."""
+        if call.identity in self._identities:
+            # Sent on, it would be a second copy of the other's request.
+            self.counters["duplicates"] += 1
+            side.failed(Failure.DUPLICATE)
+            return None
         if self._requests.full:
             self.counters["refused_table_full"] += 1
             side.unavailable(0.0)
@@ -146,6 +159,7 @@
         now = self._clock.now()
         deadline = now + max(call.expires_ms - MARGIN_MS, call.expires_ms / 2.0)
         handle = self._requests.add(Taken(call, side, deadline))
+        self._identities.add(call.identity)
         taken = self._requests.get(handle)
         assert taken is not None
         taken.guard = self._clock.at(deadline + GUARD_MS, lambda: self.end(handle, Failure.TOO_LATE))
@@ -221,6 +235,7 @@
         taken = self._requests.get(handle)
         if taken is not None and taken.side is None and not taken.out:
             self._requests.remove(handle)
+            self._identities.discard(taken.call.identity)
 
     def _answer_failed(self, taken: Taken, why: Failure) -> None:
         side = self._settle(taken)
--- a/lupinlink/net/service.py
+++ b/lupinlink/net/service.py
@@ -81,7 +81,15 @@
             self._counters,
         )
         self._proxy = Proxy(settings, config.seed, self._clock, self._servers, self._ask_farm, self._counters)
-        self._agents = UserAgents(self._proxy, self._farm, self._clock, settings, agents, self._counters)
+        self._agents = UserAgents(
+            self._proxy,
+            self._farm,
+            self._clock,
+            settings,
+            agents,
+            config.memory_mb - BASE_MB,
+            self._counters,
+        )
         self._farm.news = self._news
         self._stopping_since: float | None = None
 
@@ -150,9 +158,13 @@
         self._counters.show(
             "signal",
             open=self._proxy.open,
-            user_agents_now=len(self._agents.connections),
-            server_connections_now=len(self._servers.connections),
             servers_ready=self._farm.ready,
+            servers_listed=len(self._farm),
+            deadlines=len(self._clock.deadlines),
+            timers=len(self._clock.wheel),
+            **self._agents.gauges(),
+            **self._servers.gauges(),
+            **self._proxy.gauges(),
         )
 
     def _on_stop(self, number: int, frame: FrameType | None) -> None:
--- a/lupinlink/net/user_agents.py
+++ b/lupinlink/net/user_agents.py
@@ -5,6 +5,9 @@
 import logging
 import socket
 from contextlib import suppress
+from enum import Enum
+from itertools import islice
+from typing import cast
 
 from twisted.internet.interfaces import IPushProducer
 from twisted.internet.protocol import Protocol, ServerFactory, connectionDone
@@ -22,13 +25,33 @@
 from lupinlink.settings import Effect, Settings
 
 log = logging.getLogger(__name__)
-SWEEP_MS = 1000.0
-PARTIAL_MS = 10000.0  # so long may a request take to arrive
-IDLE_MS = 90000.0  # so long may a connection stand idle
-LINGER_MS = 2000.0  # so long may a user agent take to read its last answer
-READ_AHEAD = 64 * 1024  # bytes kept of what comes while a request is open
+SWEEP_MS = 50.0
+LINGER_MS = 1500.0  # so long may a user agent take to read its last answer
+SENT_AHEAD = 8 * 1024  # bytes of further requests that may wait behind one: user agents send one at a time
+DISCARDED = 256 * 1024  # bytes read and dropped for the sake of a user agent that writes before it reads
+HELD_SHARE = 0.25  # of the memory beyond the program's own: bodies on their way in, all together
+PEEKS = 8  # connections looked at to make room for one
+ACCEPTS = 16  # connections accepted a turn, where there is room for them
+
+
+class Phase(Enum):
+    """Where a connection that has no request open stands; those of one phase are kept in order of time.
+
+    The figures are milliseconds: how long it may last, and after how long the connection may have to make
+    room. Whoever connects is owed an answer or an end within 3 s; a user agent in earnest writes at once.
+    """
+
+    NEW = 2200.0, 50.0  # no whole request was ever here
+    RESTING = 2100.0, 0.0  # between two requests; some user agents never come back
+    PARTIAL = 2200.0, 500.0  # a further request has begun
+    CLOSING = LINGER_MS, 100.0  # answered for the last time, still to be read
+
+    def __init__(self, limit_ms: float, grace_ms: float) -> None:
+        self.limit_ms, self.grace_ms = limit_ms, grace_ms
+
+
 PASSED = {"x-trace-id", "idempotency-key"}
-STATUS = {Failure.NOT_SERVED: 502, Failure.TOO_LATE: 504, Failure.INTERNAL: 500}
+STATUS = {Failure.NOT_SERVED: 502, Failure.TOO_LATE: 504, Failure.INTERNAL: 500, Failure.DUPLICATE: 409}
 
 
 @implementer(IPushProducer)
@@ -47,10 +70,11 @@
         self._request: int | None = None  # the handle of the request that is open
         self._waiting = False  # an answer is owed
         self._keep = True  # the user agent means the connection to stay
-        self._advancing = self._choked = self._paused = self._deaf = False
-        self.last = agents.clock.now()
-        self.since = 0.0  # when the first bytes of an unfinished request came; 0: none are here
-        self.closing_at = 0.0  # when to close what does not close itself; 0: not closing
+        self._advancing = self._choked = self._paused = self._deaf = self._overrun = False
+        self._discarded = 0
+        self.held = 0  # bytes here that belong to no whole request
+        self.phase: Phase | None = None
+        self.since = 0.0  # when the phase began
         self.handle = 0
 
     def connectionMade(self) -> None:
@@ -58,10 +82,14 @@
         self.transport.registerProducer(self, True)
 
     def dataReceived(self, data: bytes) -> None:
-        self.last = self._agents.clock.now()
-        if not self._deaf:
-            self._parser.feed(data)
-            self._advance()
+        if self._deaf:
+            # What still comes behind a last answer is of no use; enough of it was read for that to be seen.
+            self._discarded += len(data)
+            if self._discarded > DISCARDED:
+                self.transport.pauseProducing()
+            return
+        self._parser.feed(data)
+        self._advance()
 
     def connectionLost(self, reason: Reason = connectionDone) -> None:
         self._deaf = True
@@ -80,25 +108,33 @@
     def stopProducing(self) -> None:
         pass  # connectionLost follows
 
-    @property
-    def idle(self) -> bool:
-        """Between two requests, with nothing of the next one here or on its way."""
-        # A connection that is only being set up must not be chosen to make room for itself.
-        if not self.connected or self._waiting or self.closing_at or self._parser.begun():
-            return False
+    def unread(self) -> bool:
+        """Whether something has come that was not read yet."""
         with suppress(OSError, AttributeError):
-            handle = self.transport.getHandle()
-            return not handle.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-        return True
+            return bool(self.transport.getHandle().recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+        return False
 
     @property
-    def partial(self) -> bool:
-        return not self._waiting and not self.closing_at and self._parser.begun()
+    def begun(self) -> bool:
+        """Whether a part of a request is here."""
+        return self._parser.begun()
+
+    def leave(self, overdue: bool) -> None:
+        """Its time is up, or others need the room."""
+        if self.phase is Phase.CLOSING and overdue:
+            self.transport.abortConnection()
+        elif self.phase is Phase.CLOSING:
+            # No reset, which could overtake the answer: our side has ended already, now the other does.
+            self.transport.loseConnection()
+        elif self._parser.begun():
+            self.reject(408, "request did not arrive")
+        else:
+            self.close()
 
     def close(self) -> None:
         """Close once all is written; the sweep aborts what does not get there."""
         self._deaf = True
-        self.closing_at = self.closing_at or self._agents.clock.now() + LINGER_MS
+        self._agents.enter(self, Phase.CLOSING)
         self.transport.unregisterProducer()
         self.transport.loseConnection()
 
@@ -119,8 +155,9 @@
         """
         self._agents.counters[f"rejected_{status}"] += 1
         self._deaf = True
-        self.closing_at = self._agents.clock.now() + LINGER_MS
-        self._parser.buffer.clear()
+        self._agents.enter(self, Phase.CLOSING)
+        self._parser = http1.RequestParser()  # what it held is dropped
+        self._agents.hold(self, 0)
         text = [("Content-Type", "text/plain")]
         self.transport.write(http1.answer(status, text, f"{why}\n".encode(), close=True))
         self.transport.unregisterProducer()
@@ -132,7 +169,6 @@
             return
         self._waiting, self._request = False, None
         self._agents.counters[f"answers_{status}"] += 1
-        self.last = self._agents.clock.now()
         # While others wait in the kernel's queue, a kept connection would leave them there for good.
         stay = self._keep and not self._agents.stopping and not self._agents.crowded
         self.transport.write(http1.answer(status, headers, body, close=not stay))
@@ -154,12 +190,15 @@
         try:
             while not (self._waiting or self._choked or self._deaf):
                 message = self._parser.next()
+                if self._overrun or (message is not None and len(self._parser.buffer) > SENT_AHEAD):
+                    raise http1.MessageError(400, "too many requests sent ahead")
                 if message is None:
                     head = self._parser.head
                     if head is not None and (head.get("expect") or "").lower() == "100-continue":
                         head.lookup["expect"] = ""
                         self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
                     break
+                self._agents.enter(self, None)
                 self._take(message)
         except http1.MessageError as exc:
             self.reject(exc.status, str(exc))
@@ -171,14 +210,18 @@
             self._advancing = False
         if self._deaf:
             return
-        # Counted from the first byte: a peer that drips bytes must not hold its connection for ever.
-        self.since = (self.since or self.last) if self.partial else 0.0
-        if len(self._parser.buffer) > READ_AHEAD and (self._waiting or self._choked):
-            if not self._paused:
-                self._paused = True
-                self.transport.pauseProducing()
+        begun = self._parser.begun()
+        if not self._waiting and self.phase is not Phase.NEW:
+            # Counted from the first byte: a peer that drips bytes must not hold its connection for ever.
+            self._agents.enter(self, Phase.PARTIAL if begun else Phase.RESTING)
+        if (self._waiting or self._choked) and len(self._parser.buffer) > SENT_AHEAD:
+            # It is told so once the request that is open has its answer.
+            self._overrun = self._paused = True
+            self.transport.pauseProducing()
         else:
             self._resume()
+        if not self._agents.hold(self, self._parser.size() if begun else 0) and not self._waiting:
+            self.reject(503, "no room for this request now")
 
     def _take(self, message: http1.Message) -> None:
         # An older user agent takes an answer for ended only when the connection is.
@@ -198,14 +241,14 @@
 
 
 class Listener(TcpPort):
-    """Accepts one connection a turn, so that the cap can stop it before the next.
+    """Accepts no more connections a turn than there is room for, so that the cap stops it in time.
 
     Twisted takes a whole burst in one turn; those beyond the cap would have to be closed unread, and
     a request that was already written to one of them would be lost.
     """
 
     def doRead(self) -> None:  # noqa: N802
-        self.numberAccepts = 1
+        self.numberAccepts = max(1, min(ACCEPTS, cast(UserAgents, self.factory).room))
         super().doRead()  # type: ignore[no-untyped-call]
 
 
@@ -215,7 +258,14 @@
     noisy = False
 
     def __init__(
-        self, proxy: Proxy, farm: Farm, clock: Clockwork, settings: Settings, cap: int, counters: Counters
+        self,
+        proxy: Proxy,
+        farm: Farm,
+        clock: Clockwork,
+        settings: Settings,
+        cap: int,
+        spare_mb: float,
+        counters: Counters,
     ) -> None:
         self.proxy, self.clock, self.counters = proxy, clock, counters
         self._farm = farm
@@ -226,7 +276,9 @@
         self._classes = {c.name: i for i, c in enumerate(settings.classes)}
         self._tenants = {t.name: i for i, t in enumerate(settings.tenants)}
         self.crowded = False  # full of busy connections: the listener is not read
-        self._leaving: set[UserAgent] = set()  # evicted, their sockets not yet closed
+        self._phases: dict[Phase, dict[UserAgent, None]] = {phase: {} for phase in Phase}
+        self._most_held = max(2.0 * http1.MAX_BODY, spare_mb * HELD_SHARE * 1024.0 * 1024.0)
+        self.held = 0  # bytes of unfinished requests, all together
         clock.after(SWEEP_MS, self._sweep)
 
     @property
@@ -257,6 +309,7 @@
         # A connection's own headers, and what it names as such, end here; the two ids always pass.
         own = (http1.HOP_BY_HOP | message.options()) - PASSED
         return Call(
+            trace,
             index,
             self._tenants.get(message.get("x-customer") or "", -1) if self._tenants else 0,
             expires,
@@ -267,56 +320,95 @@
             message.body,
         )
 
+    @property
+    def room(self) -> int:
+        """How many more connections the cap allows."""
+        return self.connections.capacity - len(self.connections)
+
+    def enter(self, agent: UserAgent, phase: Phase | None) -> None:
+        """A connection's phase begins; None: a request of it is open."""
+        if agent.phase is phase:
+            return
+        if agent.phase is not None:
+            self._phases[agent.phase].pop(agent, None)
+        agent.phase, agent.since = phase, self.clock.now()
+        if phase is not None:
+            self._phases[phase][agent] = None
+
+    def hold(self, agent: UserAgent, size: int) -> bool:
+        """Account for what an unfinished request takes; False if all of them together take too much."""
+        self.held += size - agent.held
+        agent.held = size
+        return size <= SENT_AHEAD or self.held <= self._most_held
+
     def buildProtocol(self, addr: object) -> UserAgent | None:
-        if self.connections.full:
-            self._make_room()
-        if self.connections.full:
+        if self.connections.full and not self._make_room():
             self.counters["connections_over_cap"] += 1
             return None
         agent = UserAgent(self)
         agent.handle = self.connections.add(agent)
+        self.enter(agent, Phase.NEW)
         self.counters["user_agents"] += 1
-        if self.connections.full and not self.crowded and self.port is not None:
+        if self.connections.full and not self._make_room() and self.port is not None:
             # The rest waits in the kernel's queue until there is room, instead of being turned away.
-            self._make_room()
-            if self.connections.full:
-                self.crowded = True
-                self.port.stopReading()
+            self.crowded = True
+            self.port.stopReading()
         return agent
 
     def lost(self, agent: UserAgent) -> None:
         """A connection has ended."""
         self.connections.remove(agent.handle)
-        self._leaving.discard(agent)
-        if self.crowded and self.port is not None:
+        self.enter(agent, None)
+        self.hold(agent, 0)
+        self._uncrowd()
+
+    def _uncrowd(self) -> None:
+        if self.crowded and self.port is not None and not self.connections.full:
             self.crowded = False
             self.port.startReading()
 
-    def _make_room(self) -> None:
-        """The connection that has been idle longest goes; its user agent opens another when it needs to."""
-        idle = [agent for agent in self.connections if agent.idle]
-        if idle:
-            agent = min(idle, key=lambda agent: agent.last)
-            agent.close()
-            # Its socket is freed a turn later, out of the reserve: several user agents may come in one turn.
-            self.connections.remove(agent.handle)
-            self._leaving.add(agent)
+    def _make_room(self) -> bool:
+        """Who has stood longest where nothing is expected any more goes; nothing here looks at them all.
+
+        Danger: hundreds that connect and say nothing must not crowd out those who come back for more.
+        """
+        now, peeks = self.clock.now(), 0
+        for phase in (Phase.CLOSING, Phase.NEW, Phase.RESTING, Phase.PARTIAL):
+            for agent in self._phases[phase]:
+                if now - agent.since < phase.grace_ms or peeks >= PEEKS:
+                    break
+                if not agent.connected:
+                    continue  # only being set up: it must not make room for itself
+                peeks += 1
+                if not agent.unread():
+                    agent.leave(overdue=False)
+                    # Its socket is freed a turn later, out of the reserve.
+                    self.connections.remove(agent.handle)
+                    self.counters["made_room"] += 1
+                    return True
+        return False
 
     def close_idle(self) -> bool:
         """Close what is between requests; True if nothing is left."""
-        for agent in self.connections:
-            if agent.idle:
-                agent.close()
+        for phase in (Phase.RESTING, Phase.NEW):
+            for agent in list(self._phases[phase]):
+                if not agent.begun and not agent.unread():
+                    agent.close()
         return not len(self.connections)
 
+    def gauges(self) -> dict[str, int]:
+        """The size of every table here."""
+        phases = {f"agents_{phase.name.lower()}": len(agents) for phase, agents in self._phases.items()}
+        return {"user_agents_now": len(self.connections), "bytes_held": self.held, **phases}
+
     def _sweep(self) -> None:
         now = self.clock.now()
-        for agent in [*self.connections, *self._leaving]:
-            if agent.closing_at:
-                if now >= agent.closing_at:
-                    agent.transport.abortConnection()
-            elif agent.since and now - agent.since > PARTIAL_MS:
-                agent.reject(408, "request did not arrive")
-            elif now - agent.last > IDLE_MS and agent.idle:
-                agent.close()
+        for phase, agents in self._phases.items():
+            for agent in list(islice(agents, 64)):
+                if now - agent.since < phase.limit_ms:
+                    break
+                if phase is Phase.CLOSING or not agent.unread():
+                    agent.leave(overdue=True)
+        if self.crowded and self._make_room():
+            self._uncrowd()
         self.clock.after(SWEEP_MS, self._sweep)
--- a/lupinlink/net/wheel.py
+++ b/lupinlink/net/wheel.py
@@ -37,6 +37,9 @@
         self._done = int(now_ms // TICK_MS)  # the last tick that was run
         self._count = 0
 
+    def __len__(self) -> int:
+        return self._count
+
     def add(self, at_ms: float, call: Callable[[], None]) -> Timer:
         timer = Timer(max(self._done + 1, int(-(-at_ms // TICK_MS))), call)
         self._spokes[timer.tick % SPOKES].append(timer)
--- a/lupinlink/node.py
+++ b/lupinlink/node.py
@@ -65,6 +65,11 @@
         self._handlers[type(event)](now, event)
         return self.actions
 
+    def sizes(self) -> dict[str, int]:
+        """The size of every table here."""
+        return {"module_servers": len(self.servers), "module_open": len(self.open),
+                "module_timers": len(self._timers)}  # fmt: skip
+
     def after(self, delay_ms: float, call: Callable[[float], None]) -> None:
         """Call back later."""
         self._next_token += 1
