Forget servers that are gone, collect old cycles by the clock, read 16 KiB at a time

To blame: node._on_membership (no row ever leaves), service._started (thresholds without a clock). Ruled out by tracemalloc: requests, timers, deadlines, identities.

--- a/lupinlink/net/application_servers.py
+++ b/lupinlink/net/application_servers.py
@@ -19,7 +19,7 @@
 from lupinlink.net.counters import Counters
 from lupinlink.net.proxy import Call, PassEnd, Reply
 from lupinlink.net.slots import Slots
-from lupinlink.net.typed import Connector, Reactor, Transport
+from lupinlink.net.typed import READ_BYTES, Connector, Reactor, Transport
 from lupinlink.net.wheel import Clockwork, Timer
 from lupinlink.settings import SOCKET_FIELDS, Settings
 
@@ -118,6 +118,7 @@
 
     def connectionMade(self) -> None:
         self.transport.setTcpNoDelay(True)
+        self.transport.bufferSize = READ_BYTES
         self._dial.made(self)
 
     def carry(self, proxy_pass: Pass) -> None:
--- a/lupinlink/net/service.py
+++ b/lupinlink/net/service.py
@@ -33,6 +33,7 @@
 LEAST_CONNECTIONS = 16
 FIXED = ("name", "listen", "sockets", "memory_mb", "settings")  # what a reload cannot change
 BACKLOG = 1024
+COLLECT_MS = 5000.0  # with what startup made set aside it takes a millisecond or two
 # After SIGTERM: connections keep coming for up to 0.4 s, and the kill comes 3.7 s after it at the
 # earliest. So idle connections are closed after the last new one may have come, and what is still
 # open shortly before the kill gets its answer then.
@@ -121,10 +122,16 @@
         gc.collect()
         gc.freeze()
         gc.set_threshold(20000, 20, 50)
+        self._clock.after(COLLECT_MS, self._collect)
         assert self._agents.port is not None
         where = self._agents.port.getHost()
         log.info("serving", extra={"kv": {"host": where.host, "port": where.port}})
 
+    def _collect(self) -> None:
+        """Old cycles (closed connections, ended passes) by the clock: by their number they would pile up for hours."""
+        gc.collect()
+        self._clock.after(COLLECT_MS, self._collect)
+
     def _ask_farm(self) -> None:
         self._farm.watch()
 
--- a/lupinlink/net/typed.py
+++ b/lupinlink/net/typed.py
@@ -11,9 +11,16 @@
 from twisted.internet.protocol import ClientFactory
 
 
+READ_BYTES = (
+    16 * 1024
+)  # Twisted asks for 64 KiB at a time: that much memory, to be cut to size, for each read
+
+
 class Transport(Protocol):
     """A TCP connection."""
 
+    bufferSize: int  # noqa: N815
+
     def setTcpNoDelay(self, enabled: bool) -> None: ...
     def write(self, data: bytes) -> None: ...
     def registerProducer(self, producer: Any, streaming: bool) -> None: ...
--- a/lupinlink/net/user_agents.py
+++ b/lupinlink/net/user_agents.py
@@ -20,7 +20,7 @@
 from lupinlink.net.farm import Farm
 from lupinlink.net.proxy import Call, Failure, Proxy, Reply
 from lupinlink.net.slots import Slots
-from lupinlink.net.typed import Port, Transport
+from lupinlink.net.typed import READ_BYTES, Port, Transport
 from lupinlink.net.wheel import Clockwork
 from lupinlink.settings import Effect, Settings
 
@@ -79,6 +79,7 @@
 
     def connectionMade(self) -> None:
         self.transport.setTcpNoDelay(True)
+        self.transport.bufferSize = READ_BYTES
         self.transport.registerProducer(self, True)
 
     def dataReceived(self, data: bytes) -> None:
--- a/lupinlink/node.py
+++ b/lupinlink/node.py
@@ -147,9 +147,19 @@
                 known = self.servers[row.name] = Server(row, now, Group(now))
                 self.listed(known)
             known.row, known.ready = row, row.state == EndpointState.READY
+        if event.kind != MembershipKind.FAILED:
+            self._forget({row.name for row in event.endpoints}, event.kind != MembershipKind.DELTA)
         self.ready = sum(s.ready for s in self.servers.values())
         self.list_news(event.kind == MembershipKind.FAILED, now)
 
+    def _forget(self, named: set[str], full: bool) -> None:
+        """Drop the servers that are gone once nothing is out there: a long day sees ever new ones."""
+        for name, server in list(self.servers.items()):
+            if full and name not in named:
+                server.row.state = EndpointState.GONE
+            if server.row.state == EndpointState.GONE and not server.out:
+                del self.servers[name]
+
     def _on_probe(self, now: float, event: api.ProbeResult) -> None:
         if event.endpoint in self.servers:
             self.probed(self.servers[event.endpoint], event, now)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -175,6 +175,19 @@
             assert not s.node.health.ejected
 
 
+def test_gone_servers_are_forgotten_once_nothing_is_out_there() -> None:
+    # A long day sees ever new ones, some at the address of one that is gone.
+    s = stand(SAFE, "ab")
+    (send,) = sends(s.ask("r"))
+    s.members([Endpoint("c")])
+    assert sorted(s.node.servers) == sorted(["c", send.endpoint])
+    s.end("r", Status.OK, send.endpoint)
+    for i in range(50):
+        old = f"d{i - 1}" if i else "c"
+        s.members([Endpoint(f"d{i}"), Endpoint(old, state=EndpointState.GONE)], MembershipKind.DELTA)
+    assert list(s.node.servers) == ["d49"] and s.node.ready == 1
+
+
 CLASSES = (
     SAFE,
     UNSAFE,
