--- a/lupinlink/net/typed.py
+++ b/lupinlink/net/typed.py
@@ -10,10 +10,8 @@
 from twisted.internet.base import DelayedCall
 from twisted.internet.protocol import ClientFactory
 
-
-READ_BYTES = (
-    16 * 1024
-)  # Twisted asks for 64 KiB at a time: that much memory, to be cut to size, for each read
+# Twisted asks for 64 KiB at a time: that much memory, to be cut to size, for each read.
+READ_BYTES = 16 * 1024
 
 
 class Transport(Protocol):
