Leave out all absent servers, blame none for load, and learn E[X] from servers' own reports

Absence, shown by three dials in a row, now knows no cap and costs no budget. - The servers that came back cold had one request each while the four others held seven: slow start went by the least warmth promised. A cold server that reports spare capacity is now given more. - Time-outs under load had sound servers ejected one after the other. A server that answers others is not blamed. - Refusing stayed at its floor of 0.1 with two requests in flight a server: E[X] was never refreshed where a bare answer takes 0.55 aims (target / 2 is 0.28), and one time-out of six aims outweighed twenty answers. E[X] now follows periods in which servers report spare capacity, the target stays 1.35 above it, long waits count two aims. - Periods of 1 s are long where aims are 200 ms: 2.5 aims at most.

--- a/lupinlink/brain.py
+++ b/lupinlink/brain.py
@@ -20,7 +20,10 @@
 # Admission. Delays are counted in aims: a latency over its class's aim, so one target serves all classes.
 TARGET, LATE_TARGET = 0.45, 0.4  # D_ref: so much of the aim, and more the more a late answer is worth
 PERIOD_MS, PERIOD_JITTER = 1000.0, 0.25  # T, under the paper's 3 s: bursts end by then; nodes never in step
+PERIOD_AIMS = 2.5  # T is no longer than so many aims: what takes a tenth of the time is judged as much sooner
+MOST_DELAY = 2.0  # in aims: later than that is late
 MIN_SAMPLES, MAX_PERIODS = 8, 3  # fewer served requests say little: the period goes on, up to so many T
+X_MAX, TARGET_ROOM = 0.6, 1.35  # bound on E[X]; the target lies at least so far above it
 SEED_X = 0.35  # E[X] in aims before a light period was seen; cautious: half of the target
 FLOOR = 0.1  # the paper's lower bound of P_a; it holds for the mean over all arrivals
 THETA, THETA2_MIN = (0.8, 2.0), 0.5  # starting model; a smaller slope would turn noise into full swings
@@ -45,11 +48,13 @@
 PROBE_MOST, PROBE_DRAWS = 2.0, 4  # probes an arrival if unheard of; the longest so of those drawn
 FULL_FIGURE, FULL_DELAY = 4.0, 1.5  # turned away by a full server: latency over usual, and delay in aims
 # Health
-# An answer that can't be used says little of the next one; a connection that does not come up says much.
-OK_GAIN, ERROR_GAIN, DIAL_GAIN, TIMEOUT_GAIN = 0.2, 0.2, 0.5, 0.3
+# An answer that can't be used, or one connection that breaks, says little of the next one.
+OK_GAIN, ERROR_GAIN, TIMEOUT_GAIN = 0.2, 0.2, 0.3
+ABSENT_MOST = 3  # connections in a row that did not come up: nobody is there
 SILENT_MOST = 3  # so many attempts overdue in a row and nothing heard since the first was sent: it hangs
 EJECT_AT, OVER_FLEET = 0.5, 3.0  # failing share to be ejected, and over the fleet's: all fail, none is out
 EJECT_MS, EJECT_MAX_MS, MAX_EJECTED = 2000.0, 16000.0, 0.4  # doubled each time in a row; share at a time
+AT_EASE, AT_EASE_STEP, TIGHT_STEP = 0.7, 1.04, 0.96  # reported use up to which a cold server gets more
 RETURN_LOAD = 1.5  # a returning server is taken for this loaded (log), fading: it returns gently
 # Attempts
 RETRY_RATIO, RETRY_BURST = 0.2, 20.0  # retry budget: tokens for each arrival, and their most
@@ -63,7 +68,8 @@
     """Mean admission probability: processor-sharing predictor plus RLS correction (paper, eqs. 4, 9-11)."""
 
     def __init__(self, peers: int, late_worth: float) -> None:
-        self.peers, self.target = peers, TARGET + LATE_TARGET * late_worth
+        self.peers, self.least_target = peers, TARGET + LATE_TARGET * late_worth
+        self.target = self.least_target
         self.admit, self.refusing = 1.0, False
         self.x, self.work = SEED_X, 0.0  # E[X] in aims, and in seconds of one server (0: not yet known)
         self.theta1, self.theta2 = THETA
@@ -85,16 +91,24 @@
         self.theta1 = min(max(self.theta1, 0.0), 2.0)
         self.theta2 = min(max(self.theta2, THETA2_MIN), 10.0)
 
-    def revise(self, rate: float, delay: float | None, servers: int) -> None:
-        """Close a period with this node's arrival rate a second and mean delay in aims."""
+    def revise(self, rate: float, delay: float | None, servers: int, busy: float | None = None) -> None:
+        """Close a period with this node's arrival rate a second, mean delay in aims and reported use."""
         if rate <= 0.0 or delay is None:
             self.admit, self.refusing, self.delta, self.error = 1.0, False, 0.0, 0.0
             return
-        self.delay, error = delay, delay - self.target
+        self.delay = delay
         per_server = rate * self.peers / max(1, servers)
-        if not self.refusing and delay < self.target / 2:
-            self.x += 0.3 * (delay - self.x)  # light load: no queueing in the latency
-        self.x = min(max(self.x, 0.02), 0.8 * self.target)
+        light = (
+            delay < self.target / 2 and not self.refusing if busy is None else busy < AT_EASE and delay < 1.0
+        )
+        if light:
+            self.x += 0.3 * (delay - self.x)  # no queueing in the latency
+        self.x = min(max(self.x, 0.02), X_MAX)
+        self.target = max(self.least_target, TARGET_ROOM * self.x)
+        error = delay - self.target
+        if light and busy is not None:  # whatever makes the latency, it is not that servers have too much
+            self.admit, self.refusing, self.delta, self.error = 1.0, False, 0.0, error
+            return
         # The paper measures E[X] off line, for one core; here it is what makes the model give the delay seen.
         busy = min(max(1.0 - self.x / max(delay, 1e-6), 0.1), 0.98)
         work = busy / (per_server * self.admit)
@@ -165,7 +179,12 @@
         age = now - server.row.started_ms
         if server.row.started_ms <= 0.0 or age >= self.span or self.span <= 0.0:
             return 1.0
-        return self.share + (1.0 - self.share) * max(0.0, age) / self.span
+        least = self.share + (1.0 - self.share) * max(0.0, age) / self.span
+        return min(1.0, least * server.boost)
+
+    def report(self, server: Server, busy: float) -> None:
+        """A cold server at ease may be given more, by whichever node; the budget is thrice what it can do."""
+        server.boost = max(1.0, server.boost * (AT_EASE_STEP if busy < AT_EASE else TIGHT_STEP))
 
     def allows(self, server: Server, now: float) -> bool:
         """Danger: cold servers falling over when nodes that cannot see each other all try them at once."""
@@ -188,12 +207,12 @@
         server.ejections *= server.failing >= 0.05
         server.trial = server.trial and failed
         if failed and server.failing >= max(EJECT_AT, min(0.9, OVER_FLEET * self.fleet)):
-            self.eject(server, now, ready)
+            self.eject(server, now, MAX_EJECTED * ready)
 
-    def eject(self, server: Server, now: float, ready: int) -> None:
+    def eject(self, server: Server, now: float, most: float) -> None:
         """Leave it out for a while, doubled each time in a row; it comes back on trial."""
         self.ejected = [s for s in self.ejected if s.ejected_until > now]
-        if server in self.ejected or len(self.ejected) + 1 > MAX_EJECTED * ready:
+        if server in self.ejected or len(self.ejected) + 1 > most:
             return
         span = min(EJECT_MS * 2.0**server.ejections, EJECT_MAX_MS) * self.rng.uniform(0.75, 1.25)
         self.ejected.append(server)
@@ -310,12 +329,13 @@
         self.retry_tokens, self.probe_tokens, self.backoff = RETRY_BURST / 2, 0.0, BACKOFF_MS
         self.probes = settings.may_probe and settings.reports_in_probes and not settings.reports_in_answers
         self.period = Period(0.0)
+        self.span = min(PERIOD_MS, PERIOD_AIMS * min(c.aim_ms for c in settings.classes))
         self.groups: dict[tuple[int, int], Group] = {}  # by zone and kind
 
     def started(self, now: float) -> None:
         """Phases are drawn: nodes started together must not revise, or call discovery, in step."""
         self.period = Period(now)
-        self.after(self.rng.uniform(0.2, 1.0) * PERIOD_MS, self.end_period)
+        self.after(self.rng.uniform(0.2, 1.0) * self.span, self.end_period)
         if self.settings.subscribe:
             self.after(self.rng.uniform(1.0, 2.0 * BACKOFF_MS), self.subscribe)
 
@@ -420,8 +440,8 @@
                 return
             # Danger: a server that hangs says nothing, and eats what it is sent until the clients give up.
             server.silent += first
-            if server.silent >= SILENT_MOST or server.trial:
-                self.health.eject(server, now, self.ready)
+            if server.silent >= SILENT_MOST or (server.trial and not first):
+                self.health.eject(server, now, MAX_EJECTED * self.ready)
                 used = [a.server for a in request.attempts]
                 elsewhere = any(
                     s.ready and s not in used and now >= s.ejected_until
@@ -437,15 +457,17 @@
             return
         if event.status == Status.REJECTED:  # no server will take it
             return self.fail(request)
-        if not self.again(request, now) or (request.cls.effect == Effect.UNSAFE and attempt.may_have_run()):
+        cost = event.status not in (Status.UNREACHABLE, Status.NOT_SENT)  # those have cost no server anything
+        final = request.cls.effect == Effect.UNSAFE and attempt.may_have_run()
+        if final or not self.again(request, now, cost):
             return self.finish(request)
-        self.retry_tokens -= 1.0
+        self.retry_tokens -= cost
         self.dispatch(request, now)
 
-    def again(self, request: Request, now: float) -> bool:
+    def again(self, request: Request, now: float, cost: bool = True) -> bool:
         """Whether another attempt can still be useful and the budget lasts: retries must make no storm."""
         need = ANSWER_MARGIN_MS + self.latency[request.arrival.class_index].mean / 2
-        return self.retry_tokens >= 1.0 and request.arrival.deadline - now >= need
+        return self.retry_tokens >= cost and request.arrival.deadline - now >= need
 
     def evidence(self, request: Request, attempt: Attempt, event: api.Outcome, now: float) -> None:
         """What an outcome says of the server and, for d, of all; quick errors say nothing of load."""
@@ -453,7 +475,7 @@
         stats, delay = self.latency[request.arrival.class_index], (now - attempt.sent_at) / aim
         self.report(server, event.report, now)
         if status in (Status.OK, Status.ERROR, Status.OVERLOADED, Status.REJECTED):
-            server.heard_at, server.silent = now, 0
+            server.heard_at, server.silent, server.absent = now, 0, 0
         if status == Status.OK:
             gain = 0.0 if self.settings.reports_in_answers else LATENCY_GAIN
             self.split.observe(server, delay * aim / stats.mean, LATENCY, gain, now)
@@ -462,27 +484,43 @@
         elif status == Status.OVERLOADED:
             self.split.observe(server, FULL_FIGURE, LATENCY, OVERDUE_GAIN, now)
             delay = FULL_DELAY
+        elif status == Status.UNREACHABLE:
+            self.health.record(server, ERROR_GAIN, True, now, self.ready)
+            server.absent += 1
+            if server.absent >= ABSENT_MOST:  # nothing is there: however many, none of them is to be tried
+                self.health.eject(server, now, math.inf)
+        elif status == Status.TIMEOUT and server.heard_at >= attempt.sent_at:
+            pass  # it answers others: that is load, and leaving it out would load the rest still more
         elif status not in (Status.CANCELLED, Status.NOT_SENT, Status.REJECTED):
-            gain = {Status.TIMEOUT: TIMEOUT_GAIN, Status.UNREACHABLE: DIAL_GAIN}.get(status, ERROR_GAIN)
+            gain = TIMEOUT_GAIN if status == Status.TIMEOUT else ERROR_GAIN
             self.health.record(server, gain, True, now, self.ready)
-        if status in (Status.OK, Status.OVERLOADED, Status.TIMEOUT) and server.load < OUTLIER:
-            # One bad server must not shed traffic that others could carry.
+        load = status in (Status.OK, Status.OVERLOADED)
+        if (
+            load or (status == Status.TIMEOUT and server.heard_at >= attempt.sent_at)
+        ) and server.load < OUTLIER:
+            # One bad server must not shed traffic that others could carry, nor one long wait outweigh many.
+            delay = min(delay, MOST_DELAY)
             self.period.add(delay, delay * aim)
 
     def report(self, server: Server, report: dict[str, float] | None, now: float) -> None:
+        if report and "utilization" in report:
+            self.slow_start.report(server, report["utilization"])
+            self.period.busy_sum += report["utilization"]
+            self.period.busy_count += 1
         for name in ("in_flight", "queued", "latency_ms", "utilization"):
             if report and name in report:
                 return self.split.observe(server, 1.0 + report[name], REPORT, REPORT_GAIN, now)
 
     def end_period(self, now: float) -> None:
-        self.after(PERIOD_MS * self.rng.uniform(1.0 - PERIOD_JITTER, 1.0 + PERIOD_JITTER), self.end_period)
+        self.after(self.span * self.rng.uniform(1.0 - PERIOD_JITTER, 1.0 + PERIOD_JITTER), self.end_period)
         period, seconds = self.period, max(now - self.period.start, 1.0) / 1000.0
-        if 0 < period.count < MIN_SAMPLES and seconds * 1000.0 < MAX_PERIODS * PERIOD_MS:
+        if 0 < period.count < MIN_SAMPLES and seconds * 1000.0 < MAX_PERIODS * self.span:
             return
         fresh = float(period.arrivals - period.returned)
         if not self.settings.clients_mark_retries:  # refused clients who return are not new load
             fresh = max(period.arrivals - RETURN_SHARE * period.refused, 0.5 * period.arrivals)
-        self.admission.revise(fresh / seconds, self.delay(period, seconds, now), self.ready)
+        busy = period.busy_sum / period.busy_count if period.busy_count >= MIN_SAMPLES else None
+        self.admission.revise(fresh / seconds, self.delay(period, seconds, now), self.ready, busy)
         self.order.revise(self.admission.admit, seconds, self.latency)
         even = period.arrivals / seconds / 1000.0 / max(1, self.ready)
         self.slow_start.per_server += 0.5 * (even - self.slow_start.per_server)
--- a/lupinlink/interface.py
+++ b/lupinlink/interface.py
@@ -107,9 +107,11 @@
     ejections: int = 0  # in a row
     ejected_until: float = 0.0
     out: int = 0  # attempts of this node that are out
+    boost: float = 1.0  # how much more than the least promised it has shown to bear while cold
     salt: int = 0  # of its name: mixes keys for the split
     heard_at: float = 0.0  # when an attempt last brought anything back
     silent: int = 0  # attempts overdue in a row, with nothing heard since they were sent
+    absent: int = 0  # connections in a row that did not come up
     trial: bool = False  # back from ejection and not yet proven: one attempt at a time
 
 
@@ -124,6 +126,8 @@
     delay_sum: float = 0.0  # in aims
     latency_sum: float = 0.0  # in milliseconds
     count: int = 0
+    busy_sum: float = 0.0  # of the use that servers report
+    busy_count: int = 0
 
     def add(self, delay: float, latency_ms: float) -> None:
         """Count one delay."""
--- a/lupinlink/net/service.py
+++ b/lupinlink/net/service.py
@@ -128,7 +128,7 @@
         log.info("serving", extra={"kv": {"host": where.host, "port": where.port}})
 
     def _collect(self) -> None:
-        """Old cycles, such as closed connections, go by the clock: by their number they would pile up for hours."""
+        """Old cycles, such as closed connections, go by the clock: by number they would pile up for hours."""
         gc.collect()
         self._clock.after(COLLECT_MS, self._collect)
 
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -58,6 +58,16 @@
     assert loop.admit == 1.0 and not loop.refusing and loop.delta == 0.0
 
 
+def test_long_answers_from_servers_at_ease_refuse_nobody() -> None:
+    # Where the bare answer takes more than half the aim, E[X] was never learnt and refusing never ended.
+    admission = Admission(2, 0.3)
+    for _ in range(20):
+        admission.revise(100.0, 0.7, 8, busy=0.4)
+    assert not admission.refusing and admission.x > 0.55 and admission.target > 0.75
+    admission.revise(100.0, 1.2, 8, busy=0.95)
+    assert admission.refusing
+
+
 def test_least_worth_goes_first_and_the_mean_is_kept() -> None:
     classes = tuple(RequestClass(300.0, 1000.0, w, 0.5, Effect.SAFE) for w in (10.0, 1.0))
     order = SheddingOrder(Settings(classes=classes))
@@ -86,7 +96,7 @@
     # Refused clients who return would otherwise swell the rate and drive Pa^m to its floor.
     stand = Stand(Settings(classes=(SAFE,), max_attempts=3, clients_mark_retries=True))
     rates: list[float] = []
-    monkeypatch.setattr(stand.node.admission, "revise", lambda rate, delay, servers: rates.append(rate))
+    monkeypatch.setattr(stand.node.admission, "revise", lambda rate, *rest: rates.append(rate))
     stand.node.period.start = 0.0
     for i in range(40):
         for send in sends(stand.give(Arrival(f"r{i}", 0, 0, 1000.0, is_retry=i >= 10))):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -175,6 +175,32 @@
             assert not s.node.health.ejected
 
 
+def test_however_many_servers_are_absent_they_are_left_out_at_no_cost_to_the_budget() -> None:
+    # With a cap on those left out, one dead server ate the whole budget of retries.
+    s = stand(SAFE, "abcdefgh")
+    before = s.node.retry_tokens
+    for i in range(60):
+        s.until(i * 10.0)
+        todo = sends(s.ask(str(i)))
+        for attempt, send in enumerate(todo):
+            dead = send.endpoint in "abcde"
+            todo += sends(s.end(str(i), Status.UNREACHABLE if dead else Status.OK, send.endpoint, attempt))
+    assert sorted(v.row.name for v in s.node.health.ejected) == list("abcde")
+    assert s.node.retry_tokens >= before
+
+
+def test_time_outs_of_a_server_that_answers_others_are_load_and_blame_nobody() -> None:
+    s = stand(SAFE, "abcdefgh")
+    for i in range(120):
+        s.until(i * 10.0)
+        (slow,) = sends(s.ask(f"s{i}"))
+        (quick,) = sends(s.ask(f"q{i}"))
+        s.node.servers[slow.endpoint].heard_at = s.now  # another of its answers came meanwhile
+        s.end(f"s{i}", Status.TIMEOUT, slow.endpoint)
+        s.end(f"q{i}", Status.OK, quick.endpoint)
+    assert not s.node.health.ejected
+
+
 def test_gone_servers_are_forgotten_once_nothing_is_out_there() -> None:
     # A long day sees ever new ones, some at the address of one that is gone.
     s = stand(SAFE, "ab")
--- a/tests/test_split.py
+++ b/tests/test_split.py
@@ -130,3 +130,16 @@
         for server, figure in ((near, 1.0), (far, 1.8)):
             split.observe(server, figure, LATENCY, 0.0, i * 20.0)
     assert abs(split.size(far) - split.size(near)) < 0.25
+
+
+def test_a_cold_server_that_reports_spare_capacity_is_given_more() -> None:
+    # The least warmth promised is far less than most have: half of a fleet that came back stood idle.
+    slow = SlowStart(Settings(classes=(SAFE,), cold_share=0.1, cold_ms=20000.0))
+    server = Server(Endpoint("a", started_ms=1.0), 0.0, Group(0.0))
+    least = slow.warmth(server, 1000.0)
+    for _ in range(40):
+        slow.report(server, 0.3)
+    assert slow.warmth(server, 1000.0) > 4.0 * least
+    for _ in range(100):
+        slow.report(server, 0.95)
+    assert slow.warmth(server, 1000.0) == least
