--- a/lupinlink/brain.py
+++ b/lupinlink/brain.py
@@ -59,7 +59,7 @@
 # Attempts
 RETRY_RATIO, RETRY_BURST = 0.2, 20.0  # retry budget: tokens for each arrival, and their most
 OVERDUE_DEVS, OVERDUE_LEAST = 2.0, 0.5  # later than so many deviations, and so many aims, is news
-OVERDUE_AGAIN, OVERDUE_GAIN = 1.5, 0.5  # and at so many times the age again
+OVERDUE_AGAIN, OVERDUE_GAIN, LOST_DEVS = 1.5, 0.5, 20.0  # and at so many times the age again; lost beyond
 PARK_MS, ANSWER_MARGIN_MS = 50.0, 15.0  # a request with no server looks again; answered this long before end
 RETRY_AFTER = 0.5  # advice to a refused client in aims, drawn from half of it on: no common return
 BACKOFF_MS = 500.0  # first wait after a failed call to discovery
@@ -434,22 +434,21 @@
         """Danger: a jammed server answers late and so reports late; the age of what it holds is evidence."""
         if attempt.status is None:
             server, age = attempt.server, now - attempt.sent_at
-            self.split.observe(
-                server, age / self.latency[request.arrival.class_index].mean, LATENCY, OVERDUE_GAIN, now
-            )
+            stats = self.latency[request.arrival.class_index]
+            self.split.observe(server, age / stats.mean, LATENCY, OVERDUE_GAIN, now)
             self.after((OVERDUE_AGAIN - 1.0) * age, lambda t: self.overdue(request, attempt, t))
-            if server.heard_at >= attempt.sent_at:
-                return
-            # Danger: a server that hangs says nothing, and eats what it is sent until the clients give up.
-            server.silent += first
-            if server.silent >= SILENT_MOST or (server.trial and not first):
+            # Danger: a server that hangs says nothing, and eats what it is sent until clients give up; where
+            # it answers others, one connection may still have fallen silent.
+            quiet = server.heard_at < attempt.sent_at
+            server.silent += first * quiet
+            hangs = quiet and (server.silent >= SILENT_MOST or (server.trial and not first))
+            if hangs:
                 self.health.eject(server, now, MAX_EJECTED * self.ready)
+            if hangs or age > stats.mean + LOST_DEVS * stats.dev:
                 used = [a.server for a in request.attempts]
-                elsewhere = any(
-                    s.ready and s not in used and now >= s.ejected_until
-                    and self.may_follow(attempt, request.cls, s.row, now)
-                    for s in self.servers.values()
-                )  # fmt: skip
+                fits = (s.ready and s not in used and now >= s.ejected_until for s in self.servers.values())
+                follow = (self.may_follow(attempt, request.cls, s.row, now) for s in self.servers.values())
+                elsewhere = any(map(all, zip(fits, follow, strict=True)))
                 if elsewhere and self.settings.may_cancel and self.again(request, now):
                     self.actions.append(api.Cancel(request.arrival.request_id, len(request.attempts) - 1))
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -316,3 +316,16 @@
             note(s.give(api.Outcome(f"r{value % 80}", Status.OK, bad, 7, True, "zz", {"queued": bad})))
     pass_time(s.now + 10000.0)
     assert set(answered) == set(out)  # no request is lost
+
+
+def test_an_attempt_on_a_connection_that_fell_silent_goes_elsewhere_though_its_server_answers() -> None:
+    s = stand(SAFE, "abcdefgh")
+    for i in range(200):  # quick answers: twenty deviations are soon over
+        s.until(i * 10.0)
+        for x in sends(s.ask(str(i))):
+            s.now += 5.0
+            s.end(str(i), Status.OK, x.endpoint)
+    (lost,) = sends(s.ask("lost"))
+    s.node.servers[lost.endpoint].heard_at = s.now + 1.0
+    s.until(s.now + 600.0)
+    assert api.Cancel("lost", 0) in s.log and not s.node.health.ejected
