--- a/lupinlink/net/handover/channel.py
+++ b/lupinlink/net/handover/channel.py
@@ -138,7 +138,13 @@
     if not stat.S_ISSOCK(found.st_mode) or found.st_uid != os.geteuid():
         log.warning("handover not possible", extra={"kv": {"path": path, "why": "a foreign file"}})
         return None
-    connection = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+    try:
+        # A platform may refuse Unix sockets altogether: then there is simply nobody to take over from.
+        connection = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+    except OSError as exc:
+        why = errno.errorcode.get(exc.errno or 0, str(exc))
+        log.info("nobody to take over from", extra={"kv": {"why": why}})
+        return None
     try:
         connection.setblocking(False)
         with _Short(path) as short:
@@ -165,7 +171,12 @@
     def open(self) -> None:
         """Take the name, or take it back."""
         self.close()
-        listener = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+        try:
+            # A platform may refuse Unix sockets: then serve without handover.
+            listener = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+        except OSError as exc:
+            log.warning("no handover from here", extra={"kv": {"path": self._path, "why": exc}})
+            return
         fresh = self._path.with_name(f"{self._path.name}.{os.getpid()}")
         try:
             with suppress(FileNotFoundError):
