Count a held request's time from its client, not from the first read after a start

Wrong lines: Proxy.arrived took the read as the client's sending.

Change: the clients' listener knows since when connections may have queued unread (from before this process at the start, from the pause while crowded) until a read finds the kernel's queue empty; the first request of a connection taken from that queue carries how long it may have waited, and of one whose wait is unknown only its class's aim is taken to be left. A request read as it comes keeps all of its time.

--- a/lupinlink/net/proxy.py
+++ b/lupinlink/net/proxy.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import logging
+import math
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -57,6 +58,9 @@
     headers: list[tuple[str, str]]
     body: Body
     key: str = ""  # what it is about, where it says so
+    # How long it may have waited before this process could read it: 0 read at once, inf not known (it was
+    # held for us before this process listened); its time is counted from when its client sent it.
+    waited_ms: float = 0.0
 
 
 @dataclass(slots=True)
@@ -169,7 +173,7 @@
             return None
         self.counters["requests"] += 1
         now = self._clock.now()
-        deadline = now + (self._span(call) if call.body.whole else FLOWING_MS)
+        deadline = now + (self._span(call, call.waited_ms) if call.body.whole else FLOWING_MS)
         handle = self._requests.add(Taken(call, side, deadline))
         self._identities.add(call.identity)
         taken = self._requests.get(handle)
@@ -182,9 +186,16 @@
         self.tell(api.Arrival(str(handle), call.class_index, tenant, deadline, retry, call.key))
         return handle
 
-    @staticmethod
-    def _span(call: Call) -> float:
-        return max(call.expires_ms - MARGIN_MS, call.expires_ms / 2.0)
+    def _span(self, call: Call, waited_ms: float) -> float:
+        """How long from now the module has for an answer, in ms; never below 0.
+
+        Of a request that may have waited an unknown while, only its class's aim is taken to be left: a front
+        that has not yet seen this process die hands it what it held, and the client's time ran meanwhile.
+        """
+        span = max(call.expires_ms - MARGIN_MS, call.expires_ms / 2.0)
+        if math.isinf(waited_ms):
+            return min(span, self._settings.classes[call.class_index].aim_ms)
+        return max(0.0, span - waited_ms)
 
     def _set_guard(self, handle: int, taken: Taken) -> None:
         at = taken.deadline + GUARD_MS
@@ -194,7 +205,7 @@
         """The last byte of a body that flows is here: its time counts from now on."""
         taken = self._requests.get(handle)
         if taken is not None and taken.side is not None:
-            taken.deadline = self._clock.now() + self._span(taken.call)
+            taken.deadline = self._clock.now() + self._span(taken.call, 0.0)  # the last byte is just here
             self._set_guard(handle, taken)
             if taken.out:
                 taken.passes[-1].end_by(taken.deadline)
--- a/lupinlink/net/user_agents.py
+++ b/lupinlink/net/user_agents.py
@@ -5,6 +5,7 @@
 import fcntl
 import logging
 import math
+import select
 import socket
 import sys
 import termios
@@ -109,6 +110,7 @@
         self.address = ""
         self.rest: Rest | None = None  # while it stands between two requests
         self.handle = 0
+        self.held_ms = 0.0  # how long its first request may have waited unread; inf: not known
 
     def connectionMade(self) -> None:
         self.transport.setTcpNoDelay(True)
@@ -367,6 +369,7 @@
             self._answer(200 if ready else 503, [("Content-Type", "text/plain")], b"up\n" if ready else b"")
             return
         call = self._agents.read(message, path)
+        call.waited_ms, self.held_ms = self.held_ms, 0.0
         call.body.add(message.body)
         call.body.finish()
         self._give(call)
@@ -392,6 +395,7 @@
         if intake is None:
             self._know(head)
             call = self._agents.read(head, head.target.partition("?")[0])
+            call.waited_ms, self.held_ms = self.held_ms, 0.0
             call.body.length = self._parser.length
             intake = self._intake = Intake(call, Progress(now))
             call.body.room = lambda: self._go_on(intake)
@@ -433,6 +437,14 @@
             self._agents.proxy.completed(self._request)
 
 
+def waiting(port: object) -> bool:
+    """Whether connections wait in the kernel's queue of a listener, asked without waiting."""
+    fileno = getattr(port, "fileno", None)
+    if fileno is None:
+        return True  # not to be told: taken as waiting, which only shortens what is assumed left
+    return bool(select.select([fileno()], [], [], 0.0)[0])
+
+
 class Listener(TcpPort):
     """The clients' address. A successor may hold the same socket, so its end here never shuts it down.
 
@@ -457,8 +469,12 @@
         self._reusePort = True
 
     def doRead(self) -> None:  # noqa: N802
-        self.numberAccepts = max(1, min(ACCEPTS, cast(UserAgents, self.factory).room))
+        agents = cast(UserAgents, self.factory)
+        self.numberAccepts = max(1, min(ACCEPTS, agents.room))
+        before = agents.counters["user_agents"]
         super().doRead()  # type: ignore[no-untyped-call]
+        if agents.counters["user_agents"] - before < self.numberAccepts:
+            agents.watched()  # the kernel's queue is empty: what comes from now on is read as it comes
 
 
 class UserAgents(ServerFactory):
@@ -485,6 +501,9 @@
         self._classes = {c.name: i for i, c in enumerate(settings.classes)}
         self._tenants = {t.name: i for i, t in enumerate(settings.tenants)}
         self.crowded = False  # full of busy connections: the listener is not read
+        # Since when connections may have queued unread: None while the listener is read as they come; -inf
+        # at the start, for a front may hold connections for this address from before this process was there.
+        self.unwatched_since: float | None = -math.inf
         self._phases: dict[Phase, dict[UserAgent, None]] = {phase: {} for phase in Phase}
         self._returns = Returns(cap)
         self.budget = Budget(0)  # for all bodies on their way in
@@ -579,6 +598,8 @@
             return None
         agent = UserAgent(self)
         agent.address = getattr(addr, "host", "")
+        if self.unwatched_since is not None:
+            agent.held_ms = self.clock.now() - self.unwatched_since
         agent.handle = self.connections.add(agent)
         self.enter(agent, Phase.SILENT)
         self.counters["user_agents"] += 1
@@ -605,8 +626,17 @@
         if self.port is not None:
             if self._lifecycle.accepts() and not self.crowded:
                 self.port.startReading()
+                if self.unwatched_since is not None and not waiting(self.port):
+                    self.unwatched_since = None  # nobody queued meanwhile
             else:
                 self.port.stopReading()
+                if self.unwatched_since is None:
+                    self.unwatched_since = self.clock.now()
+
+    def watched(self) -> None:
+        """The listener has been read empty: connections from now on are taken as they come."""
+        if self.port is not None and self._lifecycle.accepts() and not self.crowded:
+            self.unwatched_since = None
 
     def resize(self, cap: int, spare_mb: float) -> None:
         """Have room for so many connections; whoever is beyond it stays until it goes."""
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -192,15 +192,22 @@
 
     def start(self, *rows: dict[str, Any], env: dict[str, str] | None = None) -> None:
         """Start it and wait until it says that it serves."""
-        self.process = self.program(self.config(*rows), env=env)
-        stderr = self.process.stderr
-        assert stderr is not None
-        self.log: queue.Queue[str] = queue.Queue()
-        threading.Thread(target=lambda: deque(map(self.log.put, stderr), 0), daemon=True).start()
+        self.process, self.log = self.launch(self.config(*rows), env)
         if {**self.config(), **(env or {})}.keys() & {"mgmt", "LB_MGMT"}:
             self.door = int(self.line("msg=door").rsplit("mgmt_port=", 1)[1])
         self.port = int(self.line("msg=serving").rsplit("port=", 1)[1])
 
+    def launch(
+        self, config: dict[str, Any], env: dict[str, str] | None = None
+    ) -> tuple[subprocess.Popen[str], queue.Queue[str]]:
+        """One more process of the program, and the queue that its log lines come to."""
+        process = self.program(config, env=env)
+        stderr = process.stderr
+        assert stderr is not None
+        log: queue.Queue[str] = queue.Queue()
+        threading.Thread(target=lambda: deque(map(log.put, stderr), 0), daemon=True).start()
+        return process, log
+
     def call(self, method: str, path: str) -> int:
         """One operators' call: the status of its answer."""
         connection = http.client.HTTPConnection("127.0.0.1", self.door, timeout=WAIT)
@@ -216,9 +223,9 @@
         client.request("GET", "/up")
         return client.getresponse().status
 
-    def line(self, part: str) -> str:
-        """The next log line that holds ``part``."""
-        while part not in (text := self.log.get(timeout=WAIT)):
+    def line(self, part: str, log: queue.Queue[str] | None = None) -> str:
+        """The next log line that holds ``part``, of this process or of the one whose ``log`` is given."""
+        while part not in (text := (log or self.log).get(timeout=WAIT)):
             pass
         return text
 
