--- a/tests/test_held.py
+++ b/tests/test_held.py
@@ -1,9 +1,9 @@
-"""Requests that a front held for a proxy while it was dead: their clients' time ran before it could read them.
+"""Requests that a front held for a dead proxy: their clients' time ran before it could read them.
 
-Several real processes; most are killed at once and started again on their addresses. The front has not yet seen
-them die and holds what its clients send until the address listens again. The only application server is silent
-and discovery never answers (it has too many callers), so every answer is the proxy's own, at the end of the time
-it believes a request has.
+Several real processes; most are killed at once and started again on their addresses. The front has not
+yet seen them die and holds what its clients send until the address listens again. The only application
+server is silent and discovery never answers (it has too many callers), so every answer is the proxy's
+own, at the end of the time it believes a request has.
 """
 
 from __future__ import annotations
@@ -72,7 +72,7 @@
             front = threading.Thread(target=self.hold, args=(port, held, answers), daemon=True)
             front.start()
             fronts.append((front, held))
-        for front, held in fronts:
+        for _, held in fronts:
             self.assertTrue(held.wait(WAIT))
         self.serve(*ports[1:])
         for front, _ in fronts:
