Refuse at once a request held for a restarted proxy for a time it cannot know

The class's aim is no bound on what is left: the wrong line was the aim in Proxy._span for an unknown wait.

Change: of a request whose wait cannot be known nothing is taken to be left, so the module refuses it at once with Retry-After (it never ran); known waits are still taken off, and a request read as it comes keeps all of its time.

--- a/lupinlink/net/proxy.py
+++ b/lupinlink/net/proxy.py
@@ -189,13 +189,13 @@
     def _span(self, call: Call, waited_ms: float) -> float:
         """How long from now the module has for an answer, in ms; never below 0.
 
-        Of a request that may have waited an unknown while, only its class's aim is taken to be left: a front
-        that has not yet seen this process die hands it what it held, and the client's time ran meanwhile.
+        Of a request that may have waited an unknown while nothing is taken to be left, and so the module
+        refuses it at once: a front that has not yet seen this process die hands it what it held, and the
+        client's time may have run out meanwhile (herd+mass: held 1.06 s, of 0.668 s).
         """
-        span = max(call.expires_ms - MARGIN_MS, call.expires_ms / 2.0)
         if math.isinf(waited_ms):
-            return min(span, self._settings.classes[call.class_index].aim_ms)
-        return max(0.0, span - waited_ms)
+            return 0.0
+        return max(0.0, max(call.expires_ms - MARGIN_MS, call.expires_ms / 2.0) - waited_ms)
 
     def _set_guard(self, handle: int, taken: Taken) -> None:
         at = taken.deadline + GUARD_MS
--- a/tests/test_held.py
+++ b/tests/test_held.py
@@ -79,7 +79,7 @@
             front.join(WAIT)
         self.assertEqual(len(answers), 3)
         for took, status in answers:
-            self.assertIn(status, (502, 503, 504))
+            self.assertEqual(status, 503)  # refused, never sent on: trying again is harmless
             self.assertLess(took, EXPIRES_MS / 1000.0 + SLACK_S, answers)
 
     def test_a_fresh_request_has_all_of_its_time(self) -> None:
