Take what queues at an upgrade's new process as new, not as held by a front

With a predecessor serving at the address no front holds requests for it, so the first requests the successor reads are no older than its listener. Without this the successor would have refused, as of unknown wait, every connection it found queued when it moved in.

--- a/lupinlink/net/service.py
+++ b/lupinlink/net/service.py
@@ -197,6 +197,9 @@
                 self._reactor.stop()
             return
         self._agents.port = cast(Port, listening)
+        if self._upgrade.busy:
+            # A predecessor serves at this address, so no front held requests for it: what queues is new.
+            self._agents.unwatched_since = self._clock.now()
         self._agents.listen()  # not before this process serves
         if offer.get("drained"):
             self._out_of_service()
