Test what a held request is told of its time, and read it in one place

Need: the first request's wait was taken off in two places of the user agents' side, and the only test of it was the one with processes.

--- a/lupinlink/net/user_agents.py
+++ b/lupinlink/net/user_agents.py
@@ -368,12 +368,17 @@
             self._waiting = True
             self._answer(200 if ready else 503, [("Content-Type", "text/plain")], b"up\n" if ready else b"")
             return
-        call = self._agents.read(message, path)
-        call.waited_ms, self.held_ms = self.held_ms, 0.0
+        call = self._read(message, path)
         call.body.add(message.body)
         call.body.finish()
         self._give(call)
 
+    def _read(self, message: http1.Message, path: str) -> Call:
+        """The call, with how long it may have waited unread: only the first of a connection can have."""
+        call = self._agents.read(message, path)
+        call.waited_ms, self.held_ms = self.held_ms, 0.0
+        return call
+
     def _know(self, head: http1.Message) -> None:
         # An older user agent takes an answer for ended only when the connection is.
         self._keep = head.version == 1 and head.keeps_open()
@@ -394,8 +399,7 @@
         intake = self._intake
         if intake is None:
             self._know(head)
-            call = self._agents.read(head, head.target.partition("?")[0])
-            call.waited_ms, self.held_ms = self.held_ms, 0.0
+            call = self._read(head, head.target.partition("?")[0])
             call.body.length = self._parser.length
             intake = self._intake = Intake(call, Progress(now))
             call.body.room = lambda: self._go_on(intake)
@@ -437,12 +441,9 @@
             self._agents.proxy.completed(self._request)
 
 
-def waiting(port: object) -> bool:
+def waiting(port: Port) -> bool:
     """Whether connections wait in the kernel's queue of a listener, asked without waiting."""
-    fileno = getattr(port, "fileno", None)
-    if fileno is None:
-        return True  # not to be told: taken as waiting, which only shortens what is assumed left
-    return bool(select.select([fileno()], [], [], 0.0)[0])
+    return bool(select.select([port.fileno()], [], [], 0.0)[0])
 
 
 class Listener(TcpPort):
--- a/tests/test_net_parts.py
+++ b/tests/test_net_parts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import unittest
 from itertools import pairwise
 from typing import Any
@@ -153,8 +154,10 @@
 class Servers:
     def __init__(self) -> None:
         self.passes: list[Held] = []
+        self.timeouts: list[float] = []
 
     def start(self, server: str, call: Call, timeout_ms: float) -> Held:
+        self.timeouts.append(timeout_ms)
         self.passes.append(Held())
         return self.passes[-1]
 
@@ -172,11 +175,23 @@
         self.proxy = Proxy(told, 1, clock, self.servers, lambda: None, self.counters)
         self.proxy.news(MembershipKind.FULL, [Endpoint("a")])
 
+    def offer(self, waited_ms: float = 0.0) -> int | None:
+        call = Call(f"t{waited_ms}", 0, 0, 900.0, False, "POST", "/", [], Body.of(b""), waited_ms=waited_ms)
+        return self.proxy.take(call, self.side)
+
     def take(self) -> int:
-        handle = self.proxy.take(Call("t", 0, 0, 900.0, False, "POST", "/", [], Body.of(b"")), self.side)
+        handle = self.offer()
         assert handle is not None
         return handle
 
+    def test_a_request_keeps_what_is_left_of_its_clients_time(self) -> None:
+        self.offer()  # read as it came: all of its time, bar the margin for the answer's way
+        self.servers.passes[0].ended.callback(PassEnd(Status.OK, Reply([], b"")))
+        self.offer(600.0)  # waited in the kernel's queue while the proxy was crowded
+        self.offer(math.inf)  # held by a front before this process was there: nothing is known to be left
+        self.assertEqual([round(t) for t in self.servers.timeouts], [880, 280])
+        self.assertEqual(self.side.answers, ["served", "unavailable"])  # at once, and sent nowhere
+
     def test_an_internal_error_still_gives_a_whole_answer(self) -> None:
         self.proxy._module.arrived = lambda request, now: 1 / 0  # type: ignore[method-assign,assignment]
         with self.assertLogs("lupinlink.net.proxy"):
