--- a/lupinlink/commands/lab.py
+++ b/lupinlink/commands/lab.py
@@ -15,6 +15,8 @@
                      [--seed=N] [--json]
   lupinlink lab operate KIND [--times=N] [--rate=N] [--crowd=N] [--sockets=N] [--memory=MB] [--seed=N]
                         [--json]
+  lupinlink lab fleet SCENARIO [--seed=N] [--out=DIR] [--proxies=N] [--servers=N] [--program=DIR] [--logs=DIR]
+                      [--set=KEY=VALUE]... [--json]
   lupinlink lab herd [--proxies=N] [--calls=N] [--seed=N] [--json]
   lupinlink lab server [--port=PORT] [--work=MS] [--cores=N] [--seed=N]
   lupinlink lab (-h | --help)
@@ -30,6 +32,7 @@
   scaling    Measure how the virtual drive's cost grows with servers, proxies and requests.
   load       Send requests to an address on loopback, open-loop, and measure what came of them.
   operate    Play upgrade, drain, restart or bulk (bodies of 32 MB) on a real proxy under load.
+  fleet      Play one scenario on a fleet of real proxy processes, with faults between them.
   herd       Start many proxies at one moment while discovery is short of room, in simulated time.
   server     Stand as one emulated application server on loopback until a signal ends it.
 
@@ -40,6 +43,9 @@
   --seeds=N          Seeds 1 to N at each step. [default: 1]
   --out=DIR          Keep the run's folder there; without it only the summary is printed.
   --proxies=N        Short for --set=proxies.count=N; of herd: 48, where none is given.
+  --servers=N        Short for --set=farm.servers=N.
+  --program=DIR      A checkout that is built: its run, as its deploy file says. Without: this very program.
+  --logs=DIR         Keep the proxies' logs there.
   --set=KEY=VALUE    Put a value in place of the scenario's: load.rate=300, faults.jump.size=3.
   --vary=KEY=A:B:STEP  From A to B in steps.
   --scenarios=NAMES  With commas between; else a set of troubled ones.
@@ -90,7 +96,7 @@
         if args["check"]:
             return desk.check(args["FILE"], args["--json"])
         if args["run"]:
-            sets = [*args["--set"], *([f"proxies.count={args['--proxies']}"] if args["--proxies"] else [])]
+            sets = shorts(args)
             whole = whole_number(args["--seed"], "--seed")
             return desk.run(
                 args["SCENARIO"], args["--drive"], whole, args["--out"], pairs(sets), args["--json"]
@@ -116,6 +122,11 @@
                 whole_number(args["--sockets"], "--sockets"), number(args["--memory"], "--memory"),
                 whole_number(args["--seed"], "--seed"), args["--json"],
             )  # fmt: skip
+        if args["fleet"]:
+            return desk.fleet(
+                args["SCENARIO"], args["--program"], whole_number(args["--seed"], "--seed"), args["--out"],
+                args["--logs"], pairs(shorts(args)), args["--json"],
+            )  # fmt: skip
         if args["herd"]:
             return desk.herd(
                 whole_number(args["--proxies"] or "48", "--proxies", 1), number(args["--calls"], "--calls"),
@@ -140,6 +151,15 @@
         return exc.code
 
 
+def shorts(args: dict[str, Any]) -> list[str]:
+    """What is set, the short forms among it."""
+    found = list(args["--set"])
+    for option, key in (("--proxies", "proxies.count"), ("--servers", "farm.servers")):
+        if args[option]:
+            found.append(f"{key}={args[option]}")
+    return found
+
+
 def whole_number(text: str, what: str, least: int = 0) -> int:
     """A whole number off the command line."""
     from lupinlink.lab.desk import WrongError
--- a/lupinlink/lab/callers.py
+++ b/lupinlink/lab/callers.py
@@ -3,12 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass
 
 from lupinlink.net import http1
 
+# What a connect fails with for want of something on this machine, not at the other side.
+LACKING = frozenset(
+    {errno.EMFILE, errno.ENFILE, errno.EADDRNOTAVAIL, errno.ENOBUFS, errno.ENOMEM, errno.EAGAIN}
+)
+
 
 @dataclass(slots=True)
 class Answer:
@@ -166,8 +172,13 @@
         wrote: Callable[[Call], None] | None = None,
         once: Callable[[], bool] = lambda: False,
         rest_s: float = 0.0,
+        lacking: Callable[[OSError], None] = lambda exc: None,
     ) -> None:
-        """``once``: drawn for each answer, whether its connection is never asked again but left to rest."""
+        """``once``: drawn for each answer, whether its connection is never asked again but left to rest.
+
+        ``lacking`` is told where it is this machine that has no descriptor or port left to connect with.
+        """
+        self._lacking = lacking
         self._loop, self._host, self._port, self.most = loop, host, port, most
         self._wrote, self._once, self._rest_s = wrote, once, rest_s
         self._idle: list[Line] = []
@@ -202,7 +213,9 @@
     async def _dial(self, call: Call) -> None:
         try:
             _, line = await self._loop.create_connection(lambda: Line(self), self._host, self._port)
-        except OSError:
+        except OSError as exc:
+            if exc.errno in LACKING:
+                self._lacking(exc)
             self.open -= 1
             call.end(Answer(0, written=False))
             return
@@ -214,10 +227,11 @@
     def _go(self, line: Line, call: Call) -> None:
         line.call, call.line = call, line
         assert line.transport is not None
-        line.transport.write(call.data)
         call.sent_at = self._loop.time() * 1000.0
+        # Told before it is done: whoever sees what comes of it must not seem to have seen it first.
         if self._wrote is not None:
             self._wrote(call)
+        line.transport.write(call.data)
 
     def rest(self, line: Line) -> None:
         if self._once():
--- a/lupinlink/lab/desk.py
+++ b/lupinlink/lab/desk.py
@@ -8,6 +8,7 @@
 import signal
 import sys
 import time
+from collections.abc import Callable
 from datetime import UTC, datetime
 from pathlib import Path
 from typing import Any
@@ -15,8 +16,10 @@
 import msgspec
 
 from lupinlink.lab import library, results
+from lupinlink.lab.fleet.rig import FleetDrive
 from lupinlink.lab.library import LibraryError, Loaded
 from lupinlink.lab.model.referee import Try
+from lupinlink.lab.model.scenario import unplayable
 from lupinlink.lab.results import ResultsError
 from lupinlink.lab.sockets import DriveError, SocketsDrive
 from lupinlink.lab.virtual import VirtualDrive
@@ -93,9 +96,82 @@
     return 0 if found.complete and not any(found.rules_broken.values()) else 1
 
 
-def play(loaded: Loaded, drive: str, seed: int, folder: Path | None) -> results.Summary:
-    """Play a scenario on a drive; what is known so far is on disk all the while."""
+def fleet(
+    name: str, program: str | None, seed: int, out: str | None, logs: str | None, sets: dict[str, Any],
+    as_json: bool,
+) -> int:  # fmt: skip
+    """Play a scenario on a fleet of real processes."""
+    from lupinlink.lab.fleet import processes, rig
+
+    loaded = _load(name, sets)
+    try:
+        rig.check_size(loaded.scenario)
+        chosen = processes.program(program)
+    except DriveError as exc:
+        raise WrongError(str(exc), 2) from exc
+    found = play(
+        loaded,
+        "fleet",
+        seed,
+        Path(out) if out else None,
+        lambda loop, ended: rig.FleetDrive(
+            loaded.scenario, seed, loop, ended, program=chosen, logs=Path(logs) if logs else None
+        ),
+    )
+    crashes = found.fleet.get("crashes", [])
+    if as_json:
+        print(msgspec.json.format(msgspec.json.encode(found)).decode())
+    elif found.complete or found.tally["firsts"]:
+        print(told(found))
+        print("\n".join(_told_of_fleet(found)))
+    return 0 if found.complete and not any(found.rules_broken.values()) and not crashes else 1
+
+
+def _told_of_fleet(found: results.Summary) -> list[str]:
+    """A fleet's figures for people."""
+    if "spread" not in found.fleet:
+        return []
+    even, costs = found.fleet["spread"], found.fleet["costs"]
+    calls = ", ".join(
+        f"{costs[name]:.0f} {word}"
+        for name, word in (
+            ("calls", "in all"),
+            ("calls_per_s_max", "a second at most"),
+            ("calls_failed", "failed"),
+        )
+    )
+    lines = [
+        f"in flight, max/mean of servers: {even['max_over_mean_p50']:.2f} (p50), "
+        f"{even['max_over_mean_p99']:.2f} (p99); cv {even['cv_p50']:.2f} (random dealing: "
+        f"{even['random_cv_p50']:.2f}); idle beside busy ones {even['idle_share']:.2%}",
+        f"new connections {costs['new_connections_per_s']:.1f}/s, probes {costs['probes_per_s']:.1f}/s, "
+        f"at most {costs['connections_a_server_max']:.0f} connections a server; calls to discovery: {calls}",
+    ]
+    for back in found.fleet["returns"]:
+        after = back["back_after_s"]
+        lines.append(
+            f"{back['fault']} ({back['order']}): "
+            + (f"95% in time {after:g} s after power came back" if after is not None else "never back to 95%")
+            + f"; discovery back after {back['discovery_s']:g} s; {back['refused']} refused, "
+            f"{back['calls']:.0f} calls, {back['calls_failed']:.0f} failed"
+        )
+    if found.fleet["never_ready"]:
+        lines.append(f"never ready: proxies {', '.join(map(str, found.fleet['never_ready'][:20]))}")
+    return [*lines, *found.fleet["crashes"][:10]]
+
+
+Machine = VirtualDrive | SocketsDrive | FleetDrive
+Build = Callable[[asyncio.AbstractEventLoop, Callable[[Try], None]], FleetDrive]
+
+
+def play(
+    loaded: Loaded, drive: str, seed: int, folder: Path | None, build: Build | None = None
+) -> results.Summary:
+    """Play a scenario on a drive; what is known so far is on disk all the while. ``build``: of a fleet."""
     scenario = loaded.scenario
+    flaws = unplayable(scenario, drive)
+    if flaws:
+        raise WrongError("\n".join(map(str, flaws)), 2)
     started_at = datetime.now(UTC).isoformat(timespec="seconds")
     began = time.monotonic()
     keeper: results.Keeper
@@ -105,8 +181,11 @@
         keeper.ended(request)
 
     loop: asyncio.AbstractEventLoop | None = None
-    machine: VirtualDrive | SocketsDrive
-    if drive == "sockets":
+    machine: Machine
+    if build is not None:
+        loop = asyncio.new_event_loop()
+        machine = build(loop, ended)
+    elif drive == "sockets":
         loop = asyncio.new_event_loop()
         machine = SocketsDrive(scenario, seed, loop, ended)
     else:
@@ -125,9 +204,10 @@
             "requests_per_s": tries / max(wall, 1e-9),
             "peak_memory_mb": resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024.0,
         }
-        if isinstance(machine, SocketsDrive):
+        if not isinstance(machine, VirtualDrive):
             usage |= machine.figures
-        return results.summary(world, keeper, drive, seed, started_at, wall, complete, usage)
+        of_fleet = machine.fleet if isinstance(machine, FleetDrive) else {}
+        return results.summary(world, keeper, drive, seed, started_at, wall, complete, usage, of_fleet)
 
     def save() -> None:
         if folder is not None:
@@ -149,7 +229,7 @@
     before = [signal.signal(number, lambda *_: machine.stop()) for number in numbers]
     complete = False
     try:
-        if isinstance(machine, SocketsDrive):
+        if not isinstance(machine, VirtualDrive):
             assert loop is not None
             loop.run_until_complete(machine.run())
         else:
@@ -164,7 +244,10 @@
             signal.signal(number, handler)
         found = figures(complete)
         if folder is not None:
-            results.write(folder, results.contents(world, keeper, found))
+            files = results.contents(world, keeper, found)
+            if isinstance(machine, FleetDrive):
+                files[results.SERVERS] = results.lines(machine.seconds)
+            results.write(folder, files)
         keeper.close()
         if loop is not None:
             loop.run_until_complete(loop.shutdown_default_executor())
--- a/lupinlink/lab/emulated.py
+++ b/lupinlink/lab/emulated.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import math
 import os
 import socket
 from collections.abc import Callable
@@ -24,15 +25,18 @@
     EndpointState.DRAINING: "terminating",
     EndpointState.GONE: "terminated",
 }
+BACKLOG = 1024  # connections that wait to be accepted
 BEAT_MS = 2000.0  # an empty line on a watch, as long as nothing changes
 NOISE = b"\x00\xffthis is no answer\r\n\r\n"
 
 
-def listen(port: int = 0, backlog: int = 1024) -> socket.socket:
-    """A listening socket on loopback; port 0: one that is free."""
+def listen(port: int = 0, backlog: int = BACKLOG, host: str = HOST) -> socket.socket:
+    """A listening socket on loopback; port 0: one that is free. No host: every address of loopback's."""
     listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    listener.bind((HOST, port))
+    if not host:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_BINDTODEVICE, b"lo\0")
+    listener.bind((host, port))
     listener.listen(backlog)
     listener.setblocking(False)
     return listener
@@ -42,11 +46,13 @@
     """One connection of a proxy to an application server."""
 
     def __init__(self, front: ServerFront) -> None:
-        self._front = front
+        self.front = front
         self._parser = http1.RequestParser()
         self.transport: asyncio.Transport | None = None
         self.ask: Ask | None = None  # whose attempt is out here
         self.number = -1
+        self.proxy = -1  # where the address that it came to tells
+        self.hushed = False  # its way is cut: nothing comes or goes
         self.job: Job | None = None
         self.fresh = True
         self.process: Server | None = None
@@ -56,7 +62,7 @@
         self.transport = transport
         sock = transport.get_extra_info("socket")
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self._front.opened(self)
+        self.front.opened(self)
 
     def data_received(self, data: bytes) -> None:
         self._parser.feed(data)
@@ -66,10 +72,10 @@
             self.abort()
             return
         if message is not None:
-            self._front.asked(self, message)
+            self.front.asked(self, message)
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self._front.closed(self)
+        self.front.closed(self)
 
     def gone(self) -> bool:
         """Whether the other side has ended, though that was not read yet."""
@@ -87,7 +93,7 @@
                 return True
 
     def write(self, data: bytes) -> None:
-        if self.transport is not None and not self.transport.is_closing():
+        if self.transport is not None and not self.transport.is_closing() and not self.hushed:
             self.transport.write(data)
 
     def abort(self) -> None:
@@ -103,10 +109,15 @@
         self._listener: asyncio.Server | None = None
         self._mute: list[socket.socket] = []
         self.passages: dict[Passage, None] = {}
-        sock = listen()
+        self.shook = self.probed = 0
+        sock = self.bound(0)
         self.port: int = sock.getsockname()[1]
         self._open(sock)
 
+    def bound(self, port: int) -> socket.socket:
+        """A listening socket of its own."""
+        return listen(port)
+
     def _open(self, sock: socket.socket) -> None:
         self._sock = sock
         loop = self.fronts.loop
@@ -114,7 +125,7 @@
         self._task = loop.create_task(self._serve(sock))
 
     async def _serve(self, sock: socket.socket) -> None:
-        server = await self.fronts.loop.create_server(lambda: Passage(self), sock=sock)
+        server = await self.fronts.loop.create_server(lambda: Passage(self), sock=sock, backlog=BACKLOG)
         if self._sock is sock:
             self._listener = server
         else:
@@ -133,7 +144,7 @@
 
     def reopen(self) -> None:
         """Another process at the old address."""
-        self._open(listen(self.port))
+        self._open(self.bound(self.port))
 
     def silence(self, silent: bool) -> None:
         """Cut off: nothing is read, and new connections do not come up, since the kernel's queue is full."""
@@ -162,7 +173,7 @@
             passage.abort()
         self.silence(False)
         self._sock.close()
-        self._open(listen(self.port))
+        self._open(self.bound(self.port))
 
     @property
     def process(self) -> Server:
@@ -177,7 +188,8 @@
             passage.abort()
             return
         process.ports.open += 1
-        self.fronts.world.referee.tally.handshakes += 1
+        self.shook += 1
+        self.fronts.world.referee.shook()
         process.overhead(process.machine.connection_work_ms)
 
     def closed(self, passage: Passage) -> None:
@@ -196,18 +208,23 @@
         if passage.ask is not None:
             world = self.fronts.world
             world.referee.ended(passage.ask.name, passage.number, world.clock.now(), how)
+            self.fronts.out[passage.ask.name].discard(passage)
+            if not self.fronts.out[passage.ask.name]:
+                del self.fronts.out[passage.ask.name]
             passage.ask = None
-            self.fronts.out.pop(passage, None)
 
     def asked(self, passage: Passage, message: http1.Message) -> None:
         world, process = self.fronts.world, self.process
         if message.method == "GET" and message.target in ("/alive", "/metrics/load"):
-            world.referee.tally.probes += 1
+            if passage.hushed:
+                return
+            self.probed += 1
+            world.referee.probed()
             process.overhead(process.machine.probe_work_ms)
             passage.write(http1.answer(200, self._report(process.report()), b"", close=False))
             return
         name = message.get("x-trace-id")
-        ask = self.fronts.asks.get(name or "")
+        ask = self.fronts.ask_of(passage, name or "", message)
         if ask is None or name is None:
             # A request that nobody sent: the referee must hear of it, whoever made it up.
             place = world.farm.places[self.name]
@@ -218,11 +235,13 @@
         place = world.farm.places[self.name]
         crosses = place.zone != self.fronts.zone_of(ask.proxy)
         passage.ask = ask
-        self.fronts.out[passage] = None
+        self.fronts.out.setdefault(name, set()).add(passage)
         passage.number = world.referee.sent(
             name, place.name, place.zone, place.cell, world.clock.now(), crosses
         )
         ways = world.ways
+        if passage.hushed:
+            return  # it went out, and will never arrive
         delay = ways.between(self.fronts.zone_of(ask.proxy), place.zone)
         if passage.fresh:  # its handshake has taken a way there and back
             passage.fresh = False
@@ -231,7 +250,7 @@
 
     def _arrive(self, passage: Passage, ask: Ask, process: Server) -> None:
         world = self.fronts.world
-        if passage.ask is not ask or not process.alive or process.troubles.silent:
+        if passage.ask is not ask or passage.hushed or not process.alive or process.troubles.silent:
             return
         world.referee.arrived(ask.name, passage.number, world.clock.now())
         chance = self.fronts.chance
@@ -257,6 +276,9 @@
         if how is not Ending.SERVED and how not in NEVER_RUN and job is not None:
             self.fronts.world.referee.wasted(job.cost_ms)
         passage.job = None
+        lost = self.process.troubles.lost
+        if passage.hushed or (lost > 0.0 and self.fronts.chance.even() < lost):
+            return  # on its way: the connection stays open and says nothing
         headers = self._report(report)
         if how is Ending.SERVED:
             self.end(passage, End.SERVED)
@@ -281,23 +303,37 @@
 class Fronts:
     """Every application server's front."""
 
-    def __init__(
-        self,
-        world: World,
-        loop: asyncio.AbstractEventLoop,
-        asks: dict[str, Ask],
-        work: Callable[[Ask], float],
-    ) -> None:
-        self.world, self.loop, self.asks, self.work = world, loop, asks, work
+    def __init__(self, world: World, loop: asyncio.AbstractEventLoop, asks: dict[str, Ask]) -> None:
+        self.world, self.loop, self.asks = world, loop, asks
+        self._noise = world.streams.draws("work noise")
         self.chance = world.streams.draws("fronts")
-        self.out: dict[Passage, None] = {}
+        self.out: dict[str, set[Passage]] = {}  # attempts that are out, by the request's name
         self.by_name: dict[str, ServerFront] = {}
         farm = world.farm
         farm.died.append(self._died)
         farm.started.append(self._started)
         farm.silenced.append(self._silenced)
         for name in farm.places:
-            self.port_of(name)
+            self.open(name)
+
+    def open(self, name: str) -> None:
+        """A place begins to listen."""
+        self.port_of(name)
+
+    def work(self, ask: Ask) -> float:
+        """The work of one attempt, milliseconds of one standard core: noise round what its try asks for."""
+        noise = self.world.scenario.load.work_noise
+        if noise <= 0.0:
+            return ask.want.work_ms
+        return ask.want.work_ms * math.exp(noise * self._noise.normal() - noise * noise / 2.0)
+
+    def ask_of(self, passage: Passage, name: str, message: http1.Message) -> Ask | None:
+        """The try that a proxy's request is for; None: nobody sent it."""
+        return self.asks.get(name)
+
+    def endpoint(self, proxy: int, name: str) -> str:
+        """Where a proxy is told to find a place."""
+        return f"{HOST}:{self.port_of(name)}"
 
     def zone_of(self, proxy: int) -> int:
         return self.world.agents.front.zone_of[proxy]
@@ -306,15 +342,18 @@
         """Where a place listens."""
         front = self.by_name.get(name)
         if front is None:
-            front = self.by_name[name] = ServerFront(self, name)
+            front = self.by_name[name] = self.front(name)
         return front.port
 
+    def front(self, name: str) -> ServerFront:
+        """A place's listener."""
+        return ServerFront(self, name)
+
     def look_for_ends(self, name: str) -> None:
         """Ends that have come but were not read yet went before what is read now."""
-        for passage in [p for p in self.out if p.ask is not None and p.ask.name == name]:
+        for passage in list(self.out.get(name, ())):
             if passage.gone():
-                front = next(f for f in self.by_name.values() if passage in f.passages)
-                front.end(passage, End.GIVEN_UP)
+                passage.front.end(passage, End.GIVEN_UP)
 
     def _died(self, server: Server) -> None:
         if server.name in self.by_name:
@@ -324,7 +363,7 @@
         if server.name in self.by_name:
             self.by_name[server.name].reopen()
         else:
-            self.port_of(server.name)
+            self.open(server.name)
 
     def _silenced(self, server: Server, silent: bool) -> None:
         front = self.by_name.get(server.name)
@@ -336,18 +375,12 @@
             front.close()
 
 
-class RosterFront:
-    """The roster as one proxy asks for it, at an address of its own."""
+class RosterSide:
+    """The roster as one proxy asks for it; ``endpoint``: where that proxy finds a place."""
 
-    def __init__(self, world: World, fronts: Fronts, proxy: int) -> None:
-        self.world, self.fronts, self.proxy = world, fronts, proxy
-        sock = listen()
-        self.port: int = sock.getsockname()[1]
+    def __init__(self, world: World, proxy: int, endpoint: Callable[[int, str], str]) -> None:
+        self.world, self.proxy, self._endpoint = world, proxy, endpoint
         self.watches: dict[RosterCall, None] = {}
-        self._task = fronts.loop.create_task(self._serve(sock))
-
-    async def _serve(self, sock: socket.socket) -> None:
-        self._server = await self.fronts.loop.create_server(lambda: RosterCall(self), sock=sock)
 
     def tell(self, kind: MembershipKind, rows: list[Endpoint]) -> None:
         """The model's roster writes to this proxy's watches."""
@@ -356,34 +389,60 @@
                 call.fail()
             return
         self.world.told.rows(self.proxy, kind, rows)
-        text = json.dumps(self.list(rows, kind is not MembershipKind.DELTA)) + "\n"
+        text = json.dumps(self.document(rows, kind is not MembershipKind.DELTA)) + "\n"
         for call in self.watches:
             call.line(text)
 
-    def list(self, rows: list[Endpoint], full: bool) -> dict[str, Any]:
+    def document(self, rows: list[Endpoint], full: bool) -> dict[str, Any]:
         """Rows in the roster's own form."""
         zones, kinds = self.world.scenario.network.zones, list(self.world.scenario.kinds)
         targets = [
-            {"uid": row.name, "endpoint": f"{HOST}:{self.fronts.port_of(row.name)}", "az": zones[row.zone],
+            {"uid": row.name, "endpoint": self._endpoint(self.proxy, row.name), "az": zones[row.zone],
              "model": kinds[row.kind], "pod_group": row.cell, "state": STATE[row.state],
              "capacity_hint": row.size_hint, "boot_ms": int(row.started_ms)}
             for row in rows
         ]  # fmt: skip
         return {"rev": self.world.roster.version, "all": full, "targets": targets}
 
+    def gave(self, rows: list[Endpoint]) -> None:
+        """A whole list was written to this proxy."""
+        self.world.told.rows(self.proxy, MembershipKind.FULL, rows)
+
+    def close(self) -> None:
+        """End every watch."""
+        for call in list(self.watches):
+            call.fail()
+
+
+class RosterFront(RosterSide):
+    """One proxy's roster at an address of its own."""
+
+    def __init__(self, world: World, fronts: Fronts, proxy: int) -> None:
+        super().__init__(world, proxy, fronts.endpoint)
+        sock = listen()
+        self.port: int = sock.getsockname()[1]
+        self._loop = fronts.loop
+        self._task = fronts.loop.create_task(self._serve(sock))
+
+    async def _serve(self, sock: socket.socket) -> None:
+        self._server = await self._loop.create_server(lambda: RosterCall(self), sock=sock)
+
     def close(self) -> None:
         self._task.cancel()
         if hasattr(self, "_server"):
             self._server.close()
-        for call in list(self.watches):
-            call.fail()
+        super().close()
 
 
 class RosterCall(asyncio.Protocol):
     """One connection to the roster."""
 
-    def __init__(self, front: RosterFront) -> None:
-        self._front = front
+    front: RosterSide
+
+    def __init__(self, front: RosterSide | None = None) -> None:
+        """``front``: whose roster it is, where that is known before the connection is there."""
+        if front is not None:
+            self.front = front
         self._parser = http1.RequestParser()
         self._transport: asyncio.Transport | None = None
         self._watching = self._open = False
@@ -397,14 +456,14 @@
         message = self._parser.next()
         if message is None:
             return
-        world = self._front.world
+        world = self.front.world
         if "watch=1" in message.target:
             self._watching = True
-            self._front.watches[self] = None
+            self.front.watches[self] = None
             # What the model calls a watch answers by telling; the head goes out with the first line.
             version = message.target.partition("from=")[2]
-            world.roster.resume(self._front.proxy, int(version) if version.isdigit() else 0)
-            world.roster.watch(self._front.proxy)
+            world.roster.resume(self.front.proxy, int(version) if version.isdigit() else 0)
+            world.roster.watch(self.front.proxy)
         else:
             world.roster.fetch(self._whole)
 
@@ -412,12 +471,12 @@
         if self._transport is None or self._transport.is_closing():
             return
         if rows is None:
-            self._transport.write(http1.answer(503, [], b"", close=True))
+            self.write(http1.answer(503, [], b"", close=True))
             self._transport.close()
             return
-        self._front.world.told.rows(self._front.proxy, MembershipKind.FULL, rows)
-        body = json.dumps(self._front.list(rows, True)).encode()
-        self._transport.write(http1.answer(200, [("Content-Type", "application/json")], body, close=False))
+        self.front.gave(rows)
+        body = json.dumps(self.front.document(rows, True)).encode()
+        self.write(http1.answer(200, [("Content-Type", "application/json")], body, close=False))
 
     def line(self, text: str) -> None:
         """A line of the watch."""
@@ -425,14 +484,14 @@
             return
         if not self._open:
             self._open = True
-            self._transport.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+            self.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
             self._beat()
-        self._transport.write(f"{len(text):x}\r\n{text}\r\n".encode())
+        self.write(f"{len(text):x}\r\n{text}\r\n".encode())
 
     def _beat(self) -> None:
         if self._transport is not None and not self._transport.is_closing():
-            self._transport.write(b"1\r\n\n\r\n")
-            clock = self._front.world.clock
+            self.write(b"1\r\n\n\r\n")
+            clock = self.front.world.clock
             clock.at(clock.now() + BEAT_MS, self._beat)
 
     def fail(self) -> None:
@@ -442,10 +501,20 @@
         if self._open:
             self._transport.abort()
         else:
-            self._transport.write(http1.answer(503, [], b"", close=True))
+            self.write(http1.answer(503, [], b"", close=True))
             self._transport.close()
 
+    def write(self, data: bytes) -> None:
+        """Bytes to the proxy."""
+        if self._transport is not None:
+            self._transport.write(data)
+
+    def abort(self) -> None:
+        """Reset the connection."""
+        if self._transport is not None:
+            self._transport.abort()
+
     def connection_lost(self, exc: Exception | None) -> None:
-        self._front.watches.pop(self, None)
-        if self._watching and not self._front.watches:
-            self._front.world.roster.unwatch(self._front.proxy)
+        self.front.watches.pop(self, None)
+        if self._watching and not self.front.watches:
+            self.front.world.roster.unwatch(self.front.proxy)
--- /dev/null
+++ b/lupinlink/lab/fleet/fronts.py
@@ -0,0 +1,158 @@
+"""A helper as one zone's front: its user agents, their connections, and which proxies it hands them to."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from contextlib import suppress
+from functools import partial
+from random import Random
+
+from lupinlink.lab.asking import Asking
+from lupinlink.lab.callers import Call, Pool
+from lupinlink.lab.fleet import addresses
+from lupinlink.lab.loop import LoopClock
+from lupinlink.lab.model.scenario import Scenario
+from lupinlink.lab.model.user_agents import Ask
+from lupinlink.lab.model.world import World
+from lupinlink.lab.sockets import AGENT_SHARE
+from lupinlink.net import http1
+
+LOOK_S = 1.0  # between two looks at a proxy that is in
+SEEK_S = 0.1  # and at one that is not
+ANSWER_S = 1.0  # so long may the answer to a look take
+NOTICE_S = 2.0  # a proxy that answers no look is noticed to be dead after so long
+LEAVES_MS = 600.0  # past its time a user agent closes its connection
+
+
+class FleetAsking(Asking):
+    """User agents of a fleet: their requests say in the path what they cost, and they leave in the end."""
+
+    def target(self, ask: Ask) -> str:
+        return f"{super().target(ask)}?work={ask.want.work_ms:.3f}&wait={ask.want.wait_ms:.3f}"
+
+    def wrote(self, call: Call) -> None:
+        ask = self.asks.get(call.name)
+        super().wrote(call)
+        if ask is not None and not call.again:
+            self.clock.at(ask.deadline + LEAVES_MS, partial(self._gone, ask))
+            if ask.name in self.asks:
+                del self.asks[ask.name]
+
+    def ended_early(self, ask: Ask) -> None:
+        self.world.referee.broken_off(ask.name, self.clock.now())
+
+
+class Look:
+    """Asks one proxy again and again whether it is up, on a connection that it keeps."""
+
+    def __init__(self, host: str, port: int) -> None:
+        self._host, self._port = host, port
+        self._streams: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
+
+    async def status(self) -> int:
+        """The status of ``GET /up``; 0: no answer came."""
+        kept = self._streams is not None
+        try:
+            async with asyncio.timeout(ANSWER_S):
+                return await self._ask()
+        except (OSError, asyncio.IncompleteReadError, asyncio.LimitOverrunError, TimeoutError):
+            self.close()
+        if kept:  # a proxy may close a connection at rest
+            return await self.status()
+        return 0
+
+    async def _ask(self) -> int:
+        if self._streams is None:
+            self._streams = await asyncio.open_connection(self._host, self._port)
+        reader, writer = self._streams
+        writer.write(http1.request("GET", "/up", [("Host", "lab")]))
+        parser = http1.AnswerParser()
+        while (message := parser.next()) is None:
+            data = await reader.read(4096)
+            if not data:
+                raise asyncio.IncompleteReadError(b"", None)
+            parser.feed(data)
+        if not message.keeps_open():
+            self.close()
+        return message.status
+
+    def close(self) -> None:
+        """Ask on a new connection the next time."""
+        if self._streams is not None:
+            with suppress(OSError):
+                self._streams[1].close()
+            self._streams = None
+
+
+class ZoneFront:
+    """One zone's user agents and front. ``changed`` is told of its proxies that come in or go out."""
+
+    def __init__(
+        self,
+        scenario: Scenario,
+        world: World,
+        asking: FleetAsking,
+        clock: LoopClock,
+        loop: asyncio.AbstractEventLoop,
+        zone: int,
+        port: int,
+        changed: Callable[[int, bool], None],
+        lacking: Callable[[OSError], None],
+    ) -> None:
+        self.world, self._clock, self._changed = world, clock, changed
+        self._front = world.agents.front
+        self._random = Random(world.streams.number(f"looks {zone}"))
+        zones, most = self._front.zone_of, int(scenario.proxies.sockets * AGENT_SHARE)
+        for i, its_zone in enumerate(zones):
+            host = addresses.listens(its_zone, i)
+            asking.pools.append(Pool(loop, host, port, most, asking.wrote, lacking=lacking))
+        self._leaving: set[int] = set()
+        self._front.alive = [False] * len(zones)
+        self._front.revise()
+        self._tasks = [
+            loop.create_task(self._watch(i, Look(addresses.listens(zone, i), port)))
+            for i, its_zone in enumerate(zones)
+            if its_zone == zone
+        ]
+        self._pools = asking.pools
+
+    async def _watch(self, proxy: int, look: Look) -> None:
+        up, quiet_since = False, 0.0
+        await asyncio.sleep(self._random.uniform(0.0, SEEK_S))
+        while True:
+            status = await look.status()
+            now = self._clock.now()
+            if status:
+                quiet_since = 0.0
+            elif not quiet_since:
+                quiet_since = now
+            dead = bool(quiet_since) and now - quiet_since >= NOTICE_S * 1000.0
+            is_up = status == 200 or (up and not status and not dead)
+            is_up = is_up and proxy not in self._leaving
+            if is_up != up:
+                up = is_up
+                self.put(proxy, up)
+                self._changed(proxy, up)
+            await asyncio.sleep(LOOK_S if status else SEEK_S)
+
+    def put(self, proxy: int, up: bool) -> None:
+        """A proxy is handed connections from now on, or no more."""
+        if self._front.alive[proxy] != up:
+            self._front.alive[proxy] = up
+            self._front.revise()
+
+    def leaving(self, proxy: int, leaves: bool) -> None:
+        """A planned restart: nothing more for it until it has started again."""
+        if leaves:
+            self._leaving.add(proxy)
+            self.put(proxy, False)
+        else:
+            self._leaving.discard(proxy)
+
+    def close(self) -> None:
+        """End all connections."""
+        for task in self._tasks:
+            task.cancel()
+        for pool in self._pools:
+            pool.close()
--- a/lupinlink/lab/loop.py
+++ b/lupinlink/lab/loop.py
@@ -14,19 +14,20 @@
 class LoopClock:
     """A ``lupinlink.clock.Clock`` on an asyncio loop: Unix time that never steps back, milliseconds."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(self, loop: asyncio.AbstractEventLoop, offset_ms: float | None = None) -> None:
+        """``offset_ms``: what another process's clock adds to the machine's own, to agree with it."""
         self._loop = loop
-        self._offset = time.time() * 1000.0 - loop.time() * 1000.0
+        self.offset_ms = time.time() * 1000.0 - loop.time() * 1000.0 if offset_ms is None else offset_ms
         self._handles: dict[int, asyncio.TimerHandle] = {}
         self._next = 0
         self.made = 0  # calls made so far
 
     def now(self) -> float:
-        return self._offset + self._loop.time() * 1000.0
+        return self.offset_ms + self._loop.time() * 1000.0
 
     def at(self, at_ms: float, call: Callable[[], None]) -> int:
         number = self._next = self._next + 1
-        when = (at_ms - self._offset) / 1000.0
+        when = (at_ms - self.offset_ms) / 1000.0
         self._handles[number] = self._loop.call_at(when, self._make, number, call)
         return number
 
--- a/lupinlink/lab/model/arrivals.py
+++ b/lupinlink/lab/model/arrivals.py
@@ -27,10 +27,19 @@
     work: Floats  # milliseconds of one standard core
     wait: Floats
     over_quota: NDArray[np.bool_]  # beyond its member's share
+    number: Ints  # of the first try within the whole run
 
     def __len__(self) -> int:
         return len(self.at)
 
+    def of_zone(self, zone: int) -> Arrivals:
+        """Those of one zone's user agents, under the numbers that they have in the whole."""
+        mine = self.zone == zone
+        return Arrivals(
+            self.at[mine], self.class_index[mine], self.member[mine], self.key[mine], self.zone[mine],
+            self.work[mine], self.wait[mine], self.over_quota[mine], self.number[mine],
+        )  # fmt: skip
+
 
 def draw(scenario: Scenario, streams: Streams) -> Arrivals:
     """Every first try of a run; each member and each figure has a stream of its own."""
@@ -61,9 +70,16 @@
     zone_shares = np.full(zones, even)
     zone_shares[0] += load.zone_skew
     zone = streams.generator("zone").choice(zones, size=count, p=zone_shares)
+    for name, fault in scenario.faults.items():
+        if fault.kind == "zone_shift":
+            start, end = _span(fault)
+            moved = streams.generator(f"shift {name}").random(count) < (fault.share or 0.0)
+            zone[moved & (at[order] >= start) & (at[order] < end)] = scenario.network.zones.index(
+                fault.zone or ""
+            )
     return Arrivals(
         at[order], class_index.astype(np.int64), np.concatenate(members)[order], key.astype(np.int64),
-        zone.astype(np.int64), work, wait, np.concatenate(over)[order],
+        zone.astype(np.int64), work, wait, np.concatenate(over)[order], np.arange(count),
     )  # fmt: skip
 
 
--- a/lupinlink/lab/model/farm.py
+++ b/lupinlink/lab/model/farm.py
@@ -105,8 +105,15 @@
 
     def _fell(self, fall: Fall) -> None:
         self._referee.fell(fall.server, fall.at, fall.by)
-        place = self.places.get(fall.server)
+        self.fallen(fall.server)
+
+    def fallen(self, name: str) -> None:
+        """A server has fallen over: its process says no more."""
+        place = self.places.get(name)
         if place is not None:
+            if not place.server.fallen:  # seen by a replica of this farm
+                place.server.crash()
+                place.server.alive = place.server.fallen = True
             self._end(place.server)
 
     def _end(self, server: Server) -> None:
@@ -180,6 +187,10 @@
         if place.server is server and server.troubles.silent:
             self._roster.notice(self.row(place, EndpointState.GONE), 0.0)
 
+    def standing(self) -> list[str]:
+        """The names of servers that run, in order."""
+        return [p.name for p in self.places.values() if p.server.alive]
+
     def ready(self) -> list[str]:
         """The names of servers that run and do not drain, in order."""
         return [
--- a/lupinlink/lab/model/faults.py
+++ b/lupinlink/lab/model/faults.py
@@ -7,8 +7,10 @@
 
 from lupinlink.clock import Clock
 from lupinlink.lab.model.farm import Farm
+from lupinlink.lab.model.network import Ways
+from lupinlink.lab.model.outage import Return, returns
 from lupinlink.lab.model.roster import Roster
-from lupinlink.lab.model.scenario import Fault, Scenario
+from lupinlink.lab.model.scenario import PROXY_KINDS, Fault, Scenario
 from lupinlink.lab.model.streams import Streams
 from lupinlink.lab.model.user_agents import Front
 
@@ -25,15 +27,26 @@
 
 
 class Script:
-    """Plays a scenario's faults. Surges are in the arrivals already, floods are the sockets' drive's."""
+    """Plays a scenario's faults. Surges and shifts are in the arrivals already, floods are the sockets'
+    drive's, and what befalls proxies and their paths is the fleet's: those drives are told of each fault."""
 
     def __init__(
-        self, scenario: Scenario, clock: Clock, streams: Streams, farm: Farm, roster: Roster, front: Front
+        self,
+        scenario: Scenario,
+        clock: Clock,
+        streams: Streams,
+        farm: Farm,
+        roster: Roster,
+        front: Front,
+        ways: Ways,
     ) -> None:
         self.happened: list[Happened] = []
         self.flooded: list[Callable[[int, float], None]] = []  # told of a flood: connections, and its end
         self._scenario, self._clock, self._streams = scenario, clock, streams
-        self._farm, self._roster, self._front = farm, roster, front
+        self.begun: list[Callable[[str, list[str]], None]] = []  # told of each fault and whom it meets
+        self.plans: dict[str, Return] = {}  # of power losses, by the fault's name
+        self.outages = 0  # a power loss ends the return from the one before
+        self._farm, self._roster, self._front, self._ways = farm, roster, front, ways
         self._depth: dict[str, int] = {}  # how many faults of a sort hold a thing down at once
 
     def start(self) -> None:
@@ -44,10 +57,19 @@
             self._clock.at(start, lambda name=name, fault=fault: self._begin(name, fault))  # type: ignore[misc]
 
     def _begin(self, name: str, fault: Fault) -> None:
-        now = self._clock.now()
-        end = now + fault.for_s * 1000.0
         targets = self._targets(name, fault)
+        self.play(name, targets)
+        for call in self.begun:
+            call(name, targets)
+
+    def play(self, name: str, targets: list[str]) -> None:
+        """Begin a fault now; a replica of the world is told whom it meets, and does the same."""
+        fault, now = self._scenario.faults[name], self._clock.now()
+        end = now + fault.for_s * 1000.0
         self.happened.append(Happened(name, fault.kind, now, end, targets))
+        if fault.kind == "power_loss":
+            self._power_loss(name, fault)
+            return
         play = getattr(self, f"_{fault.kind}", None)
         if play is not None:
             play(fault, targets, end)
@@ -57,6 +79,11 @@
         if fault.kind == "zone_lost":
             zone = self._scenario.network.zones.index(fault.zone or "")
             return [p.name for p in self._farm.places.values() if p.zone == zone]
+        if fault.kind in PROXY_KINDS:
+            # Whoever runs just now: drawn from all, so that one seed meets the same proxies every time.
+            proxies = self._scenario.proxies.count
+            met = self._streams.generator(f"fault {name}").permutation(proxies)
+            return [f"n{i}" for i in sorted(met[: round(proxies * (fault.share or 0.0))])]
         if fault.kind == "shrink":
             count = round(len(ready) * (fault.share or 0.0))
         elif fault.kind in (
@@ -67,6 +94,11 @@
             "roster_down",
             "roster_stale",
             "flood",
+            "delay",
+            "zone_shift",
+            "roster_busy",
+            "cut",
+            "power_loss",
         ):
             return []
         else:
@@ -159,7 +191,7 @@
 
     def _some(self, fault: Fault, targets: list[str], end: float) -> None:
         """A share of what passes there goes wrong in the way the fault is named after."""
-        name = {"reset": "resets", "spoil": "spoilt", "errors": "errors"}[fault.kind]
+        name = {"reset": "resets", "spoil": "spoilt", "errors": "errors", "lost": "lost"}[fault.kind]
         share = fault.share or 0.0
         for place in map(self._farm.places.__getitem__, targets):
             troubles = place.server.troubles
@@ -170,7 +202,41 @@
 
             self._clock.at(end, over)
 
-    _reset = _spoil = _errors = _some
+    _reset = _spoil = _errors = _lost = _some
+
+    def _delay(self, fault: Fault, targets: list[str], end: float) -> None:
+        ways, more = self._ways, fault.ms or 0.0
+        ways.more_ms += more
+
+        def over() -> None:
+            ways.more_ms -= more
+
+        self._clock.at(end, over)
+
+    def _roster_busy(self, fault: Fault, targets: list[str], end: float) -> None:
+        roster, size = self._roster, fault.size or 1.0
+        roster.slowness *= size
+
+        def over() -> None:
+            roster.slowness /= size
+
+        self._clock.at(end, over)
+
+    def _power_loss(self, name: str, fault: Fault) -> None:
+        """Every server is gone at once; they come back cold, some as others, in the drawn order."""
+        self.outages += 1
+        outage, now, standing = self.outages, self._clock.now(), self._farm.standing()
+        plan = returns(name, fault, self._streams, self._scenario.proxies.count, standing)
+        self.plans[name] = plan
+        for server in list(self._farm.places):
+            self._farm.crash(server)
+
+        def back(server: str) -> None:
+            if outage == self.outages:
+                self._farm.grow() if server in plan.replaced else self._farm.restart(server)
+
+        for server, after in plan.servers.items():
+            self._clock.at(now + after, lambda server=server: back(server))  # type: ignore[misc]
 
     def _roster_down(self, fault: Fault, targets: list[str], end: float) -> None:
         self._for_a_while(
--- a/lupinlink/lab/model/network.py
+++ b/lupinlink/lab/model/network.py
@@ -16,10 +16,11 @@
     def __init__(self, spec: Network, streams: Streams) -> None:
         self._spec = spec
         self._draws = streams.draws("network")
+        self.more_ms = 0.0  # on every way between two zones, while a fault lasts
 
     def between(self, zone: int, other: int) -> float:
         """From a proxy to a server or back, milliseconds."""
-        return self._drawn(self._spec.same_ms if zone == other else self._spec.cross_ms)
+        return self._drawn(self._spec.same_ms if zone == other else self._spec.cross_ms + self.more_ms)
 
     def client(self) -> float:
         """From a user agent to its proxy or back, milliseconds."""
--- /dev/null
+++ b/lupinlink/lab/model/outage.py
@@ -0,0 +1,40 @@
+"""A power loss: in which order what stood comes back. Pure: it follows from the seed and the fault's name."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from lupinlink.lab.model.scenario import Fault
+from lupinlink.lab.model.streams import Streams
+
+SPREAD_MS = 1000.0  # machines that get their power back at one moment start within this
+LAG_S = 10.0  # of the last part behind the first, where the fault names none
+
+
+@dataclass(slots=True, frozen=True)
+class Return:
+    """Milliseconds from the loss on until each is back."""
+
+    proxies: list[float]
+    discovery: float
+    servers: dict[str, float]
+    replaced: frozenset[str]  # servers in whose place another one, never heard of, starts
+
+
+def returns(name: str, fault: Fault, streams: Streams, proxies: int, servers: list[str]) -> Return:
+    """The return from one power loss; ``for_s`` of the fault is how long all is dark."""
+    generator = streams.generator(f"return {name}")
+    dark, lag = fault.for_s * 1000.0, (fault.lag_s or LAG_S) * 1000.0
+    proxy_at = dark + SPREAD_MS * generator.random(proxies)
+    server_at = dark + SPREAD_MS * generator.random(len(servers))
+    discovery_at = dark + SPREAD_MS * float(generator.random())
+    order = generator.permutation(proxies)
+    gone = generator.permutation(len(servers))[: round(len(servers) * (fault.share or 0.0))]
+    if fault.order == "discovery_last":
+        discovery_at = dark + lag
+    elif fault.order == "half_first":
+        proxy_at[order[: proxies // 2]] += lag
+    return Return(
+        proxy_at.tolist(), discovery_at, dict(zip(servers, server_at.tolist(), strict=True)),
+        frozenset(servers[i] for i in gone),
+    )  # fmt: skip
--- a/lupinlink/lab/model/referee.py
+++ b/lupinlink/lab/model/referee.py
@@ -120,6 +120,8 @@
 
     asked: float = 0.0
     earned: float = 0.0
+    firsts: int = 0
+    in_time: int = 0
 
     @property
     def share(self) -> float:
@@ -173,6 +175,7 @@
         self._told: dict[tuple[int, str], float] = {}  # proxy and server: since when it is told not to send
         self._starts: dict[tuple[int, str], float] = {}  # proxy and server: when it was told of its start
         self._recent: OrderedDict[str, Try] = OrderedDict()
+        self._dead: set[int] = set()  # proxies that do not run: what comes to them is owed nothing
 
     # What user agents tell
 
@@ -185,6 +188,7 @@
         second = self.by_second.setdefault(int(first.at // 1000.0), Sums())
         for sums in (self.whole, self.by_class[first.class_index], second):
             sums.asked += worth
+            sums.firsts += 1
         if not first.over_quota:
             self.by_member[first.member].asked += worth
 
@@ -200,10 +204,15 @@
             raise ValueError(f"two tries are named {request.name}")
         self.tally.tries += 1
         self._tries[request.name] = request
+        if request.proxy in self._dead:
+            request.void = True
+            self._settle(request)
 
     def answered(self, name: str, now: float, what: Reply, made_for: str = "") -> None:
         """The last byte of an answer has left its proxy. ``made_for``: the try whose answer a server made."""
         request = self._tries.get(name) or self._recent.get(name)
+        if request is not None and request.void:
+            return None
         if request is None:
             return self._break(1, now, "an answer to a request that nobody has open", name)
         request.answers.append((now, what, made_for))
@@ -232,8 +241,26 @@
             request.left = now
             self._settle(request)
 
+    def broken_off(self, name: str, now: float) -> None:
+        """The user agent's connection has ended without an answer: its proxy must have been killed."""
+        request = self._tries.get(name)
+        if request is None or request.answers or request.left is not None or request.judged:
+            return
+        self._break(1, now, "its connection was ended without an answer", name, request)
+        request.judged = True
+        self._settle(request)
+
+    def proxy_ended(self, proxy: int) -> None:
+        """It has left by itself: what it took before it still owes."""
+        self._dead.add(proxy)
+
+    def proxy_started(self, proxy: int) -> None:
+        """It runs (again): it owes what it takes."""
+        self._dead.discard(proxy)
+
     def proxy_died(self, proxy: int) -> None:
         """What it had open is lost with it, which is no sin of its."""
+        self._dead.add(proxy)
         for request in [r for r in self._tries.values() if r.proxy == proxy]:
             request.void = True
             for sent in request.sent:
@@ -256,6 +283,7 @@
         earned = self.worth(first) * (1.0 if in_time else cls.late_worth)
         for sums in (self.whole, self.by_class[first.class_index], self.by_second[int(first.at // 1000.0)]):
             sums.earned += earned
+            sums.in_time += in_time
         if not first.over_quota:
             self.by_member[first.member].earned += earned
 
@@ -273,7 +301,9 @@
         """An attempt's first byte goes out; its number within its try."""
         request = self._tries.get(name)
         if request is None:
-            self._break(1, now, f"sent to {server} for a request that is over", name, self._recent.get(name))
+            before = self._recent.get(name)
+            if before is None or not before.void:  # nothing is owed to one, and it breaks nothing
+                self._break(1, now, f"sent to {server} for a request that is over", name, before)
             return -1
         self.tally.attempts += 1
         self.tally.crossings += crosses
@@ -339,6 +369,14 @@
         if share >= 2.0 / 3.0:
             self._break(4, now, f"{server} fell over while cold, {share:.0%} sent by who knew", server)
 
+    def shook(self) -> None:
+        """A new connection has cost a server its work."""
+        self.tally.handshakes += 1
+
+    def probed(self) -> None:
+        """A server was probed."""
+        self.tally.probes += 1
+
     def wasted(self, work_ms: float) -> None:
         """A server has done work that served nobody."""
         self.tally.wasted_ms += work_ms
--- a/lupinlink/lab/model/roster.py
+++ b/lupinlink/lab/model/roster.py
@@ -36,6 +36,7 @@
         self.version = 0
         self.calls, self.calls_failed = 0, 0
         self.down = self.stale = False
+        self.slowness = 1.0  # times: how much longer it takes over a call while others crowd it
         self._log: list[Endpoint] = []  # change number i made version i + 1
         self._watchers: dict[int, Watcher] = {}
         self._free_at = 0.0  # when the queue of calls is empty
@@ -146,7 +147,7 @@
             self.calls_failed += 1
             self._clock.at(now + (1.0 if self.down else self._spec.timeout_ms), fail)
             return
-        self._free_at = begins + 1000.0 / self._spec.calls_per_s
+        self._free_at = begins + self.slowness * 1000.0 / self._spec.calls_per_s
         self._clock.at(self._free_at, call)
 
     def _fail(self, proxy: int, watcher: Watcher) -> None:
--- a/lupinlink/lab/model/scenario.py
+++ b/lupinlink/lab/model/scenario.py
@@ -31,6 +31,7 @@
     key_skew: Annotated[float, Meta(ge=0.0, le=5.0)] = 0.8  # Zipf exponent
     zone_skew: Share = 0.0  # share of all first tries that is moved to the first zone
     work_noise: Annotated[float, Meta(ge=0.0, le=3.0)] = 0.0  # log deviation of one attempt's work
+    proxy_skew: Annotated[float, Meta(ge=0.0, le=3.0)] = 0.0  # log deviation of a proxy's share in its zone
 
 
 class ClassSpec(Part, frozen=True):
@@ -188,7 +189,22 @@
     "roster_down": (),
     "roster_stale": (),
     "flood": ("count",),
+    "lost": ("count", "share"),
+    "delay": ("ms",),
+    "zone_shift": ("zone", "share"),
+    "roster_busy": ("size",),
+    "proxies_killed": ("share",),
+    "proxies_rolled": ("share",),
+    "proxies_stopped": ("share",),
+    "proxies_reloaded": ("share",),
+    "cut": ("zone",),
+    "power_loss": ("order",),
 }
+PARTS = ("size", "share", "count", "member", "zone", "proxy", "ms", "order", "lag_s")
+MAY = {"power_loss": ("share", "lag_s")}  # what a kind takes beside what it needs
+PROXY_KINDS = ("proxies_killed", "proxies_rolled", "proxies_stopped", "proxies_reloaded")
+FLEET_ONLY = (*PROXY_KINDS, "cut", "power_loss")  # need a fleet of processes behind relays
+ORDERS = ("together", "discovery_last", "half_first")  # in which a fleet returns from a power loss
 
 
 class Fault(Part, frozen=True):
@@ -196,7 +212,9 @@
 
     kind: Literal[
         "surge", "member_surge", "hot_proxy", "shrink", "grow", "crash", "restart", "hang", "slow", "vanish",
-        "reset", "spoil", "errors", "zone_lost", "roster_down", "roster_stale", "flood",
+        "reset", "spoil", "errors", "zone_lost", "roster_down", "roster_stale", "flood", "lost", "delay",
+        "zone_shift", "roster_busy", "proxies_killed", "proxies_rolled", "proxies_stopped",
+        "proxies_reloaded", "cut", "power_loss",
     ]  # fmt: skip
     at_s: Instant
     for_s: Span = 1.0
@@ -206,6 +224,9 @@
     member: str | None = None
     zone: str | None = None
     proxy: Annotated[int, Meta(ge=0)] | None = None
+    ms: Positive | None = None  # more on every way between two zones
+    order: Literal["together", "discovery_last", "half_first"] | None = None  # of a fleet's return
+    lag_s: Span | None = None  # until the last part of it is back, after the first
 
 
 class Scenario(Part, frozen=True):
@@ -317,10 +338,11 @@
     for name, fault in scenario.faults.items():
         at = f"faults.{name}"
         needs = FAULTS[fault.kind]
-        for part in ("size", "share", "count", "member", "zone", "proxy"):
+        may = (*needs, *MAY.get(fault.kind, ()))
+        for part in PARTS:
             given = getattr(fault, part) is not None
             say(part in needs and not given, f"{at}.{part}", f"{fault.kind} needs it")
-            say(given and part not in needs, f"{at}.{part}", f"{fault.kind} does not take it")
+            say(given and part not in may, f"{at}.{part}", f"{fault.kind} does not take it")
         say(fault.at_s >= scenario.seconds, f"{at}.at_s", f"is not before the end ({scenario.seconds:g} s)")
         members, zones = list(scenario.members), list(scenario.network.zones)
         say(
@@ -337,12 +359,26 @@
             f"{at}.proxy",
             f"is not under proxies.count ({count})",
         )
-        meets_farm = fault.kind in ("crash", "restart", "hang", "slow", "vanish", "reset", "spoil", "errors")
+        meets_farm = fault.kind in (
+            "crash", "restart", "hang", "slow", "vanish", "reset", "spoil", "errors", "lost",
+        )  # fmt: skip
         beyond = meets_farm and fault.count is not None and fault.count > scenario.farm.servers
         say(beyond, f"{at}.count", f"is over farm.servers ({scenario.farm.servers})")
     return flaws
 
 
+def unplayable(scenario: Scenario, drive: str) -> list[Flaw]:
+    """Faults that a drive cannot play."""
+    lacks: dict[str, tuple[str, ...]] = {
+        "virtual": (*FLEET_ONLY, "lost"), "sockets": FLEET_ONLY, "fleet": ("flood",),
+    }  # fmt: skip
+    return [
+        Flaw(f"faults.{name}.kind", f"{fault.kind} is not played by the {drive} drive")
+        for name, fault in scenario.faults.items()
+        if fault.kind in lacks[drive]
+    ]
+
+
 SCHEMA_EFFECT = {"safe": "pure", "keyed": "token", "unsafe": "side_effect"}
 
 
--- a/lupinlink/lab/model/servers.py
+++ b/lupinlink/lab/model/servers.py
@@ -116,6 +116,7 @@
     errors: float = 0.0  # share of answers that are errors
     spoilt: float = 0.0  # share of answers that cannot be read
     resets: float = 0.0  # share of connections reset under a request
+    lost: float = 0.0  # share of answers that get lost on their way
     silent: bool = False  # vanished: nothing comes or goes, nothing is refused
 
 
@@ -164,6 +165,11 @@
         """Jobs in slots and in the waiting room."""
         return self._held + len(self._waiting)
 
+    def used_ms(self) -> float:
+        """Core time used so far."""
+        self._advance(self._clock.now())
+        return self._busy_ms
+
     def warmth(self, now: float) -> float:
         """The share of its full capacity that it has."""
         machine = self.machine
--- a/lupinlink/lab/model/user_agents.py
+++ b/lupinlink/lab/model/user_agents.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import math
+from bisect import bisect_right
 from collections.abc import Callable
 from dataclasses import dataclass
+from itertools import accumulate
 
 from lupinlink.clock import Clock
 from lupinlink.lab.model.arrivals import Arrivals
@@ -53,6 +56,9 @@
         self.alive = [True] * scenario.proxies.count
         self.hot: dict[int, float] = {}  # proxies that get so much of all tries beside their own share
         self._draws = streams.draws("front")
+        skew, shares = scenario.load.proxy_skew, streams.draws("proxy shares")
+        self.shares = [math.exp(skew * shares.normal()) for _ in range(scenario.proxies.count)]
+        self._skewed = skew > 0.0  # no other draw without: scenarios without keep theirs
         self._by_zone: list[list[int]] = []
         self.revise()
 
@@ -62,14 +68,20 @@
         zones = max(self.zone_of) + 1
         own = [[i for i in standing if self.zone_of[i] == zone] for zone in range(zones)]
         self._by_zone = [proxies or standing for proxies in own]
+        self._sums = [list(accumulate(self.shares[i] for i in proxies)) for proxies in self._by_zone]
 
     def pick(self, zone: int) -> int | None:
         """A proxy for a try from that zone, or None if none stands."""
         for proxy, share in self.hot.items():
             if self.alive[proxy] and self._draws.even() < share:
                 return proxy
-        proxies = self._by_zone[zone % len(self._by_zone)]
-        return proxies[self._draws.below(len(proxies))] if proxies else None
+        zone %= len(self._by_zone)
+        proxies, sums = self._by_zone[zone], self._sums[zone]
+        if not proxies:
+            return None
+        if self._skewed:
+            return proxies[bisect_right(sums, self._draws.even() * sums[-1])]
+        return proxies[self._draws.below(len(proxies))]
 
 
 class UserAgents:
@@ -116,13 +128,13 @@
         index = int(drawn.class_index[i])
         cls = self._classes[index]
         want = Want(
-            i, index, int(drawn.member[i]), int(drawn.key[i]), int(drawn.zone[i]), float(drawn.work[i]),
-            float(drawn.wait[i]), now + cls.give_up_ms,
+            int(drawn.number[i]), index, int(drawn.member[i]), int(drawn.key[i]), int(drawn.zone[i]),
+            float(drawn.work[i]), float(drawn.wait[i]), now + cls.give_up_ms,
         )  # fmt: skip
         if self._spec.hurried > 0.0:  # no draw without: other scenarios keep theirs
             want.hurried = self._draws.even() < self._spec.hurried
         first = First(index, want.member, now, bool(drawn.over_quota[i]))
-        self._referee.first(i, first, want.work_ms)
+        self._referee.first(want.number, first, want.work_ms)
         self._try(want)
 
     def _try(self, want: Want) -> None:
--- a/lupinlink/lab/model/world.py
+++ b/lupinlink/lab/model/world.py
@@ -46,10 +46,13 @@
         leave: Callable[[Ask], None],
         ended: Callable[[Try], None] | None = None,
         slack_ms: float = 0.0,
+        referee: Referee | None = None,
+        zone: int | None = None,
     ) -> None:
+        """``referee``: in a replica one who passes on what happens. ``zone``: only its user agents ask."""
         self.scenario, self.clock = scenario, clock
         self.streams = Streams(seed)
-        self.referee = Referee(scenario, ended, slack_ms)
+        self.referee = referee or Referee(scenario, ended, slack_ms)
         must_ask_ms = scenario.rules.must_ask_ms
         self.roster = Roster(scenario.roster, clock, self.streams.draws("roster"), must_ask_ms)
         self.roster.deemed.append(
@@ -58,10 +61,13 @@
         self.farm = Farm(scenario, clock, self.streams, self.roster, self.referee)
         self.told = Told(self.referee, clock)
         self.ways = Ways(scenario.network, self.streams)
-        self.agents = UserAgents(
-            scenario, clock, self.streams, draw(scenario, self.streams), self.referee, ask, leave
+        arrivals = draw(scenario, self.streams)
+        if zone is not None:
+            arrivals = arrivals.of_zone(zone)
+        self.agents = UserAgents(scenario, clock, self.streams, arrivals, self.referee, ask, leave)
+        self.script = Script(
+            scenario, clock, self.streams, self.farm, self.roster, self.agents.front, self.ways
         )
-        self.script = Script(scenario, clock, self.streams, self.farm, self.roster, self.agents.front)
         self.seconds: list[Second] = []
         self.taken_by = [0] * scenario.proxies.count
         self.began = clock.now()
@@ -86,13 +92,17 @@
         self.clock.at(self.clock.now() + JUDGE_MS, self._judge)
 
     def _second(self) -> None:
+        self.note({p.name: p.server.held for p in self.farm.places.values() if p.server.held})
+        self.clock.at(self.clock.now() + 1000.0, self._second)
+
+    def note(self, held: dict[str, int]) -> None:
+        """A second is over, at whose end servers held so much."""
         tally = self.referee.tally
         counts = (tally.firsts, tally.served, tally.refused, tally.failed, tally.attempts)
         offered, served, refused, failed, attempts = (
             n - b for n, b in zip(counts, self._before, strict=True)
         )
         self._before = counts
-        held = {p.name: p.server.held for p in self.farm.places.values() if p.server.held}
         self.seconds.append(
             Second(
                 len(self.seconds),
@@ -107,4 +117,3 @@
             )  # fmt: skip
         )
         self.taken_by = [0] * self.scenario.proxies.count
-        self.clock.at(self.clock.now() + 1000.0, self._second)
--- a/lupinlink/lab/results.py
+++ b/lupinlink/lab/results.py
@@ -6,7 +6,7 @@
 import os
 import platform
 import tempfile
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from dataclasses import asdict
 from importlib.metadata import PackageNotFoundError, version
 from pathlib import Path
@@ -19,8 +19,10 @@
 from lupinlink import __version__
 from lupinlink.lab.model.referee import Broken, Referee, Reply, Try
 from lupinlink.lab.model.scenario import Scenario
+from lupinlink.lab.model.windows import FleetSecond
 from lupinlink.lab.model.world import World
 
+SERVERS = "servers.jsonl"  # of the fleet drive: a FleetSecond a line
 FORMAT = 1  # of summary.json; a reader refuses what it does not know
 MOST_US, DIGITS = 60_000_000, 3  # histograms: up to a minute, to three digits
 QUANTILES = (50.0, 90.0, 99.0, 99.9)
@@ -62,6 +64,7 @@
     broken: list[dict[str, Any]] = field(default_factory=list)
     versions: dict[str, str] = field(default_factory=dict)
     drive_figures: dict[str, float] = field(default_factory=dict)
+    fleet: dict[str, Any] = field(default_factory=dict)  # of the fleet drive: docs/operators/fleet-rig.md
 
 
 class SecondRow(Struct, frozen=True):
@@ -200,7 +203,7 @@
 
 def summary(
     world: World, keeper: Keeper, drive: str, seed: int, started_at: str, wall_s: float, complete: bool,
-    drive_figures: dict[str, float],
+    drive_figures: dict[str, float], fleet: dict[str, Any] | None = None,
 ) -> Summary:  # fmt: skip
     """The figures of a run, at its end or so far; those so far lack the latencies, which take long to sum."""
     scenario, referee = world.scenario, world.referee
@@ -234,6 +237,7 @@
         broken=[_broken(b, world.began) for b in referee.broken],
         versions=versions(),
         drive_figures={name: round(value, 6) for name, value in drive_figures.items()},
+        fleet=fleet or {},
     )  # fmt: skip
 
 
@@ -264,14 +268,18 @@
 def contents(world: World, keeper: Keeper, figures: Summary) -> dict[str, bytes]:
     """A run's files by name, all but the records, which are there already."""
     pretty = msgspec.json.format
-    rows = b"".join(msgspec.json.encode(row) + b"\n" for row in second_rows(world, keeper))
     return {
         "scenario.json": pretty(msgspec.json.encode(world.scenario)) + b"\n",
-        "seconds.jsonl": rows,
+        "seconds.jsonl": lines(second_rows(world, keeper)),
         "summary.json": pretty(msgspec.json.encode(figures)) + b"\n",
     }
 
 
+def lines(structs: Iterable[Struct]) -> bytes:
+    """Structs as JSON, a line each."""
+    return b"".join(msgspec.json.encode(one) + b"\n" for one in structs)
+
+
 def write(folder: Path, files: dict[str, bytes]) -> None:
     """Put files in place, each whole."""
     for name, data in files.items():
@@ -298,6 +306,13 @@
     return [msgspec.json.decode(line, type=SecondRow) for line in lines]
 
 
+def read_fleet(folder: Path) -> list[FleetSecond]:
+    """A fleet's seconds by server; none of another drive's run."""
+    path = folder / SERVERS
+    found = path.read_bytes().splitlines() if path.exists() else []
+    return [msgspec.json.decode(line, type=FleetSecond) for line in found]
+
+
 def read_records(folder: Path) -> Iterator[Record]:
     """A run's records, as far as a run that was cut short wrote them."""
     decoder: msgspec.json.Decoder[Record] = msgspec.json.Decoder(Record)
--- a/lupinlink/lab/sockets.py
+++ b/lupinlink/lab/sockets.py
@@ -18,15 +18,14 @@
 from pathlib import Path
 from typing import Any
 
-from lupinlink.lab.callers import Answer, Call, Flood, Pool
+from lupinlink.lab.asking import Asking
+from lupinlink.lab.callers import Flood, Pool
 from lupinlink.lab.emulated import HOST, Fronts, RosterFront
 from lupinlink.lab.loop import Lag, LoopClock
-from lupinlink.lab.model.referee import Reply, Try
+from lupinlink.lab.model.referee import Try
 from lupinlink.lab.model.scenario import Scenario, settings
 from lupinlink.lab.model.streams import Draws
-from lupinlink.lab.model.user_agents import Ask
 from lupinlink.lab.model.world import World
-from lupinlink.net import http1
 from lupinlink.settings import VARIABLES
 
 START_S, STOP_S = 20.0, 6.0  # so long may a proxy take to serve, and to end
@@ -113,14 +112,14 @@
         self.scenario, self.seed, self.loop = scenario, seed, loop
         self.clock = LoopClock(loop)
         self._ended = ended
-        self.asks: dict[str, Ask] = {}
-        self._calls: dict[str, Call] = {}
+        self.asking = Asking(scenario, self.clock)
         # On sockets every time limit is a little longer: bytes and this program's own turns take time.
-        self.world = World(scenario, seed, self.clock, self._ask, self._leave, self._over, slack_ms=SLACK_MS)
-        self._chance = self.world.streams.draws("work noise")
-        self._classes = list(scenario.classes.items())
+        asking = self.asking
+        self.world = World(
+            scenario, seed, self.clock, asking.ask, asking.leave, self._over, slack_ms=SLACK_MS
+        )
+        asking.world = self.world
         self.proxies: list[ProxyProcess] = []
-        self.pools: list[Pool] = []
         self._floods: list[Flood] = []
         self.figures: dict[str, float] = {}
         self.stopped = False
@@ -132,7 +131,7 @@
     async def run(self) -> World:
         """Play it to its end."""
         world, clock = self.world, self.clock
-        fronts = Fronts(world, self.loop, self.asks, self._work)
+        fronts = Fronts(world, self.loop, self.asking.asks)
         rosters = [RosterFront(world, fronts, i) for i in range(self.scenario.proxies.count)]
         try:
             with tempfile.TemporaryDirectory(prefix="lupinlink-lab-") as folder:
@@ -142,7 +141,7 @@
                 proxy.end()
             for flood in self._floods:
                 flood.end()
-            for pool in self.pools:
+            for pool in self.asking.pools:
                 pool.close()
             for roster in rosters:
                 roster.close()
@@ -163,7 +162,7 @@
                 "name": f"n{i}", "listen": f"{HOST}:0", "discovery": f"{HOST}:{roster.port}",
                 "seed": f"{world.streams.number(f'proxy {i}'):x}",
                 "limits": {"cores": 1.0, "memory_mb": spec.memory_mb, "sockets": spec.sockets},
-                "known": roster.list(rows, True), "settings": settings(self.scenario, zone, i),
+                "known": roster.document(rows, True), "settings": settings(self.scenario, zone, i),
             }  # fmt: skip
             self.proxies.append(ProxyProcess(folder, i, config))
         for proxy in self.proxies:
@@ -171,7 +170,7 @@
             most = int(spec.sockets * AGENT_SHARE)
             once = partial(self._asks_once, world.streams.draws(f"once {proxy.index}"))
             rest_s = self.scenario.clients.rest_ms / 1000.0
-            self.pools.append(Pool(self.loop, HOST, proxy.port, most, self._wrote, once, rest_s))
+            self.asking.pools.append(Pool(self.loop, HOST, proxy.port, most, self.asking.wrote, once, rest_s))
         world.script.flooded.append(self._flood)
         lag = Lag(clock)
         # What the world is made of stays for good: full collections over it would be pauses of their own.
@@ -199,8 +198,8 @@
             "proxy_cpu_s": sum(p.cpu_s for p in self.proxies),
             "proxy_memory_mb": max(p.memory_mb for p in self.proxies),
             "flood_connections": float(sum(f.dialled for f in self._floods)),
-            "agent_connections": float(sum(p.dialled for p in self.pools)),
-            "agents_without_connection": float(sum(p.turned_away for p in self.pools)),
+            "agent_connections": float(sum(p.dialled for p in self.asking.pools)),
+            "agents_without_connection": float(sum(p.turned_away for p in self.asking.pools)),
         }
         bad = [i for i, code in enumerate(codes) if code]
         if bad:
@@ -215,71 +214,7 @@
         self._floods.append(flood)
         self.clock.at(end, flood.end)
 
-    def _work(self, ask: Ask) -> float:
-        noise = self.scenario.load.work_noise
-        if noise <= 0.0:
-            return ask.want.work_ms
-        return ask.want.work_ms * math.exp(noise * self._chance.normal() - noise * noise / 2.0)
-
-    def _ask(self, ask: Ask) -> None:
-        self.clock.at(self.clock.now() + self.world.ways.client(), partial(self._send, ask))
-
-    def _send(self, ask: Ask) -> None:
-        if not ask.open:
-            return
-        name, cls = self._classes[ask.want.class_index]
-        left = max(1, int(ask.deadline - self.clock.now()))
-        members = list(self.scenario.members)
-        headers = [("Host", "lab"), ("X-Trace-Id", ask.name), ("X-Customer", members[ask.want.member]),
-                   ("X-Expires-In-Ms", str(left))]  # fmt: skip
-        if ask.is_retry and self.scenario.clients.marks_retries:
-            headers.append(("X-Second-Try", "1"))
-        target = f"/{name}/{ask.want.key}"
-        if cls.effect == "safe":
-            data = http1.request("GET", target, headers)
-        else:
-            headers.append(("Idempotency-Key", f"w{ask.want.number:x}"))
-            data = http1.request("POST", target, headers, b"{}")
-        self.asks[ask.name] = ask
-        call = self._calls[ask.name] = Call(ask.name, data, partial(self._answered, ask))
-        self.pools[ask.proxy].send(call)
-
-    def _wrote(self, call: Call) -> None:
-        if not call.again:
-            ask = self.asks[call.name]
-            self.world.agents.taken(ask, self.clock.now())
-            self.world.taken_by[ask.proxy] += 1
-
-    def _answered(self, ask: Ask, answer: Answer) -> None:
-        world, now = self.world, self.clock.now()
-        self._calls.pop(ask.name, None)
-        if not answer.written:
-            self.asks.pop(ask.name, None)
-            world.agents.unreached(ask.name)
-            return
-        if not answer.status:
-            # Its proxy ended the connection with nothing sent: the request has failed.
-            world.referee.answered(ask.name, now, Reply.FAILED)
-            world.agents.broken(ask.name)
-            return
-        what = Reply.SERVED if answer.status == 200 else Reply.FAILED
-        if answer.status in (429, 503):
-            what = Reply.REFUSED
-        world.referee.answered(ask.name, now, what, answer.body.decode("latin-1"))
-        wait = world.ways.client()
-        done = partial(world.agents.answered, ask.name, what, answer.retry_after_ms)
-        self.clock.at(now + wait, done)
-
-    def _leave(self, ask: Ask) -> None:
-        self.clock.at(self.clock.now() + self.world.ways.client(), partial(self._gone, ask))
-
-    def _gone(self, ask: Ask) -> None:
-        call = self._calls.pop(ask.name, None)
-        if call is not None and not call.over:
-            call.leave()
-            self.world.referee.left(ask.name, self.clock.now())
-
     def _over(self, request: Try) -> None:
-        self.asks.pop(request.name, None)
+        self.asking.asks.pop(request.name, None)
         if self._ended is not None:
             self._ended(request)
--- a/lupinlink/lab/virtual.py
+++ b/lupinlink/lab/virtual.py
@@ -99,7 +99,7 @@
         world, ended = self.world, Deferred[net.PassEnd]()
         place = world.farm.places[server]
         process = place.server
-        world.referee.tally.probes += 1
+        world.referee.probed()
         there = world.ways.between(self.zone, place.zone)
 
         def asked() -> None:
@@ -128,7 +128,7 @@
     def _dial(self, proxy_pass: VirtualPass, process: Server, made: Callable[[], None]) -> None:
         world, place = self.world, proxy_pass.place
         now = world.clock.now()
-        world.referee.tally.handshakes += 1
+        world.referee.shook()
         way = world.ways.between(self.zone, place.zone) + world.ways.between(self.zone, place.zone)
         refused = partial(self._unreached, proxy_pass)
         if process.troubles.silent or process.troubles.hangs:
