--- a/lupinlink/lab/comparing.py
+++ b/lupinlink/lab/comparing.py
@@ -13,6 +13,13 @@
 RESAMPLES = 10_000
 LEVEL = 0.95
 FIGURES = ("G", "whole", "worst_window", "worst_class", "worst_member")
+FLEET_FIGURES = {  # of a fleet's summary, by its part: less is better
+    "spread": ("max_over_mean_p50", "max_over_mean_p99", "cv_p50", "idle_share"),
+    "costs": (
+        "new_connections_per_s", "probes_per_s", "connections_a_server_max", "calls_per_s_max",
+        "calls_failed",
+    ),
+}  # fmt: skip
 
 
 class Difference(Struct, frozen=True):
@@ -50,6 +57,17 @@
     return float(np.percentile(means, edge)), float(np.percentile(means, 100.0 - edge))
 
 
+def figures(summary: Summary) -> dict[str, float]:
+    """What two runs are compared by; a return that never came counts as the whole run."""
+    found = {name: summary.service[name] for name in FIGURES}
+    for part, names in FLEET_FIGURES.items():
+        found |= {name: summary.fleet[part][name] for name in names if part in summary.fleet}
+    for back in summary.fleet.get("returns", []):
+        after = back["back_after_s"]
+        found[f"{back['fault']} back_after_s"] = summary.seconds if after is None else after
+    return found
+
+
 def verdict(differences: np.ndarray, low: float, high: float) -> str:
     """Whether a difference is more than noise."""
     if len(differences) < 2:
@@ -68,10 +86,14 @@
     found = []
     for step, scenario in sorted({key[:2] for key in shared}):
         seeds = [seed for s, name, seed in shared if (s, name) == (step, scenario)]
-        for figure in FIGURES:
-            a = np.array([ours[step, scenario, seed].service[figure] for seed in seeds])
-            b = np.array([theirs[step, scenario, seed].service[figure] for seed in seeds])
+        before = [figures(ours[step, scenario, seed]) for seed in seeds]
+        after = [figures(theirs[step, scenario, seed]) for seed in seeds]
+        for figure in before[0]:
+            if not all(figure in found for found in (*before, *after)):
+                continue  # one of them was not played on a fleet
+            a, b = (np.array([found[figure] for found in side]) for side in (before, after))
             low, high = interval(b - a)
+            sign = 1.0 if figure in FIGURES else -1.0
             name = scenario if step == "." else f"{scenario} {step}"
             found.append(
                 Difference(
@@ -82,7 +104,7 @@
                     len(seeds),
                     low,
                     high,
-                    verdict(b - a, low, high),
+                    verdict(sign * (b - a), *sorted((sign * low, sign * high))),
                 )  # fmt: skip
             )
     return found
--- a/lupinlink/lab/fleet/rig.py
+++ b/lupinlink/lab/fleet/rig.py
@@ -36,7 +36,7 @@
 from lupinlink.lab.model.world import World
 from lupinlink.lab.sockets import LEAD_MS, SLACK_MS
 
-READY_S = 30.0  # clients arrive by then, whether all proxies are ready or not
+LAST_S = 30.0  # so long may the rig's own processes take to tell their last
 HELLO_S = 60.0  # so long may the rig's own processes take to begin
 STALLED_S = 10.0  # a process of the rig that tells nothing for so long makes all figures worthless
 LEAVE_S = 4.5  # a proxy that was told to end is killed after so long
@@ -214,7 +214,7 @@
         # One is measured before the rest are started: a fleet that does not fit is refused, not swapped.
         self._start(0)
         first = self._proxies[0]
-        await self._within(READY_S, "proxy 0 is not up", lambda: 0 in self._up or not first.runs)
+        await self._within(spec.ready_s, "proxy 0 is not up", lambda: 0 in self._up or not first.runs)
         if not self._proxies[0].runs and not self.stopped:
             raise FleetError(f"proxy 0 does not serve: {self._proxies[0].last_words()}")
         self._proxies[0].look()
@@ -224,7 +224,7 @@
             self._start(i)
             if i % 16 == 0:
                 await asyncio.sleep(0)
-        until = began + READY_S
+        until = began + spec.ready_s
         while len(self._up) < spec.count and time.monotonic() < until and not (self.stopped or self._failure):
             await asyncio.sleep(0.02)
             self._look_for_crashes()
@@ -475,7 +475,7 @@
 
     async def _close_parts(self) -> None:
         self._tell("stop")
-        waits = [asyncio.wait_for(part.over.wait(), READY_S) for part in self._parts]
+        waits = [asyncio.wait_for(part.over.wait(), LAST_S) for part in self._parts]
         await asyncio.gather(*waits, return_exceptions=True)
         self._hearing.put(RIG, self.clock.now(), self._witness.take())
 
--- a/lupinlink/lab/model/outage.py
+++ b/lupinlink/lab/model/outage.py
@@ -7,7 +7,7 @@
 from lupinlink.lab.model.scenario import Fault
 from lupinlink.lab.model.streams import Streams
 
-SPREAD_MS = 1000.0  # machines that get their power back at one moment start within this
+SPREAD_S = 1.0  # machines that get their power back at one moment start within this
 LAG_S = 10.0  # of the last part behind the first, where the fault names none
 
 
@@ -25,9 +25,10 @@
     """The return from one power loss; ``for_s`` of the fault is how long all is dark."""
     generator = streams.generator(f"return {name}")
     dark, lag = fault.for_s * 1000.0, (fault.lag_s or LAG_S) * 1000.0
-    proxy_at = dark + SPREAD_MS * generator.random(proxies)
-    server_at = dark + SPREAD_MS * generator.random(len(servers))
-    discovery_at = dark + SPREAD_MS * float(generator.random())
+    spread = (fault.spread_s or SPREAD_S) * 1000.0
+    proxy_at = dark + spread * generator.random(proxies)
+    server_at = dark + spread * generator.random(len(servers))
+    discovery_at = dark + spread * float(generator.random())
     order = generator.permutation(proxies)
     gone = generator.permutation(len(servers))[: round(len(servers) * (fault.share or 0.0))]
     if fault.order == "discovery_last":
--- a/lupinlink/lab/model/scenario.py
+++ b/lupinlink/lab/model/scenario.py
@@ -115,6 +115,7 @@
     count: Annotated[int, Meta(ge=1, le=10_000)] = 2
     sockets: Annotated[int, Meta(ge=64, le=1024)] = 1024
     memory_mb: Annotated[float, Meta(ge=32.0, le=65536.0)] = 192.0
+    ready_s: Span = 30.0  # of a fleet: user agents arrive once all are ready, or after so long
 
 
 class Network(Part, frozen=True):
@@ -200,8 +201,8 @@
     "cut": ("zone",),
     "power_loss": ("order",),
 }
-PARTS = ("size", "share", "count", "member", "zone", "proxy", "ms", "order", "lag_s")
-MAY = {"power_loss": ("share", "lag_s")}  # what a kind takes beside what it needs
+PARTS = ("size", "share", "count", "member", "zone", "proxy", "ms", "order", "lag_s", "spread_s")
+MAY = {"power_loss": ("share", "lag_s", "spread_s")}  # what a kind takes beside what it needs
 PROXY_KINDS = ("proxies_killed", "proxies_rolled", "proxies_stopped", "proxies_reloaded")
 FLEET_ONLY = (*PROXY_KINDS, "cut", "power_loss")  # need a fleet of processes behind relays
 ORDERS = ("together", "discovery_last", "half_first")  # in which a fleet returns from a power loss
@@ -226,6 +227,7 @@
     proxy: Annotated[int, Meta(ge=0)] | None = None
     ms: Positive | None = None  # more on every way between two zones
     order: Literal["together", "discovery_last", "half_first"] | None = None  # of a fleet's return
+    spread_s: Span | None = None  # over which what gets its power back at one moment starts
     lag_s: Span | None = None  # until the last part of it is back, after the first
 
 
--- a/lupinlink/lab/page.py
+++ b/lupinlink/lab/page.py
@@ -4,6 +4,7 @@
 
 import html
 import io
+from collections.abc import Sequence
 from pathlib import Path
 from typing import Any
 
@@ -13,7 +14,15 @@
 matplotlib.rcParams.update({"svg.hashsalt": "lupinlink", "svg.fonttype": "none", "font.size": 9})
 from matplotlib import pyplot as plt  # noqa: E402
 
-from lupinlink.lab.results import SecondRow, Summary, read_seconds, read_summary, write_whole  # noqa: E402
+from lupinlink.lab.model.windows import FleetSecond  # noqa: E402
+from lupinlink.lab.results import (  # noqa: E402
+    SecondRow,
+    Summary,
+    read_fleet,
+    read_seconds,
+    read_summary,
+    write_whole,
+)
 
 __all__ = ["page", "plt", "write"]
 MOST_LINES = 24  # servers or proxies drawn one by one; beyond, the middle and the outer ones
@@ -30,11 +39,11 @@
     """Draw a run's page from its folder."""
     summary, seconds = read_summary(folder), read_seconds(folder)
     path = folder / "report.html"
-    write_whole(path, page(summary, seconds).encode())
+    write_whole(path, page(summary, seconds, read_fleet(folder)).encode())
     return path
 
 
-def page(summary: Summary, seconds: list[SecondRow]) -> str:
+def page(summary: Summary, seconds: list[SecondRow], fleet: Sequence[FleetSecond] = ()) -> str:
     """The page's text."""
     parts = [
         f"<h1>{html.escape(summary.scenario)}, seed {summary.seed}</h1>",
@@ -52,6 +61,14 @@
             _figure("Held by each server", _held, summary, seconds),
             _figure("Tries taken by each proxy", _proxies, summary, seconds),
         ]
+    if fleet:
+        parts += [
+            _fleet(summary),
+            _figure("In flight at each server, mean of the second", _in_flight, summary, fleet),
+            _figure("Proxies: handed connections, and watching discovery", _standing, summary, fleet),
+            _figure("Calls to discovery", _calls, summary, fleet),
+            _figure("New connections and probes at all servers", _asked_of_servers, summary, fleet),
+        ]
     parts.append(_faults(summary))
     parts.append("<p>" + ", ".join(f"{n} {v}" for n, v in summary.versions.items()) + "</p>")
     title = html.escape(f"{summary.scenario}, seed {summary.seed}")
@@ -111,7 +128,30 @@
     return "<h2>Faults</h2>" + _table(["fault", "kind", "from s", "to s", "met"], rows)
 
 
-def _figure(title: str, draw: Any, summary: Summary, seconds: list[SecondRow]) -> str:
+def _fleet(summary: Summary) -> str:
+    rows = [
+        [name.replace("_", " "), f"{value:g}"]
+        for part in ("spread", "costs")
+        for name, value in summary.fleet.get(part, {}).items()
+    ]
+    found = "<h2>The fleet</h2>" + _table(["figure", ""], rows)
+    backs = summary.fleet.get("returns", [])
+    if backs:
+        names = (
+            "fault",
+            "order",
+            "power_s",
+            "discovery_s",
+            "back_after_s",
+            "refused",
+            "calls",
+            "calls_failed",
+        )
+        found += _table([n.replace("_", " ") for n in names], [[str(b[n]) for n in names] for b in backs])
+    return found
+
+
+def _figure(title: str, draw: Any, summary: Summary, seconds: Sequence[Any]) -> str:
     figure, axes = plt.subplots(figsize=(9.0, 2.6))
     draw(axes, seconds)
     for fault in summary.faults:
@@ -163,7 +203,38 @@
     _lines(axes, [s.at_s for s in seconds], [f"proxy {i}" for i in range(count)], rows, "tries")
 
 
-def _lines(axes: Any, at: list[int], names: list[str], rows: list[list[int]], unit: str) -> None:
+def _in_flight(axes: Any, seconds: Sequence[FleetSecond]) -> None:
+    names = sorted({name for s in seconds for name in s.servers})
+    rows = [[s.servers[name].held if name in s.servers else 0.0 for s in seconds] for name in names]
+    _lines(axes, [s.at_s for s in seconds], names, rows, "requests")
+
+
+def _standing(axes: Any, seconds: Sequence[FleetSecond]) -> None:
+    _steps(
+        axes, seconds, {"up": [s.up for s in seconds], "watching": [s.watching for s in seconds]}, "proxies"
+    )
+
+
+def _calls(axes: Any, seconds: Sequence[FleetSecond]) -> None:
+    found = {"calls": [s.calls for s in seconds], "failed": [s.calls_failed for s in seconds]}
+    _steps(axes, seconds, found, "a second")
+
+
+def _asked_of_servers(axes: Any, seconds: Sequence[FleetSecond]) -> None:
+    found = {
+        name: [sum(getattr(row, part) for row in s.servers.values()) for s in seconds]
+        for name, part in (("connections", "shook"), ("probes", "probed"))
+    }
+    _steps(axes, seconds, found, "a second")
+
+
+def _steps(axes: Any, seconds: Sequence[FleetSecond], found: dict[str, list[int]], unit: str) -> None:
+    for (name, values), color in zip(found.items(), ("#37a", "#b31"), strict=True):
+        axes.step([s.at_s for s in seconds], values, where="post", color=color, label=name)
+    axes.set_ylabel(unit)
+
+
+def _lines(axes: Any, at: list[int], names: list[str], rows: Sequence[Sequence[float]], unit: str) -> None:
     axes.set_ylabel(unit)
     if len(rows) <= MOST_LINES:
         for name, row in zip(names, rows, strict=True):
