Keep the rig's load and judgment true while hundreds of processes start at once

Cause: the front's load was one arrival a turn of its loop (873 of 2,400 in a second, made up later); an end that only a close tells was read later than the 50 ms it was dated back; the rig waited for 200 deaths one after another (0.8 s) while discovery's answers stood still; starting processes starved those that served. Change: all arrivals that are due go out in one turn and the worst lag is told; an end is dated back to the last look at all connections; deaths are not waited for; a process starts at a lower priority until it is up. Servers pushed over are counted.

--- a/lupinlink/lab/desk.py
+++ b/lupinlink/lab/desk.py
@@ -152,7 +152,8 @@
         lines.append(
             f"{back['fault']} ({back['order']}): "
             + (f"95% in time {after:g} s after power came back" if after is not None else "never back to 95%")
-            + f"; discovery back after {back['discovery_s']:g} s; {back['refused']} refused, "
+            + f"; discovery back after {back['discovery_s']:g} s; {back['fallen']} cold servers pushed over, "
+            f"{back['refused']} refused, "
             f"{back['calls']:.0f} calls, {back['calls_failed']:.0f} failed"
         )
     if found.fleet["never_ready"]:
--- a/lupinlink/lab/fleet/helper.py
+++ b/lupinlink/lab/fleet/helper.py
@@ -14,6 +14,7 @@
 import socket
 import sys
 import time
+from collections import deque
 from contextlib import suppress
 from typing import Any
 
@@ -30,6 +31,7 @@
 from lupinlink.lab.model.world import World
 
 FLUSH_S = 0.05
+LOOK_MS, TURNS = 10.0, 4  # between two looks, on a machine at ease; looks that are remembered
 NICE = -10  # before the proxies, where that is allowed: the rig must not be what is late
 
 
@@ -71,6 +73,7 @@
             )  # fmt: skip
         self._lag: Lag | None = None
         self._cpu = self._began = self._start_ms = self._planned = 0.0
+        self._looks: deque[float] = deque(maxlen=TURNS)
         self._second = 0
 
     def lacking(self, exc: OSError) -> None:
@@ -87,8 +90,15 @@
             text = " ".join(f"{context.get('message')} {exc!r}".split())
             self._channel.send("failed", f"the rig's {self._task.role} {self._task.number}: {text}")
 
+    def _look(self) -> None:
+        """A turn of the loop. What came before it is read, and a turn later told to its protocol."""
+        self._looks.append(self._clock.now())
+        self._witness.looked_at = self._looks[0]
+        self._clock.after(LOOK_MS, self._look)
+
     async def serve(self) -> None:
         """Do as the rig says until it says no more."""
+        self._look()
         flush = self._loop.create_task(self._flush())
         self._channel.send("ready")
         while (message := await self._channel.receive()) is not None and message[0] != "stop":
@@ -153,7 +163,10 @@
         if self._lag is None:
             return {}
         span = max(1e-9, time.monotonic() - self._began)
-        return {**self._lag.figures(), "cpu_share": (time.process_time() - self._cpu) / span}
+        found = {**self._lag.figures(), "cpu_share": (time.process_time() - self._cpu) / span}
+        if self._front is not None:
+            found["behind_ms"] = self._world.agents.behind_ms
+        return found
 
 
 async def work(number: int) -> int:
--- a/lupinlink/lab/fleet/processes.py
+++ b/lupinlink/lab/fleet/processes.py
@@ -18,6 +18,7 @@
 from lupinlink.lab.fleet.gate import FleetError
 
 TAIL = 4096
+STARTING = 10  # nice value until it is up: on the platform each has a core of its own
 HOME = Path(__file__).resolve().parents[3]  # where the package of this very program lies
 
 
@@ -69,10 +70,12 @@
     leaving: bool = False  # it was told to end
     cpu_s: float = 0.0  # of all its processes
     use: Use = field(default_factory=Use)
+    _dying: list[subprocess.Popen[bytes]] = field(default_factory=list)
     _seen_cpu_s: float = 0.0  # of the one that runs
 
     def start(self, known: dict[str, Any], seed: int) -> None:
         """Start from nothing: an empty folder for files, a new seed, the list as it last had it."""
+        self.bury()
         self.starts += 1
         self.leaving = False
         self.config |= {"known": known, "seed": f"{seed:016x}"}
@@ -93,6 +96,16 @@
                 )  # fmt: skip
         except OSError as exc:
             raise FleetError(f"proxy {self.index} cannot be started: {(exc.strerror or '').lower()}") from exc
+        self._nice(STARTING)
+
+    def is_up(self) -> None:
+        """It serves: from here on it goes before those that still start, where that is allowed."""
+        self._nice(0)
+
+    def _nice(self, value: int) -> None:
+        if self.process is not None:
+            with suppress(OSError):
+                os.setpriority(os.PRIO_PROCESS, self.process.pid, value)
 
     @property
     def log(self) -> Path:
@@ -116,18 +129,28 @@
             self.process.send_signal(number)
 
     def kill(self) -> None:
-        """It dies at once."""
+        """It dies at once; nobody waits for that, since a fleet's deaths one after another take a second."""
         self.look()
         self.signal(signal.SIGKILL)
-        self.reap()
+        if self.process is not None:
+            self._dying.append(self.process)
+            self._forget()
+
+    def bury(self) -> None:
+        """Wait until those that were killed are gone: their address is free, and nothing is left."""
+        while self._dying:
+            self._dying.pop().wait()
+
+    def _forget(self) -> None:
+        self.process = None
+        self.cpu_s, self._seen_cpu_s = self.cpu_s + self._seen_cpu_s, 0.0
 
     def reap(self) -> int | None:
         """Wait for a process that is ending; its exit code."""
         if self.process is None:
             return None
         code = self.process.wait()
-        self.process = None
-        self.cpu_s, self._seen_cpu_s = self.cpu_s + self._seen_cpu_s, 0.0
+        self._forget()
         return code
 
     def look(self) -> None:
--- a/lupinlink/lab/fleet/rig.py
+++ b/lupinlink/lab/fleet/rig.py
@@ -99,10 +99,11 @@
         self._up: set[int] = set()
         self._failure = ""
         self._outages: list[tuple[str, float]] = []  # power losses: name and when
+        self._fallen: list[int] = []  # cold servers pushed over by the end of each second
         self._watched_ms: dict[int, float] = {}  # by proxy: from its last start until it was told something
         self._started_at = [0.0] * scenario.proxies.count
         self._tasks: set[asyncio.Task[None]] = set()
-        self._noted = (0, 0)
+        self._noted, self._at = (0, 0), 0
         self._port = 0
         self._discovery: Discovery | None = None
 
@@ -155,7 +156,7 @@
             await asyncio.sleep(0.1)
             self._look_for_crashes()
         span = time.monotonic() - began
-        self.figures = {
+        self.figures |= {
             **{f"rig_{name}": value for name, value in lag.figures().items()},
             "rig_cpu_share": (time.process_time() - busy) / span,
             "machine_idle_share": (idle_s() - idle_before) / span / (os.cpu_count() or 1),
@@ -271,6 +272,8 @@
 
     def _heard_up(self, part: Part, proxy: int, up: bool) -> None:
         self._up.add(proxy) if up else self._up.discard(proxy)
+        if up:
+            self._proxies[proxy].is_up()
         for other in self._parts:
             if other is not part and other.role == "front":
                 other.channel.send("up", proxy, up)
@@ -316,12 +319,13 @@
             count = self.scenario.proxies.count
             self.world.taken_by = [taken.pop((absolute, i), 0) for i in range(count)]
             rows = self._rows.get(at, {})
+            self._fallen.append(self._judge.tally.fallen)
             self.world.note({name: round(row.held) for name, row in rows.items() if row.held >= 0.5})
 
     def _second(self) -> None:
         """What discovery was asked, by the second."""
         roster = self.world.roster
-        at = round((self.clock.now() - self.world.began) / 1000.0)
+        at, self._at = self._at, self._at + 1
         if at:
             calls, failed = roster.calls - self._noted[0], roster.calls_failed - self._noted[1]
             self._calls[at - 1] = (calls, failed, roster.watching, len(self._up))
@@ -492,6 +496,7 @@
             await asyncio.sleep(0.02)
         for one in self._proxies:
             one.signal(signal.SIGKILL)
+            one.bury()
             code = one.reap()
             if code and self.seconds:
                 self.crashes.append(f"proxy {one.index} ended with {code}: {one.last_words()}")
@@ -552,7 +557,8 @@
             found.append({
                 "fault": name, "order": fault.order, "power_s": power,
                 "discovery_s": round(self.world.script.plans[name].discovery / 1000.0 - fault.for_s, 2),
-                "back_after_s": after, "refused": sum(r.refused for r in rows),
+                "back_after_s": after, "fallen": self._fallen[until - 1] - self._fallen[power],
+                "refused": sum(r.refused for r in rows),
                 "failed": sum(r.failed for r in rows), "offered": sum(r.offered for r in rows),
                 **windows.costs(seconds, len(self._proxies)),
             })  # fmt: skip
--- a/lupinlink/lab/model/referee.py
+++ b/lupinlink/lab/model/referee.py
@@ -144,6 +144,7 @@
     crossings: int = 0
     handshakes: int = 0
     probes: int = 0
+    fallen: int = 0  # cold servers pushed over, whoever is to blame
     work_ms: float = 0.0  # asked for
     wasted_ms: float = 0.0  # done at servers for attempts that served nobody
     late_failed: float = 0.0  # worth that ended unserved after its aim
@@ -364,6 +365,7 @@
 
     def fell(self, server: str, now: float, by: dict[int, float]) -> None:
         """A cold server was pushed over; ``by``: work by the proxy that sent it."""
+        self.tally.fallen += 1
         knew = sum(work for proxy, work in by.items() if (proxy, server) in self._starts)
         share = knew / max(sum(by.values()), 1e-9)
         if share >= 2.0 / 3.0:
--- a/lupinlink/lab/model/user_agents.py
+++ b/lupinlink/lab/model/user_agents.py
@@ -105,6 +105,7 @@
         self._ask, self._leave = ask, leave
         self._draws = streams.draws("user agents")
         self._next = 0
+        self.behind_ms = 0.0  # the latest that a first try was, against when it was drawn to come
         self._began = clock.now()
 
     def start(self) -> None:
@@ -122,8 +123,16 @@
             self._clock.at(self._began + float(self.arrivals.at[self._next]), self._arrive)
 
     def _arrive(self) -> None:
-        i, self._next = self._next, self._next + 1
+        """All that are due. Danger: one a turn of a busy drive's loop is fewer than come: the load sinks."""
+        due = self._clock.now() - self._began
+        self.behind_ms = max(self.behind_ms, due - float(self.arrivals.at[self._next]))
+        self._first()
+        while self._next < len(self.arrivals) and self.arrivals.at[self._next] <= due:
+            self._first()
         self._plan()
+
+    def _first(self) -> None:
+        i, self._next = self._next, self._next + 1
         drawn, now = self.arrivals, self._clock.now()
         index = int(drawn.class_index[i])
         cls = self._classes[index]
--- a/lupinlink/lab/model/witnesses.py
+++ b/lupinlink/lab/model/witnesses.py
@@ -15,6 +15,7 @@
 from lupinlink.lab.model.scenario import Scenario
 
 UNSEEN_MS = 50.0  # an end that only a close tells may have come so much before it was read
+MOST_UNSEEN_MS = 1000.0  # or as long as this process has not looked, up to this
 
 Report = tuple[Any, ...]  # time in milliseconds, what, and its figures: plain values only
 
@@ -25,6 +26,7 @@
     def __init__(self, scenario: Scenario, clock: Clock) -> None:
         super().__init__(scenario)
         self._clock = clock
+        self.looked_at = clock.now()  # when this process last looked at all of its connections
         self._reports: list[Report] = []
         self._attempts = 0
         self._sent_at: dict[int, float] = {}
@@ -77,7 +79,8 @@
             return
         if how is End.GIVEN_UP:
             # The proxy closed before this process read it, perhaps while it was busy with other bytes.
-            now = max(sent_at, now - UNSEEN_MS)
+            unseen = min(max(UNSEEN_MS, now - self.looked_at), MOST_UNSEEN_MS)
+            now = max(sent_at, now - unseen)
         self.say("ended", number, name, how.value, at=now)
 
     def told(self, proxy: int, server: str, may_send: bool, now: float) -> None:
@@ -130,7 +133,7 @@
     @property
     def known(self) -> float:
         """The time before which nothing is to be told any more."""
-        return min(self._until) - UNSEEN_MS
+        return min(self._until) - MOST_UNSEEN_MS
 
     def tell(self, until: float) -> None:
         """Tell the referee all that happened before a time, at most what is known."""
--- a/lupinlink/lab/page.py
+++ b/lupinlink/lab/page.py
@@ -143,6 +143,7 @@
             "power_s",
             "discovery_s",
             "back_after_s",
+            "fallen",
             "refused",
             "calls",
             "calls_failed",
