Spread popular keys over several homes and each proxy over a stretch of the servers

Ruled out: stale lists, cold or failing servers, requests without a key. Wrong lines: Split.drawn gave each key one first server, alike at all proxies, whatever its share.

--- a/lupinlink/brain.py
+++ b/lupinlink/brain.py
@@ -17,6 +17,8 @@
 from lupinlink.interface import Attempt, Effect, Group, LatencyStats, Period, Request, Scope, Server, Status
 from lupinlink.limits.foresight import Foresight
 from lupinlink.node import Node
+from lupinlink.spread.aperture import Aperture
+from lupinlink.spread.keys import HASH_MULTIPLIER, Homes
 
 # Admission. Delays are counted in aims: a latency over its class's aim, so one target serves all classes.
 TARGET, LATE_TARGET = 0.45, 0.4  # D_ref: so much of the aim, and more the more a late answer is worth
@@ -41,7 +43,7 @@
 LEVEL_GAIN, GROUP_GAIN, STATS_GAIN = 0.02, 0.05, 0.02  # of one figure for the usual of all, group, class
 OUTLIER = 1.1  # log load above which a server's delays say nothing of the others
 OWN_SHARPNESS, PICK_TRIES = 4.0, 8  # power of this node's own requests in flight over size; most draws
-HASH_MULTIPLIER, GOLDEN = 0x9E3779B97F4A7C15, 0.6180339887498949  # step of draws: turns come evenly spread
+GOLDEN = 0.6180339887498949  # step of draws: turns come evenly spread
 PRICE_SCALE = 30.0  # log weight lost for each point of the crossing price, while the own zone is at ease
 SPILL_FROM, SPILL_SPAN = 0.9, 0.8  # that preference ends over this span of delay over target
 PROBE_MOST, PROBE_DRAWS = 2.0, 4  # probes an arrival if unheard of; the longest so of those drawn
@@ -226,7 +228,8 @@
         self.levels: dict[tuple[int, int], float] = {}  # usual log figure: of zones' latencies, of reports
         self.table, self.weights, self.sums = list[Server](), list[float](), list[float]()
         self.due_at, self.spill, self.draw = -math.inf, 0.0, rng.random()
-        self.cov, self.var, self.trust = 0.05, 0.1, 0.5
+        self.cov, self.var, self.trust, self.homes = 0.05, 0.1, 0.5, Homes(settings.peers)
+        self.aperture = Aperture(settings.rank, settings.peers)
 
     def observe(self, server: Server, figure: float, source: int, gain: float, now: float) -> None:
         """Take a load figure; what counts is its log over the usual one, so that any unit serves."""
@@ -272,7 +275,8 @@
     def pick(self, now: float, node: Node, key: str, fits: Callable[[Server], bool]) -> Server | None:
         """One weighted draw in O(log n), or by the request's key; a scan only when few servers fit."""
         if now >= self.due_at:
-            self.table = [s for s in node.servers.values() if s.ready]
+            listed, usable = list(node.servers.values()), [s.usable(now) for s in node.servers.values()]
+            self.table = [listed[i] for i in self.aperture.near([s.salt for s in listed], usable)]
             self.weights = [self.weight(s, now) for s in self.table]
             self.sums = list(accumulate(self.weights))
             self.due_at = now + TABLE_MS
@@ -288,19 +292,15 @@
                     return server
         if last is not None:
             return last[1]
-        rest = [s for s in self.table if fits(s)]
+        rest = [s for s in node.servers.values() if fits(s)]
         return self.rng.choices(rest, [self.weight(s, now) for s in rest])[0] if rest else None
 
     def drawn(self, key: str) -> Iterable[Server]:
         """Servers at random by their weights. With a key the key's hash is the chance: as long as weights
-        hold, it meets the same server, and at every node, where its data are warm (rendezvous hashing)."""
+        hold, it meets the same few servers, and at every node, where its data are warm (spread/keys.py)."""
         if key:
-            mix = crc32(key.encode())
-            scores = [
-                (math.log(((mix ^ s.salt) * HASH_MULTIPLIER >> 7 & 0xFFFFFFFF) / 2.0**32 + 1e-12) / w, i)
-                for i, (s, w) in enumerate(zip(self.table, self.weights, strict=True))
-            ]
-            for _, i in sorted(scores, reverse=True)[:PICK_TRIES]:
+            salts = [s.salt for s in self.table]
+            for i in self.homes.order(key, salts, self.weights, PICK_TRIES, self.rng.random()):
                 yield self.table[i]
             return
         for _ in range(PICK_TRIES if self.table else 0):
@@ -339,8 +339,7 @@
 
     def capacity(self, now: float) -> float:
         """Servers that take work, a cold one by its warmth."""
-        usable = (s for s in self.servers.values() if s.ready and s.ejected_until <= now)
-        return sum(self.slow_start.warmth(s, now) for s in usable)
+        return sum(self.slow_start.warmth(s, now) for s in self.servers.values() if s.usable(now))
 
     def look_ahead(self, now: float) -> None:
         """Fewer servers may be left: refuse from now on what they cannot bear, the delay tells too late."""
@@ -529,7 +528,7 @@
         through = min(1.0, period.held / max(1, period.arrivals))
         delay = self.delay(period, seconds, now)
         self.admission.revise(fresh / seconds, delay, self.capacity(now), busy, through)
-        even = period.arrivals / seconds / 1000.0 / max(1, self.ready)
+        even = period.arrivals / seconds / 1000.0 / max(1, len(self.split.table))
         self.slow_start.per_server += 0.5 * (even - self.slow_start.per_server)
         over = (self.admission.delay / self.admission.target - SPILL_FROM) / SPILL_SPAN
         self.split.spill = min(max(over, 0.0), 1.0)
--- a/lupinlink/interface.py
+++ b/lupinlink/interface.py
@@ -114,6 +114,10 @@
     absent: int = 0  # connections in a row that did not come up
     trial: bool = False  # back from ejection and not yet proven: one attempt at a time
 
+    def usable(self, now: float) -> bool:
+        """Whether it takes work and is not left out."""
+        return self.ready and self.ejected_until <= now
+
 
 @dataclass(slots=True)
 class Period:
--- a/lupinlink/settings.py
+++ b/lupinlink/settings.py
@@ -71,6 +71,7 @@
     tenants: tuple[Tenant, ...] = ()
     zone: int = 0
     peers: int = 1
+    rank: int = 0  # this node's number among them
     subscribe: bool = False  # membership must be asked for
     must_ask_ms: float = 10000.0
     over_quota_worth: float = 1.0
@@ -157,6 +158,7 @@
             ),
             zone=int(_get(raw, "MyZone", 0)),
             peers=max(1, int(_get(raw, "PeersTotal", 1))),
+            rank=int(_get(raw, "Rank", 0)),
             subscribe=_get(raw, "MembershipMode", "automatic") == "subscribe",
             must_ask_ms=float(_get(rules, "MustAskInMs", 10000.0)),
             over_quota_worth=float(_get(raw, "OverShareWorth", 1.0)),
--- /dev/null
+++ b/lupinlink/spread/keys.py
@@ -0,0 +1,73 @@
+"""Where a key is at home: at one server, or at several once it is asked for more than one should bear. Pure.
+
+Every proxy ranks the servers for a key alike (weighted rendezvous hashing: Thaler and Ravishankar, "Using
+Name-Based Mappings to Increase Hit Rates", IEEE/ACM Transactions on Networking 6(1), 1998), so that a key
+meets the server that knows it. Of 200 proxies each sees so little of a popular key that none would call it
+hot, and together they give its one server many times what the others have. A key's share of all arrivals is
+the same wherever it is counted, and needs no talk: a key that brings more than ``BOUND`` of a server's even
+share gets as many homes as that takes, the first ones of its ranking (the head's D-choices of Nasir, Morales,
+Kourtellis and Serafini, "When Two Choices Are not Enough", ICDE 2016, with the bound of Mirrokni, Thorup and
+Zadimoghaddam, "Consistent Hashing with Bounded Loads", SODA 2018).
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Sequence
+from zlib import crc32
+
+BOUND = 0.25  # of a server's even share of all arrivals: what one key may bring to one home
+SEEN = 2.0  # over the proxies: as much of a key's load each can see itself, and sends elsewhere by itself
+REMEMBERED = 1024.0  # arrivals with keys that are counted in full; then every count is halved
+LEAST = 64.0  # arrivals from which a share is reckoned: a few say little
+HASH_MULTIPLIER = (
+    0x9E3779B97F4A7C15  # 2**64 over the golden ratio (Knuth, The Art of Computer Programming, 6.4)
+)
+
+
+class Homes:
+    """Counts keys as they arrive at one proxy; holds at most ``2 * REMEMBERED`` of them."""
+
+    def __init__(self, peers: int) -> None:
+        """``peers``: proxies in all. Of few each has much of a key in flight itself, which spills it over."""
+        self._bound = max(BOUND, SEEN / max(1, peers))
+        self._counts: dict[int, float] = {}
+        self._total = 0.0
+
+    def __len__(self) -> int:
+        return len(self._counts)
+
+    def met(self, mix: int) -> None:
+        """A request with the key of this checksum has arrived."""
+        self._counts[mix] = self._counts.get(mix, 0.0) + 1.0
+        self._total += 1.0
+        if self._total >= REMEMBERED:
+            self._counts = {key: count / 2.0 for key, count in self._counts.items() if count > 1.0}
+            self._total = sum(self._counts.values())
+
+    def number(self, mix: int, servers: int) -> int:
+        """How many homes a key has among so many servers, at least 1.
+
+        One arrival less than were counted: a key that was met once has no share worth the name.
+        """
+        share = max(0.0, self._counts.get(mix, 0.0) - 1.0) / max(self._total, LEAST)
+        return min(servers, 1 + int(share * servers / self._bound))
+
+    def order(
+        self, key: str, salts: Sequence[int], weights: Sequence[float], most: int, chance: float
+    ) -> list[int]:
+        """The first servers to ask with a key, as indices, at least ``most`` where there are so many.
+
+        ``salts``: 32 bits for each server, alike at every proxy. ``weights``: over 0; a server is first for
+        so much of all keys. ``chance``: from [0, 1), which of the key's homes comes first.
+        """
+        mix = crc32(key.encode())
+        self.met(mix)
+        scores = [
+            (math.log(((mix ^ salt) * HASH_MULTIPLIER >> 7 & 0xFFFFFFFF) / 2.0**32 + 1e-12) / weight, i)
+            for i, (salt, weight) in enumerate(zip(salts, weights, strict=True))
+        ]
+        homes = self.number(mix, len(scores))
+        ranked = [i for _, i in sorted(scores, reverse=True)[: max(most, homes)]]
+        first = int(chance * homes)
+        return ranked[first:homes] + ranked[:first] + ranked[homes:]
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -28,7 +28,7 @@
     "lupinlink net net.application_servers net.bodies net.counters net.deadlines net.farm net.handover "
     "net.handover.channel net.handover.messages net.handover.room net.handover.upgrade net.http1 "
     "net.lifecycle net.log net.management net.proxy net.service net.slots net.typed net.user_agents "
-    "net.wheel node settings"
+    "net.wheel node settings spread spread.aperture spread.keys"
 )
 
 
