Keep one home for every key where a proxy is the only one

Saw: the whole suite failed one test, forty requests about one key at a single proxy met two servers in place of one (35 and 5). Cause: the bound on a key's homes was reckoned from all proxies; what a proxy cannot see is what the others send. Change: the bound follows from the other proxies, and there is none for a proxy alone. Nothing changes with 200 proxies.

--- a/lupinlink/spread/keys.py
+++ b/lupinlink/spread/keys.py
@@ -17,7 +17,7 @@
 from zlib import crc32
 
 BOUND = 0.25  # of a server's even share of all arrivals: what one key may bring to one home
-SEEN = 2.0  # over the proxies: as much of a key's load each can see itself, and sends elsewhere by itself
+SEEN = 2.0  # over the other proxies: of so few, what one sees itself tells when a home has too much
 REMEMBERED = 1024.0  # arrivals with keys that are counted in full; then every count is halved
 LEAST = 64.0  # arrivals from which a share is reckoned: a few say little
 HASH_MULTIPLIER = (
@@ -29,8 +29,9 @@
     """Counts keys as they arrive at one proxy; holds at most ``2 * REMEMBERED`` of them."""
 
     def __init__(self, peers: int) -> None:
-        """``peers``: proxies in all. Of few each has much of a key in flight itself, which spills it over."""
-        self._bound = max(BOUND, SEEN / max(1, peers))
+        """``peers``: proxies in all. Of few each has much of a key in flight itself, which spills it over;
+        the only one has all of it, and every key one home."""
+        self._bound = max(BOUND, SEEN / (peers - 1)) if peers > 1 else math.inf
         self._counts: dict[int, float] = {}
         self._total = 0.0
 
