--- a/lupinlink/lab/fleet/rig.py
+++ b/lupinlink/lab/fleet/rig.py
@@ -43,7 +43,7 @@
 FRONT_MS = 300.0  # after SIGTERM new connections keep coming for so long
 STEPS = 10  # a roll restarts a tenth at a time
 HELPER_MB = 120.0
-SERVERS_A_SHARE = 70
+SERVERS_A_SHARE, MOST_SHARES = 70, 5
 MOST_PROXIES, MOST_SERVERS = 300, 400
 SPARE_DESCRIPTORS = 200  # of a helper, beside connections and listeners
 NOBODY = 9  # a port that nothing listens at
@@ -77,7 +77,7 @@
         self.scenario, self.seed, self.loop = scenario, seed, loop
         self.clock = LoopClock(loop)
         self._judge = Referee(scenario, ended, SLACK_MS)
-        self._shares = math.ceil(max(1, scenario.farm.servers) / SERVERS_A_SHARE)
+        self._shares = shares(scenario)
         self._hearing = Hearing(self._judge, 1 + len(scenario.network.zones) + self._shares)
         self._witness = Witness(scenario, self.clock)
         self.world = World(scenario, seed, self.clock, _nobody, _nobody, referee=self._witness, zone=-1)
@@ -569,6 +569,15 @@
     raise AssertionError("the rig's own copy of the world asks nothing")
 
 
+def shares(scenario: Scenario) -> int:
+    """In how many processes the servers stand: enough for their work, and for a connection of each proxy."""
+    servers = max(1, scenario.farm.servers)
+    _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    room = max(1, (hard if hard != resource.RLIM_INFINITY else 1 << 20) - SPARE_DESCRIPTORS)
+    for_room = math.ceil(servers * scenario.proxies.count / room)
+    return min(MOST_SHARES, max(math.ceil(servers / SERVERS_A_SHARE), for_room))
+
+
 def check_size(scenario: Scenario) -> None:
     """Refuse what this machine cannot hold, before anything is started; raises FleetError in one line."""
     proxies, servers = scenario.proxies.count, scenario.farm.servers
@@ -578,8 +587,7 @@
         )
     if len(scenario.network.zones) > addresses.MOST_ZONES:
         raise FleetError(f"network.zones names over {addresses.MOST_ZONES}")
-    shares = math.ceil(max(1, servers) / SERVERS_A_SHARE)
-    need = proxies * math.ceil(servers / shares) + SPARE_DESCRIPTORS
+    need = proxies * math.ceil(servers / shares(scenario)) + SPARE_DESCRIPTORS
     soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
     if hard != resource.RLIM_INFINITY and need > hard:
         raise FleetError(
