--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -123,4 +123,4 @@
     )  # fmt: skip
     found = json.loads(run.stdout)
     assert run.returncode == 0 and not any(found["rules_broken"].values()), run.stderr
-    assert found["fleet"]["spread"]["max_over_mean_p50"] < 3.0
+    assert found["fleet"]["spread"]["max_over_mean_p50"] < 2.3  # 1.5; 3.4 where the key has one home
