Ask outside a proxy's stretch only warm servers, so that cold ones keep their bound

Saw, reading the spread once more: where no server of its stretch fits, a proxy falls back to all, and a cold server there earned tokens at what the proxy sends within its stretch, six times the fleet's share of it at 200 proxies and servers. Wrong line: the fallback of Split.pick.

--- a/lupinlink/brain.py
+++ b/lupinlink/brain.py
@@ -292,7 +292,8 @@
                     return server
         if last is not None:
             return last[1]
-        rest = [s for s in node.servers.values() if fits(s)]
+        warm = (s for s in node.servers.values() if self.slow_start.warmth(s, now) >= 1.0)
+        rest = [s for s in self.table if fits(s)] or [s for s in warm if fits(s)]
         return self.rng.choices(rest, [self.weight(s, now) for s in rest])[0] if rest else None
 
     def drawn(self, key: str) -> Iterable[Server]:
--- a/tests/test_split.py
+++ b/tests/test_split.py
@@ -155,3 +155,18 @@
             slow.report(server, 0.3)
         given.append(slow.warmth(server, 1000.0))
     assert abs(given[0] / given[1] - 1.0) < 0.01
+
+
+def test_outside_its_stretch_a_proxy_asks_warm_servers_only() -> None:
+    # All tokens of the stretch are spent; what it earns there is many times the fleet's share elsewhere.
+    settings = Settings(classes=(SAFE,), peers=200, rank=7, cold_share=0.2, cold_ms=1e6)
+    split = Split(settings, SlowStart(settings), Random(1))
+    node = Stand(settings, names="".join(map(chr, range(0x4E00, 0x4E00 + 200)))).node
+    assert split.pick(2.0, node, "", lambda s: True) in split.table and len(split.table) == 32
+    near = {s.row.name for s in split.table}
+    for server in node.servers.values():
+        server.row.started_ms = 1.0
+    assert split.pick(2.0, node, "", lambda s: s.row.name not in near) is None
+    far = next(s for s in node.servers.values() if s.row.name not in near)
+    far.row.started_ms = 0.0
+    assert split.pick(2.0, node, "", lambda s: s.row.name not in near) is far
