--- a/lupinlink/coordination/contract.py
+++ b/lupinlink/coordination/contract.py
@@ -40,7 +40,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Put:
-    """Write a record. ``revision``: only if it stands there (``ABSENT``: if there is none); None: in any case."""
+    """Write a record. ``revision``: only if it stands there (``ABSENT``: is not there yet); None: always."""
 
     key: str
     value: bytes
@@ -57,7 +57,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Guarded:
-    """Writes nothing; the commit fails unless the record stands at ``revision`` (``ABSENT``: is not there)."""
+    """Writes nothing; fails the commit unless the record stands at ``revision`` (``ABSENT``: is absent)."""
 
     key: str
     revision: int
@@ -152,7 +152,7 @@
         ...
 
     def watch(self, prefix: str, seen: Callable[[View], None], silent: Callable[[LupinError], None]) -> Watch:
-        """Tell ``seen`` of each newer state below ``prefix``, the present one first, ``silent`` of each failure.
+        """Tell ``seen`` of each newer state below ``prefix``, the present one first; ``silent`` of failures.
 
         Asks again by itself, with decorrelated back-off. After a restore ``seen`` gets a View of lower index.
         """
