--- a/lupinlink/coordination/part.py
+++ b/lupinlink/coordination/part.py
@@ -1,8 +1,8 @@
 """What each part of the fleet's agreement (release, quota, migration) looks like to the shell that wires it.
 
-A part is an agent that carries its pure state over an ``Agreement``; clock, randomness and what it needs of its
-process are handed in. The shell (``lupinlink.net.fleet``) starts it, stops it and puts its calls on the operators'
-door.
+A part is an agent that carries its pure state over an ``Agreement``; clock, randomness and what it needs of
+its process are handed in. The shell (``lupinlink.net.fleet``) starts and stops it and puts its calls on the
+operators' door.
 """
 
 from __future__ import annotations
@@ -32,7 +32,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Answer:
-    """What the operator reads: an HTTP status (2xx yes, 4xx or 5xx no) and a text that ends with a new line."""
+    """What the operator reads: an HTTP status (2xx yes, 4xx or 5xx no) and a text that ends a line."""
 
     status: int
     text: str
@@ -40,8 +40,8 @@
 
 DoorCall = Callable[[Ask], Answer]
 DoorCalls = Mapping[str, Mapping[str, DoorCall]]
-"""By path (``/control/release/halt``), then by method (``PUT``). A call answers at once, from what is known here;
-what it asks of the fleet goes on after the answer, and the state call tells how far it is."""
+"""By path (``/control/release/halt``), then by method (``PUT``). A call answers at once, from what is known
+here; what it asks of the fleet goes on after the answer, and the state call tells how far it is."""
 
 
 class Part(Protocol):
