Give a fleet file its seam: host, further door calls, and a gate for quotas

What processes agree on needs a place to enter the service, and a plain serve must not pay for it.

The operators' door takes calls that read a query and a body and give a status and a text, beside the yes/no ones. A call over its quota is answered 429 at once, before the decisions see it; all refusals are counted in one place (refused, refused_module, refused_quota, ...; unavailable is gone).

--- a/lupinlink/lab/virtual.py
+++ b/lupinlink/lab/virtual.py
@@ -288,7 +288,7 @@
     def served(self, reply: net.Reply) -> None:
         self._answer(Reply.SERVED, 0.0, reply.body.decode())
 
-    def unavailable(self, retry_after_ms: float) -> None:
+    def unavailable(self, retry_after_ms: float, over_quota: bool = False) -> None:
         self._answer(Reply.REFUSED, retry_after_ms)
 
     def failed(self, why: net.Failure) -> None:
--- a/lupinlink/net/application_servers.py
+++ b/lupinlink/net/application_servers.py
@@ -632,6 +632,11 @@
         return {"server_connections_now": len(self.connections), "server_connections_idle": idle,
                 "pools": len(self._pools)}  # fmt: skip
 
+    def reached(self, server: str) -> bool:
+        """Whether the last connection to it came up; True before the first."""
+        pool = self._pools.get(server)
+        return pool is None or pool.reached
+
     def close(self) -> None:
         """Close what is idle; for a stop."""
         for pool in self._pools.values():
--- /dev/null
+++ b/lupinlink/net/hosting.py
@@ -0,0 +1,208 @@
+"""The service's side of the seam: carries a fleet's wishes to its parts. Loaded only with a fleet file."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable, Mapping
+from typing import NamedTuple, Protocol, cast
+from urllib.parse import parse_qsl
+
+from lupinlink.coordination.part import Ask, DoorCall
+from lupinlink.net.application_servers import ApplicationServers
+from lupinlink.net.counters import Counters
+from lupinlink.net.farm import STATES, Farm
+from lupinlink.net.lifecycle import Lifecycle, Stand
+from lupinlink.net.management import Call as ManagementCall
+from lupinlink.net.management import WrongAskError
+from lupinlink.net.proxy import Call, Proxy
+from lupinlink.net.seam import FleetSide, Gauges, Listed
+from lupinlink.net.typed import Reactor
+from lupinlink.net.user_agents import Phase, UserAgents
+from lupinlink.net.wheel import Clockwork
+from lupinlink.settings import Settings
+
+log = logging.getLogger(__name__)
+REPORT_MS = 10000.0  # so long does a server's report of its use count
+MOST_FIELDS = 32  # of a call's query
+DoorCallTable = dict[str, dict[str, ManagementCall]]
+
+
+class Acts(NamedTuple):
+    """What the service does for a fleet; a call of the door does no other."""
+
+    drain: Callable[[], bool]
+    in_service: Callable[[], bool]
+    end: Callable[[], None]
+
+
+class Withholds(Protocol):
+    """Takes application servers out of use."""
+
+    def withhold(self, names: frozenset[str]) -> None: ...
+
+
+class Reports:
+    """The use that each application server last reported; what is old is forgotten."""
+
+    def __init__(self) -> None:
+        self._last: dict[str, tuple[float, float]] = {}
+
+    def heard(self, server: str, report: Mapping[str, float], now: float) -> None:
+        """A report that came with an answer or a probe."""
+        use = report.get("utilization")
+        if use is not None:
+            self._last[server] = use, now
+
+    def use(self, now: float) -> dict[str, float]:
+        """By server, of the last 10 s."""
+        self._last = {name: seen for name, seen in self._last.items() if now - seen[1] <= REPORT_MS}
+        return {name: use for name, (use, _) in self._last.items()}
+
+
+def asked(call: DoorCall) -> ManagementCall:
+    """A fleet's call as the door makes it: reads the query; what cannot be read is told in one line."""
+
+    def made(query: str, body: bytes) -> tuple[int, str]:
+        try:
+            pairs = parse_qsl(
+                query,
+                keep_blank_values=True,
+                strict_parsing=True,
+                errors="strict",
+                max_num_fields=MOST_FIELDS,
+            )
+        except ValueError as exc:
+            raise WrongAskError(400, f"query: {exc}") from exc
+        fields = dict(pairs)
+        if len(fields) < len(pairs):
+            twice = next(name for i, (name, _) in enumerate(pairs) if name in dict(pairs[:i]))
+            raise WrongAskError(400, f"query: {twice!r} is given twice")
+        answer = call(Ask(fields, body))
+        return answer.status, answer.text
+
+    return made
+
+
+class Hosting:
+    """Host of the seam, over the service's parts."""
+
+    def __init__(
+        self,
+        fleet: FleetSide,
+        known: tuple[str, Settings],
+        reactor: Reactor,
+        clock: Clockwork,
+        lifecycle: Lifecycle,
+        parts: tuple[Proxy, UserAgents, Farm, ApplicationServers],
+        counters: Counters,
+        acts: Acts,
+    ) -> None:
+        self.name, self.settings = known
+        self.reactor, self.clock, self._acts = reactor, clock, acts
+        self._fleet, self._lifecycle, self._counters = fleet, lifecycle, counters
+        self._proxy, self._agents, self._farm, self._servers = parts
+        self._reports = Reports()
+        self._started = self._stopped = False
+        self._proxy.admits = self._admits
+        self._proxy.settled = fleet.settled
+        self._proxy.reported = self._reported
+
+    def calls(self, own: DoorCallTable) -> DoorCallTable:
+        """The door's calls: the service's ``own`` and the fleet's."""
+        table = dict(own)
+        for path, methods in self._fleet.calls().items():
+            if path in own:
+                raise ValueError(f"{path} is a call of the service itself")
+            table[path] = {method: asked(call) for method, call in methods.items()}
+        return table
+
+    def start(self) -> None:
+        """The reactor runs."""
+        self._started = True
+        self._fleet.started(self)
+
+    def stop(self) -> None:
+        """This process ends; a second call does nothing."""
+        if self._started and not self._stopped:
+            self._stopped = True
+            try:
+                self._fleet.stopping()
+            except Exception:  # a stop goes on, whatever the fleet's shell makes of it
+                log.exception("fleet failed to stop")
+
+    def _admits(self, call: Call) -> float | None:
+        refusal = self._fleet.admits(call)
+        return refusal.retry_after_ms if refusal is not None else None
+
+    def _reported(self, server: str, report: Mapping[str, float]) -> None:
+        self._reports.heard(server, report, self.clock.now())
+
+    @property
+    def stand(self) -> Stand:
+        return self._lifecycle.stand
+
+    @property
+    def drained(self) -> bool:
+        return self._lifecycle.drained
+
+    @property
+    def ready(self) -> bool:
+        return self._lifecycle.ready(self._farm.ready)
+
+    @property
+    def ends_soon(self) -> bool:
+        return self._lifecycle.stopping or self._lifecycle.handed_over
+
+    def drain(self) -> None:
+        """As the door's call."""
+        self._acts.drain()
+
+    def in_service(self) -> bool:
+        """As the door's call."""
+        return self._acts.in_service()
+
+    def end(self) -> None:
+        """As SIGTERM."""
+        self._acts.end()
+
+    def gauges(self) -> Gauges:
+        """What is here now."""
+        phases, now = self._agents.phases, self.clock.now()
+        counts = {phase: len(agents) for phase, agents in phases.items()}
+        # Each phase is in order of time.
+        oldest = [next(iter(phases[phase])).since for phase in (Phase.OPEN, Phase.BODY) if counts[phase]]
+        long = {**phases[Phase.BODY], **self._agents.receiving, **self._agents.flowing}
+        left = [agent.to_go() for agent in long]
+        known = self.use()
+        uses = [known[one.name] for one in self.servers() if one.state == "ready" and one.name in known]
+        return Gauges(
+            connections=len(self._agents.connections),
+            idle=counts[Phase.SILENT] + counts[Phase.RESTING],
+            busy=counts[Phase.HEAD] + counts[Phase.BODY] + counts[Phase.OPEN],
+            closing=counts[Phase.CLOSING],
+            requests=self._proxy.open,
+            oldest_ms=now - min(oldest, default=now),
+            bytes_to_go=sum(told for told, _ in left),
+            untold=sum(untold for _, untold in left),
+            unread=sum(agent.choked for agent in self._agents.flowing),
+            servers_ready=self._farm.ready,
+            use=sum(uses) / len(uses) if uses else None,
+            counters=dict(self._counters),
+        )
+
+    def servers(self) -> list[Listed]:
+        """The list."""
+        found = []
+        for item in self._farm.snapshot()["targets"]:
+            name, state = str(item["uid"]), STATES.get(item["state"])
+            ready = "ready" if state is not None and state.name == "READY" else "draining"
+            found.append(Listed(name, str(item.get("az") or ""), ready, self._servers.reached(name)))
+        return found
+
+    def use(self) -> Mapping[str, float]:
+        """Reported use by server."""
+        return self._reports.use(self.clock.now())
+
+    def withhold(self, names: frozenset[str]) -> None:
+        """These are out of use, and no others."""
+        cast(Withholds, self._farm).withhold(names)
--- a/lupinlink/net/management.py
+++ b/lupinlink/net/management.py
@@ -16,8 +16,23 @@
 log = logging.getLogger(__name__)
 CALL_MS = 10000.0  # some callers take seconds before they ask; nobody in earnest takes so long
 LINGER_MS = 1000.0  # so long may a caller take to read its answer and close
-MOST_BODY = 4096  # no call here needs one
-Calls = Mapping[str, Mapping[str, Callable[[], bool]]]
+MOST_BODY = 4096  # no call of the service itself needs one
+# A call: its query and body in, status and text of the answer out. It answers at once.
+Call = Callable[[str, bytes], tuple[int, str]]
+Calls = Mapping[str, Mapping[str, Call]]
+
+
+class WrongAskError(Exception):
+    """A call that was asked wrongly; ``status`` 4xx, the text one plain line."""
+
+    def __init__(self, status: int, why: str) -> None:
+        super().__init__(why)
+        self.status = status
+
+
+def yes_or_no(call: Callable[[], bool]) -> Call:
+    """A call that is answered with yes (200) or no (503), whatever comes with it."""
+    return lambda query, body: (200, "yes\n") if call() else (503, "no\n")
 
 
 def most_callers(sockets: int) -> int:
@@ -32,7 +47,7 @@
 
     def __init__(self, door: Management) -> None:
         self._door = door
-        self._parser = http1.RequestParser(MOST_BODY)
+        self._parser = http1.RequestParser(door.most_body)
         self._timer: Timer | None = None
         self.answered = False
 
@@ -75,8 +90,11 @@
 
     noisy = False
 
-    def __init__(self, calls: Calls, most: int, clock: Clockwork, counters: Counters) -> None:
-        self.clock = clock
+    def __init__(
+        self, calls: Calls, most: int, clock: Clockwork, counters: Counters, most_body: int = MOST_BODY
+    ) -> None:
+        """``most``: callers at once; ``most_body``: bytes of a call's body."""
+        self.clock, self.most_body = clock, most_body
         self._calls, self._most, self._counters = calls, most, counters
         self._callers: dict[Caller, None] = {}
 
@@ -97,7 +115,7 @@
 
     def call(self, message: http1.Message) -> tuple[int, str, tuple[tuple[str, str], ...]]:
         """Carry out what was asked: status, text and further headers of the answer."""
-        path = message.target.partition("?")[0]
+        path, _, query = message.target.partition("?")
         methods = self._calls.get(path)
         if methods is None:
             return 404, "no such call\n", ()
@@ -106,12 +124,15 @@
             return 405, "method not allowed\n", (("Allow", ", ".join(methods)),)
         self._counters["calls"] += 1
         try:
-            yes = call()
+            status, text = call(query, message.body)
+        except WrongAskError as exc:
+            status, text = exc.status, str(exc)
         except Exception:
             log.exception("call failed", extra={"kv": {"call": path}})
             return 500, "internal error\n", ()
-        log.info("call", extra={"kv": {"call": f"{message.method} {path}", "answer": "yes" if yes else "no"}})
-        return (200, "yes\n", ()) if yes else (503, "no\n", ())
+        said = "yes" if 200 <= status < 300 else "no"
+        log.info("call", extra={"kv": {"call": f"{message.method} {path}", "answer": said}})
+        return status, text if text.endswith("\n") else f"{text}\n", ()
 
     def gauges(self) -> dict[str, int]:
         """Who stands here."""
--- a/lupinlink/net/proxy.py
+++ b/lupinlink/net/proxy.py
@@ -10,7 +10,7 @@
 import logging
 import math
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from enum import Enum
 from random import Random
@@ -44,6 +44,15 @@
     DUPLICATE = "a request of this id is open"
 
 
+class Refused(Enum):
+    """Why a final answer is 'unavailable'; as counted, behind ``refused_``."""
+
+    TABLE_FULL = "table_full"
+    MODULE = "module"
+    NEVER_RAN = "never_ran"  # the application servers turned it away, and it cannot be sent again from here
+    QUOTA = "quota"
+
+
 @dataclass(slots=True)
 class Call:
     """What a user agent asks, in terms that the decisions and the application servers share."""
@@ -61,6 +70,7 @@
     # How long it may have waited before this process could read it: 0 read at once, inf not known (it was
     # held for us before this process listened); its time is counted from when its client sent it.
     waited_ms: float = 0.0
+    address: str = ""  # of who is connected here: of a front, where one stands before us
 
 
 @dataclass(slots=True)
@@ -86,7 +96,7 @@
     """Takes the one final answer of a call."""
 
     def served(self, reply: Reply) -> None: ...
-    def unavailable(self, retry_after_ms: float) -> None: ...
+    def unavailable(self, retry_after_ms: float, over_quota: bool = False) -> None: ...
     def failed(self, why: Failure) -> None: ...
 
 
@@ -140,6 +150,11 @@
         self._identities: set[str] = set()  # of all calls that are open, or have a pass out
         self._events: deque[api.Event] = deque()
         self._busy = False
+        # What a fleet file adds; without one none of these is there. ``admits``: the time to tell in ms of a
+        # call that is over its quota, None of one that may go on.
+        self.admits: Callable[[Call], float | None] | None = None
+        self.settled: Callable[[Call], None] | None = None
+        self.reported: Callable[[str, Mapping[str, float]], None] | None = None
         self._carry: dict[type, Callable[..., None]] = {
             api.Send: self._send,
             api.Cancel: self._cancel,
@@ -168,8 +183,9 @@
             side.failed(Failure.DUPLICATE)
             return None
         if self._requests.full:
-            self.counters["refused_table_full"] += 1
-            side.unavailable(0.0)
+            self._turn_away(side, Refused.TABLE_FULL, 0.0)
+            return None
+        if self.admits is not None and not self._admitted(call, side):
             return None
         self.counters["requests"] += 1
         now = self._clock.now()
@@ -186,6 +202,28 @@
         self.tell(api.Arrival(str(handle), call.class_index, tenant, deadline, retry, call.key))
         return handle
 
+    def _admitted(self, call: Call, side: UserAgentSide) -> bool:
+        """Whether the fleet's quotas let a call on; who is not let on has its answer."""
+        assert self.admits is not None
+        try:
+            retry_after_ms = self.admits(call)
+        except Exception:
+            # Let on, it would go past the quota unseen.
+            log.exception("quota failed")
+            self.counters["internal_errors"] += 1
+            self.counters["failed"] += 1
+            side.failed(Failure.INTERNAL)
+            return False
+        if retry_after_ms is not None:
+            self._turn_away(side, Refused.QUOTA, retry_after_ms)
+        return retry_after_ms is None
+
+    def _turn_away(self, side: UserAgentSide, why: Refused, retry_after_ms: float) -> None:
+        """The one place that counts refusals. Trying again is harmless, and the user agent is told so."""
+        self.counters["refused"] += 1
+        self.counters[f"refused_{why.value}"] += 1
+        side.unavailable(retry_after_ms, why is Refused.QUOTA)
+
     def _span(self, call: Call, waited_ms: float) -> float:
         """How long from now the module has for an answer, in ms; never below 0.
 
@@ -290,8 +328,18 @@
         """Nothing is owed for this request from here on."""
         side, taken.side = taken.side, None
         self._clock.drop(taken.guard)
+        if side is not None and self.settled is not None:
+            self._tell_settled(taken.call)
         return side
 
+    def _tell_settled(self, call: Call) -> None:
+        assert self.settled is not None
+        try:
+            self.settled(call)
+        except Exception:  # the answer goes out whatever the fleet's shell makes of it
+            log.exception("settling failed")
+            self.counters["internal_errors"] += 1
+
     def _release(self, handle: int) -> None:
         taken = self._requests.get(handle)
         if taken is not None and taken.side is None and not taken.out:
@@ -324,6 +372,8 @@
 
     def _pass_ended(self, end: PassEnd, handle: int, index: int, server: str, sent_at: float) -> None:
         self.counters[f"passes_{end.status.name.lower()}"] += 1
+        if self.reported is not None and end.report:
+            self.reported(server, end.report)
         taken = self._requests.get(handle)
         if taken is None:
             return
@@ -358,8 +408,7 @@
         cls = self._settings.classes[taken.call.class_index]
         side = self._settle(taken)
         if side is not None:
-            self.counters["unavailable"] += 1
-            side.unavailable(min(self._settings.max_retry_after_ms, cls.aim_ms / 2.0))
+            self._turn_away(side, Refused.NEVER_RAN, min(self._settings.max_retry_after_ms, cls.aim_ms / 2.0))
 
     def _pass_broken(self, failure: object, handle: int) -> None:
         log.error("proxy pass failed inside", extra={"kv": {"why": str(failure)}})
@@ -376,8 +425,7 @@
         taken = self._requests.get(handle)
         side = self._settle(taken) if taken is not None else None
         if side is not None:
-            self.counters["unavailable"] += 1
-            side.unavailable(action.retry_after_ms)
+            self._turn_away(side, Refused.MODULE, action.retry_after_ms)
         self._release(handle)
 
     def _fail(self, action: api.Fail) -> None:
@@ -397,6 +445,8 @@
         sent_at, server = self._clock.now(), action.endpoint
 
         def probed(end: PassEnd) -> None:
+            if self.reported is not None and end.report:
+                self.reported(server, end.report)
             self.tell(api.ProbeResult(server, end.status, self._clock.now() - sent_at, end.report))
 
         self._servers.probe(server).addCallback(probed)
--- a/lupinlink/net/service.py
+++ b/lupinlink/net/service.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable, Mapping
 from pathlib import Path
 from types import FrameType
-from typing import Any, cast
+from typing import TYPE_CHECKING, Any, cast
 
 from twisted.internet.error import CannotListenError
 
@@ -24,14 +24,20 @@
 from lupinlink.net.handover.channel import Channel, Doorstep, call, place
 from lupinlink.net.handover.room import LEAST_CONNECTIONS, Held, Limits, Room, held, room, shrunk
 from lupinlink.net.handover.upgrade import Upgrade
+from lupinlink.net.http1 import MAX_BODY
 from lupinlink.net.lifecycle import Lifecycle
-from lupinlink.net.management import Management, most_callers
+from lupinlink.net.management import MOST_BODY, Management, most_callers, yes_or_no
+from lupinlink.net.management import Call as DoorCall
 from lupinlink.net.proxy import Proxy
 from lupinlink.net.typed import Port, Reactor
 from lupinlink.net.user_agents import Listener, UserAgents
 from lupinlink.net.wheel import Clockwork
 from lupinlink.settings import Config, SettingsError
 
+if TYPE_CHECKING:
+    from lupinlink.net.hosting import Hosting
+    from lupinlink.net.seam import FleetSide
+
 log = logging.getLogger(__name__)
 FIXED = ("name", "listen", "mgmt", "sockets", "memory_mb", "settings")  # what a reload cannot change
 BACKLOG, CALLERS_BACKLOG = 1024, 128
@@ -59,7 +65,10 @@
 class Service:
     """Puts the parts together and takes them down again."""
 
-    def __init__(self, config: Config, reactor: Reactor, load: Callable[[], Config]) -> None:
+    def __init__(
+        self, config: Config, reactor: Reactor, load: Callable[[], Config], fleet: FleetSide | None = None
+    ) -> None:
+        """``load`` reads the configuration anew; ``fleet``: what a fleet file adds."""
         self._config, self._reactor, self._load = config, reactor, load
         # Twisted times calls by the wall clock, which may be set; deadlines must not follow it.
         reactor.seconds = time.monotonic
@@ -100,18 +109,31 @@
             self._counters,
         )
         self._farm.news = self._news
-        calls: dict[str, dict[str, Callable[[], bool]]] = {
-            "/control/ready": {"GET": lambda: self._lifecycle.ready(self._farm.ready)},
-            "/control/out-of-service": {"PUT": self._out_of_service},
-            "/control/in-service": {"PUT": self._in_service},
+        calls: dict[str, dict[str, DoorCall]] = {
+            "/control/ready": {"GET": yes_or_no(lambda: self._lifecycle.ready(self._farm.ready))},
+            "/control/out-of-service": {"PUT": yes_or_no(self._out_of_service)},
+            "/control/in-service": {"PUT": yes_or_no(self._in_service)},
         }
-        self._door = Management(calls, most_callers(sockets), self._clock, self._counters)
+        self._hosting = self._host(fleet) if fleet is not None else None
+        if self._hosting is not None:
+            calls = self._hosting.calls(calls)
+        most_body = MAX_BODY if self._hosting is not None else MOST_BODY
+        self._door = Management(calls, most_callers(sockets), self._clock, self._counters, most_body)
         self._checking = False
         self._upgrade = Upgrade(self, config.name)
         self._looking = False
         self._doorstep: Doorstep | None = None
         self._fault: SettingsError | None = None
 
+    def _host(self, fleet: FleetSide) -> Hosting:
+        """Our side of the seam."""
+        from lupinlink.net.hosting import Acts, Hosting
+
+        acts = Acts(self._out_of_service, self._in_service, self._stop)
+        parts = self._proxy, self._agents, self._farm, self._servers
+        known = self._config.name, self._config.settings
+        return Hosting(fleet, known, self._reactor, self._clock, self._lifecycle, parts, self._counters, acts)
+
     def run(self) -> int:
         """Serve until a signal ends it."""
         # From the first moment on: the system's own answer to these two is to end the process.
@@ -295,6 +317,8 @@
         gc.freeze()
         gc.set_threshold(20000, 20, 50)
         self._clock.after(COLLECT_MS, self._collect)
+        if self._hosting is not None:
+            self._hosting.start()
 
     def _collect(self) -> None:
         """Old cycles, such as closed connections, go by the clock: by number they would pile up for hours."""
@@ -363,6 +387,8 @@
         if not self._lifecycle.stopping:
             self._lifecycle.stop(self._clock.now())
             log.info("stopping", extra={"kv": {"open": self._proxy.open}})
+            if self._hosting is not None:
+                self._hosting.stop()
             self._watch_leavers()
 
     def _watch_leavers(self) -> None:
@@ -382,6 +408,8 @@
             self._agents.close_idle(unasked=state.stopping)
         if state.may_leave(now, len(self._agents.connections) + self._proxy.open):
             self._upgrade.leave()
+            if self._hosting is not None:
+                self._hosting.stop()
             if self._doorstep is not None:
                 self._doorstep.close()
             self._farm.stop()
@@ -390,9 +418,9 @@
             self._clock.after(CHECK_MS, self._check)
 
 
-def serve(config: Config, load: Callable[[], Config]) -> int:
-    """Run one proxy in this process; ``load`` reads its configuration anew."""
+def serve(config: Config, load: Callable[[], Config], fleet: FleetSide | None = None) -> int:
+    """Run one proxy in this process; ``load`` reads its configuration anew, ``fleet`` is a fleet file's."""
     from twisted.internet import reactor
 
     logs.set_up(config.name)
-    return Service(config, cast(Reactor, reactor), load).run()
+    return Service(config, cast(Reactor, reactor), load, fleet).run()
--- a/lupinlink/net/user_agents.py
+++ b/lupinlink/net/user_agents.py
@@ -95,6 +95,7 @@
         self._intake: Intake | None = None
         self._flow: Flow | None = None  # the answer that is being passed on
         self._chunked = False  # in what form
+        self._passed = 0  # bytes of it that were written so far
         self._keep = True  # the user agent means the connection to stay
         self._minor = 1  # the version of HTTP/1 that it speaks
         self._only_head = False  # of the answer is asked for
@@ -179,6 +180,25 @@
         """Whether it does not read the answer that is passed on to it."""
         return self._choked and now - self.choked_at > UNREAD_MS
 
+    @property
+    def choked(self) -> bool:
+        """Whether it does not read at the moment."""
+        return self._choked
+
+    def to_go(self) -> tuple[int, int]:
+        """Bytes still to go of a long answer or of a body that comes, and how many of both do not tell."""
+        told, untold = 0, 0
+        if self._flow is not None and self._flow.length is not None:
+            told = max(0, self._flow.length - self._passed) + int(self._still_to_read())
+        elif self._flow is not None:
+            untold = 1
+        body = self._intake.call.body if self._intake is not None else None
+        if body is not None and body.length is not None:
+            told += max(0, body.length - body.end)
+        elif body is not None:
+            untold += 1
+        return told, untold
+
     def late(self, now: float) -> bool:
         """Whether the request that it is sending does not get on."""
         if self._intake is not None:
@@ -240,8 +260,9 @@
         else:
             self._answer(200, reply.headers, reply.body, reply.length)
 
-    def unavailable(self, retry_after_ms: float) -> None:
-        self._answer(503, [("Retry-After", f"{retry_after_ms / 1000.0:.3f}")] if retry_after_ms > 0 else [])
+    def unavailable(self, retry_after_ms: float, over_quota: bool = False) -> None:
+        after = [("Retry-After", f"{retry_after_ms / 1000.0:.3f}")] if retry_after_ms > 0 else []
+        self._answer(429 if over_quota else 503, after)
 
     def failed(self, why: Failure) -> None:
         self._answer(STATUS[why], [("Content-Type", "text/plain")], f"{why.value}\n".encode())
@@ -284,7 +305,7 @@
         length = flow.length if flow.length is not None else http1.CHUNKED if self._minor else None
         self._chunked = length == http1.CHUNKED
         self._keep = self._keep and length is not None and self._agents.keeps(self)
-        self._flow = flow
+        self._flow, self._passed = flow, 0
         flow.data, flow.ended, flow.broken = self._flow_data, self._flow_ended, self.abort
         with suppress(OSError, AttributeError):
             self.transport.getHandle().setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, FLOW_SEND_BYTES)
@@ -293,6 +314,7 @@
 
     def _flow_data(self, data: bytes) -> None:
         if data:
+            self._passed += len(data)
             self.transport.write(http1.chunk(data) if self._chunked else data)
 
     def _flow_ended(self) -> None:
@@ -334,7 +356,7 @@
                         self._receive(self._parser.head)
                     break
                 self.asked = True
-                self._agents.enter(self, Phase.OPEN)
+                self._agents.enter(self, Phase.OPEN, anew=self._intake is None)
                 if self._intake is None:
                     self._take(message)
                 else:
@@ -376,6 +398,7 @@
     def _read(self, message: http1.Message, path: str) -> Call:
         """The call, with how long it may have waited unread: only the first of a connection can have."""
         call = self._agents.read(message, path)
+        call.address = self.address
         call.waited_ms, self.held_ms = self.held_ms, 0.0
         return call
 
@@ -508,7 +531,7 @@
         # Since when connections may have queued unread: None while the listener is read as they come; -inf
         # at the start, for a front may hold connections for this address from before this process was there.
         self.unwatched_since: float | None = -math.inf
-        self._phases: dict[Phase, dict[UserAgent, None]] = {phase: {} for phase in Phase}
+        self.phases: dict[Phase, dict[UserAgent, None]] = {phase: {} for phase in Phase}
         self._returns = Returns(cap)
         self.budget = Budget(0)  # for all bodies on their way in
         self.flowing: dict[UserAgent, None] = {}  # answers are being passed on to these
@@ -568,21 +591,21 @@
             return
         now = self.clock.now()
         if agent.phase is not None:
-            self._phases[agent.phase].pop(agent, None)
+            self.phases[agent.phase].pop(agent, None)
         if agent.rest is not None:
             how = Ended.LEFT if phase is None else Ended.CUT if phase is Phase.CLOSING else Ended.ASKED
             self._returns.ended(agent.rest, now, how)
             agent.rest = None
         agent.phase, agent.since = phase, now
         if phase is not None:
-            self._phases[phase][agent] = None
+            self.phases[phase][agent] = None
         if phase is Phase.RESTING:
             agent.rest = self._returns.began(agent.address, now)
 
     @property
     def taken(self) -> float:
         """The share of the places that is in use, without those where no request was seen or none will be."""
-        used = sum(len(self._phases[phase]) for phase in (Phase.OPEN, Phase.RESTING, Phase.HEAD, Phase.BODY))
+        used = sum(len(self.phases[phase]) for phase in (Phase.OPEN, Phase.RESTING, Phase.HEAD, Phase.BODY))
         return used / self.connections.capacity
 
     def keeps(self, agent: UserAgent) -> bool:
@@ -656,7 +679,7 @@
         """
         now, peeks = self.clock.now(), 0
         for phase in (Phase.CLOSING, Phase.SILENT, Phase.RESTING):
-            for agent in self._phases[phase]:
+            for agent in self.phases[phase]:
                 if now - agent.since < phase.grace_ms or peeks >= PEEKS:
                     break
                 if not agent.connected:
@@ -666,7 +689,7 @@
                     return True
         for phase in (Phase.HEAD, Phase.BODY):
             # Of those who are sending a request, the one that has been still longest; who gets on stays.
-            still = min(self._phases[phase], key=lambda agent: agent.heard_at, default=None)
+            still = min(self.phases[phase], key=lambda agent: agent.heard_at, default=None)
             if still is not None and now - still.heard_at >= phase.grace_ms and self._gives_way(still):
                 return True
         return False
@@ -683,13 +706,13 @@
     def close_idle(self, unasked: bool) -> None:
         """Close what is between requests; ``unasked``: also who has not asked anything yet."""
         for phase in (Phase.RESTING, Phase.SILENT) if unasked else (Phase.RESTING,):
-            for agent in list(self._phases[phase]):
+            for agent in list(self.phases[phase]):
                 if not agent.begun and not agent.unread():
                     agent.close()
 
     def gauges(self) -> dict[str, int]:
         """The size of every table here."""
-        phases = {f"agents_{phase.name.lower()}": len(agents) for phase, agents in self._phases.items()}
+        phases = {f"agents_{phase.name.lower()}": len(agents) for phase, agents in self.phases.items()}
         return {
             "user_agents_now": len(self.connections),
             "bytes_held": self.budget.held,
@@ -699,7 +722,7 @@
 
     def _end_rests(self, now: float) -> None:
         """Close the rests whose place is worth more to others, the oldest first."""
-        resting = self._phases[Phase.RESTING]
+        resting = self.phases[Phase.RESTING]
         self._returns.refresh([agent.rest for agent in resting if agent.rest is not None], now)
         for agent in list(resting):
             if price(taken := self.taken) <= 0.0:
@@ -711,13 +734,13 @@
 
     def _sweep(self) -> None:
         now = self.clock.now()
-        for phase, agents in self._phases.items():
+        for phase, agents in self.phases.items():
             for agent in list(islice(agents, 64)):
                 if now - agent.since < phase.limit_ms:
                     break
                 if phase is Phase.CLOSING or not agent.unread():
                     agent.leave(overdue=True)
-        slow = [*self._phases[Phase.HEAD], *self._phases[Phase.BODY], *self.receiving]
+        slow = [*self.phases[Phase.HEAD], *self.phases[Phase.BODY], *self.receiving]
         for agent in slow:
             if agent.late(now) and not agent.unread():
                 agent.leave(overdue=True)
--- a/tests/test_net_parts.py
+++ b/tests/test_net_parts.py
@@ -131,7 +131,7 @@
     def served(self, reply: Reply) -> None:
         self.answers.append("served")
 
-    def unavailable(self, retry_after_ms: float) -> None:
+    def unavailable(self, retry_after_ms: float, over_quota: bool = False) -> None:
         self.answers.append("unavailable")
 
     def failed(self, why: Failure) -> None:
