Test the seam on a real proxy with a fleet side of its own

The seam's promises (a refusal at once that leaves the connection and what is admitted alone, one place of counting, calls that read query and body, what the host tells) had no test. A launcher under tests/ passes a fleet side; the door's own tests run against it as well.

--- /dev/null
+++ b/tests/fleet_side.py
@@ -0,0 +1,89 @@
+"""A proxy with a fleet side that does as its requests and door calls say; run as a program by the tests.
+
+A request's ``X-Quota``: milliseconds to refuse it with, or ``broken``. The door's ``/control/fleet``: GET
+tells what is here as JSON, PUT does what ``do`` says (``names``: to withhold), POST gives its body back.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import sys
+from collections.abc import Callable
+from dataclasses import asdict
+from functools import partial
+
+from lupinlink.commands.told import told_off
+from lupinlink.coordination.part import Answer, Ask, DoorCalls
+from lupinlink.net.proxy import Call
+from lupinlink.net.seam import Host, Refusal
+from lupinlink.net.service import serve
+from lupinlink.settings import SettingsError, load_config
+
+
+class Side:
+    """FleetSide of the seam."""
+
+    def __init__(self) -> None:
+        self._host: Host | None = None
+        self._asked: list[str] = []
+        self._settled: list[str] = []
+
+    def started(self, host: Host) -> None:
+        self._host = host
+
+    def stopping(self) -> None:
+        assert self._host is not None
+        print(f"msg=stopping-told ends_soon={self._host.ends_soon}", file=sys.stderr, flush=True)
+
+    def calls(self) -> DoorCalls:
+        return {"/control/fleet": {"GET": self._tell, "PUT": self._act, "POST": self._echo}}
+
+    def admits(self, call: Call) -> Refusal | None:
+        self._asked.append(call.identity)
+        quota = next((value for name, value in call.headers if name == "X-Quota"), None)
+        if quota == "broken":
+            raise RuntimeError("the quota's fault")
+        return Refusal(float(quota)) if quota is not None else None
+
+    @property
+    def settled(self) -> Callable[[Call], None]:
+        return lambda call: self._settled.append(f"{call.identity} {call.address}")
+
+    def _tell(self, ask: Ask) -> Answer:
+        host = self._host
+        assert host is not None
+        told = {
+            **asdict(host.gauges()), "name": host.name, "stand": host.stand.value, "drained": host.drained,
+            "ready": host.ready, "ends_soon": host.ends_soon, "uses": dict(host.use()),
+            "servers": host.servers(), "asked": self._asked, "settled": self._settled,
+        }  # fmt: skip
+        return Answer(200, json.dumps(told))
+
+    def _act(self, ask: Ask) -> Answer:
+        host = self._host
+        assert host is not None
+        what = ask.query.get("do", "")
+        if what == "drain":
+            host.drain()
+        elif what == "in-service":
+            return Answer(200 if host.in_service() else 409, "in service\n")
+        elif what == "end":
+            host.end()
+        elif what == "withhold":
+            host.withhold(frozenset(ask.query["names"].split()))
+        else:
+            return Answer(422, f"do: {what!r} is none of drain, in-service, end, withhold")
+        return Answer(202, f"{what}\n")
+
+    def _echo(self, ask: Ask) -> Answer:
+        return Answer(200, f"{len(ask.body)} {ask.body[-1:].decode()} {dict(ask.query)}\n")
+
+
+if __name__ == "__main__":
+    try:
+        sys.exit(
+            serve(load_config(os.environ, None), partial(load_config, os.environ, None, again=True), Side())
+        )
+    except SettingsError as exc:
+        sys.exit(told_off(exc))
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -1,4 +1,4 @@
-"""The shared helper of the process tests: the real program, and what stands around it on loopback."""
+"""The shared helper of the process tests: the real program, between peers of its own."""
 
 from __future__ import annotations
 
@@ -15,19 +15,31 @@
 import time
 import unittest
 from collections import deque
-from collections.abc import Callable
 from contextlib import suppress
 from itertools import count
 from pathlib import Path
 from typing import Any, ClassVar
 
 from lupinlink.settings import VARIABLES
-
+from tests.peers import (
+    BROKEN_BYTES,
+    NEVER_RAN,
+    OK,
+    WAIT,
+    ApplicationServer,
+    Discovery,
+    Peer,
+    chunk,
+    listing,
+    read_request,
+    row,
+)  # fmt: skip
+
+__all__ = [
+    "BROKEN_BYTES", "NEVER_RAN", "OK", "WAIT", "ApplicationServer", "Discovery", "Peer", "Stage", "chunk",
+    "listing", "read_request", "row",
+]  # fmt: skip
 ROOT = Path(__file__).resolve().parent.parent
-WAIT = 10.0  # so long may anything take before a test gives up on it
-OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
-NEVER_RAN = b"HTTP/1.1 503 No\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n"
-BROKEN_BYTES = b"\x00\xffnothing of HTTP\r\n\r\n"
 SETTINGS: dict[str, Any] = {
     "Classes": [
         {"Name": "look", "AimMs": 400.0, "HardLimitMs": 2000.0, "Effect": "pure"},
@@ -41,121 +53,10 @@
 }  # fmt: skip
 
 
-class Peer:
-    """A listening socket with a thread for each connection; ``ends`` gets a token as each one ends."""
-
-    def __init__(self) -> None:
-        self.listener = socket.create_server(("127.0.0.1", 0))
-        self.port: int = self.listener.getsockname()[1]
-        self.ends: queue.Queue[int] = queue.Queue()
-        self.accepted = 0
-        threading.Thread(target=self._accept, daemon=True).start()
-
-    def _accept(self) -> None:
-        with suppress(OSError):
-            while True:
-                connection, _ = self.listener.accept()
-                self.accepted += 1
-                threading.Thread(target=self._serve, args=(connection, self.accepted), daemon=True).start()
-
-    def _serve(self, connection: socket.socket, number: int) -> None:
-        with suppress(OSError), connection:
-            self.talk(connection)
-        self.ends.put(number)
-
-    def talk(self, connection: socket.socket) -> None:
-        raise NotImplementedError
-
-    def close(self) -> None:
-        with suppress(OSError):
-            self.listener.shutdown(socket.SHUT_RDWR)
-        self.listener.close()
-
-
-def read_request(stream: Any) -> tuple[str, dict[str, str], bytes] | None:
-    """One request off a socket's file: first line, headers, body."""
-    line = stream.readline().decode().strip()
-    if not line:
-        return None
-    headers = {k.lower(): v for k, v in http.client.parse_headers(stream).items()}
-    if headers.get("transfer-encoding") != "chunked":
-        length = int(headers.get("content-length", 0))
-        body = stream.read(length)
-        return (line, headers, body) if len(body) == length else None
-    pieces = []  # joined once: adding 32 MB up piece by piece takes seconds where memory is slow
-    while size := int(stream.readline().strip() or b"0", 16):
-        pieces.append(stream.read(size))
-        stream.readline()
-    stream.readline()
-    return line, headers, b"".join(pieces)
-
-
-class ApplicationServer(Peer):
-    """Answers as told: bytes are sent, None is silence, b"" or what says close ends the connection."""
-
-    def __init__(self, answer: bytes | None = OK) -> None:
-        self.answer: Callable[[dict[str, str]], bytes | None] = lambda headers: answer
-        self.seen: queue.Queue[tuple[str, dict[str, str], bytes]] = queue.Queue()
-        self.met: queue.Queue[ApplicationServer] = queue.Queue()  # may be shared by several
-        super().__init__()
-
-    def talk(self, connection: socket.socket) -> None:
-        stream = connection.makefile("rb")
-        while (request := read_request(stream)) is not None:
-            answer = self.answer(request[1])
-            self.seen.put(request)
-            self.met.put(self)
-            if answer is not None:
-                connection.sendall(answer)
-                if not answer or b": close\r" in answer:
-                    return
-
-
-class Discovery(Peer):
-    """Holds watches open; ``asked`` tells of each call, ``list`` is the whole list (None: silence)."""
-
-    def __init__(self) -> None:
-        self.list: dict[str, Any] | None = None
-        self.asked: queue.Queue[str] = queue.Queue()
-        self.watches: queue.Queue[socket.socket] = queue.Queue()
-        super().__init__()
-
-    def talk(self, connection: socket.socket) -> None:
-        stream = connection.makefile("rb")
-        request = read_request(stream)
-        while request is not None and "watch" not in request[0]:
-            self.asked.put(request[0])
-            if self.list is not None:
-                body = json.dumps(self.list).encode()
-                connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
-            request = read_request(stream)
-        if request is None:
-            return
-        connection.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
-        self.watches.put(connection)
-        self.asked.put(request[0])
-        connection.recv(1)  # until the proxy ends it
-
-    def watch(self) -> socket.socket:
-        return self.watches.get(timeout=WAIT)
-
-
-def chunk(text: str) -> bytes:
-    return f"{len(text):x}\r\n{text}\r\n".encode()
-
-
-def listing(rev: int, full: bool, *rows: dict[str, Any]) -> dict[str, Any]:
-    return {"rev": rev, "all": full, "targets": list(rows)}
-
-
-def row(uid: str, server: Peer, state: str = "in_service", **more: Any) -> dict[str, Any]:
-    return {"uid": uid, "endpoint": f"127.0.0.1:{server.port}", "az": "a", "model": "m", "pod_group": 0,
-            "state": state, "capacity_hint": 1.0, "boot_ms": 0, **more}  # fmt: skip
-
-
 class Stage(unittest.TestCase):
     """A test with the real program running between peers of its own."""
 
+    module: ClassVar[str] = "lupinlink"  # what is run
     settings: ClassVar[dict[str, Any]] = {}
     limits: ClassVar[dict[str, Any]] = {"cores": 1.0, "memory_mb": 192, "sockets": 1024}
 
@@ -182,7 +83,7 @@
         file.write_text(config if isinstance(config, str) else json.dumps(config))
         kept = {n: v for n, v in os.environ.items() if n not in VARIABLES}
         process = subprocess.Popen(
-            [sys.executable, "-m", "lupinlink", *words],
+            [sys.executable, "-m", self.module, *words],
             cwd=ROOT, env={**kept, "LB_CONFIG": str(file), **(env or {})},
             stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True,
         )  # fmt: skip
