Let the seam withhold servers through the farm

Need: the farm is split and withholds by itself. Change: the host calls it; the states come from net/lists. Measured: mypy and ruff pass, tests/test_seam.py and test_net_parts.py 24 passed.

--- a/lupinlink/net/hosting.py
+++ b/lupinlink/net/hosting.py
@@ -4,14 +4,15 @@
 
 import logging
 from collections.abc import Callable, Mapping
-from typing import NamedTuple, Protocol, cast
+from typing import NamedTuple
 from urllib.parse import parse_qsl
 
 from lupinlink.coordination.part import Ask, DoorCall
 from lupinlink.net.application_servers import ApplicationServers
 from lupinlink.net.counters import Counters
-from lupinlink.net.farm import STATES, Farm
+from lupinlink.net.farm import Farm
 from lupinlink.net.lifecycle import Lifecycle, Stand
+from lupinlink.net.lists import STATES
 from lupinlink.net.management import Call as ManagementCall
 from lupinlink.net.management import WrongAskError
 from lupinlink.net.proxy import Call, Proxy
@@ -35,12 +36,6 @@
     end: Callable[[], None]
 
 
-class Withholds(Protocol):
-    """Takes application servers out of use."""
-
-    def withhold(self, names: frozenset[str]) -> None: ...
-
-
 class Reports:
     """The use that each application server last reported; what is old is forgotten."""
 
@@ -205,4 +200,4 @@
 
     def withhold(self, names: frozenset[str]) -> None:
         """These are out of use, and no others."""
-        cast(Withholds, self._farm).withhold(names)
+        self._farm.withhold(names)
