Split the decision module into a package by concern, with the same actions

The shared gain of served and failed answers is one constant, and groups, salts and spent tokens are kept by the bookkeeping.

--- /dev/null
+++ b/lupinlink/brain/balancer.py
@@ -0,0 +1,132 @@
+"""What becomes of each request: admitted, sent, tried again, called off or turned away."""
+
+from lupinlink.brain.choice import LATENCY, OVERDUE_GAIN
+from lupinlink.brain.health import MAX_EJECTED
+from lupinlink.brain.learning import Learning
+from lupinlink.brain.repeats import may_follow, may_refuse
+from lupinlink.interface import Attempt, Cancel, Effect, Fail, Outcome, Refuse, Request, Server, Status
+
+RETRY_RATIO, RETRY_BURST = 0.2, 20.0  # retry budget: tokens for each arrival, and their most
+OVERDUE_DEVS, OVERDUE_LEAST = 2.0, 0.5  # later than so many deviations, and so many aims, is news
+OVERDUE_AGAIN, LOST_DEVS, SILENT_MOST = 1.5, 20.0, 3  # so many times the age again; lost beyond; it hangs
+PARK_MS, ANSWER_MARGIN_MS = 50.0, 15.0  # a request with no server looks again; answered this long before end
+RETRY_AFTER = 0.5  # advice to a refused client in aims, drawn from half of it on: no common return
+BACKOFF_MS, FIRST_ASK = 500.0, 0.75  # wait after a failed call to discovery; first call, of what is allowed
+
+
+class Balancer(Learning):
+    """One node's decisions: takes events, returns actions. Clock and random source are the caller's."""
+
+    retry_tokens, backoff = RETRY_BURST / 2, BACKOFF_MS
+
+    def started(self, now: float) -> None:
+        """Phases are drawn: nodes started together must not revise, or call discovery, in step."""
+        self.period.start = now
+        self.after(self.rng.uniform(0.2, 1.0) * self.span, self.end_period)
+        if self.settings.subscribe:
+            spread = min(BACKOFF_MS * max(2, self.settings.peers / 8), FIRST_ASK * self.settings.must_ask_ms)
+            self.after(self.rng.uniform(1, spread), self.subscribe)
+
+    def list_news(self, failed: bool, now: float) -> None:
+        self.split.due_at = now  # a drain must act on the very next pick
+        self.backoff = min(self.backoff * 2.0, self.settings.must_ask_ms / 2.0) if failed else BACKOFF_MS
+        if failed:  # asked again with growing, jittered waits: no storm of calls
+            self.after(self.backoff * self.rng.uniform(0.25, 0.75), self.subscribe)
+
+    def listed(self, server: Server) -> None:
+        """A new process: the first token is drawn, so that the nodes do not all meet it cold at once."""
+        server.tokens = self.rng.random()
+
+    def arrived(self, request: Request, now: float) -> None:
+        if not self.in_time(request, now):  # nor is it counted: however many come, they say nothing of load
+            return self.finish(request)
+        self.period.arrivals += 1
+        self.period.returned += request.arrival.is_retry
+        self.retry_tokens = min(RETRY_BURST, self.retry_tokens + RETRY_RATIO)
+        self.probe_some()
+        if now >= self.split.due_at:
+            self.look_ahead(now)
+        bucket = self.order.bucket(request.arrival, self.rng)
+        if self.admission.refusing and self.rng.random() >= self.order.admit[bucket]:
+            self.period.refused += 1
+            return self.finish(request)
+        self.dispatch(request, now)
+
+    def may_send(self, request: Request, server: Server, now: float) -> bool:
+        """The guard of the four rules for every send: one answer, one effect, drains, cold servers."""
+        spent = now >= request.arrival.deadline or len(request.attempts) >= self.settings.max_attempts
+        if request.done or spent or not server.ready:
+            return False
+        for a in request.attempts:  # no second copies: they cost more than they save (docs/design.md)
+            spent = spent or a.status is None or not may_follow(a, request.cls, server.row, now)
+        return not spent and self.slow_start.allows(server, now)
+
+    def finish(self, request: Request, refuse: bool = True) -> None:
+        """The one final answer: a refusal where that is wanted and harmless, else a failure."""
+        name, harmless = request.arrival.request_id, refuse and may_refuse(request)
+        wait = min(self.settings.max_retry_after_ms, RETRY_AFTER * request.cls.aim_ms)
+        self.actions.append(Refuse(name, wait * self.rng.uniform(0.5, 1.0)) if harmless else Fail(name))
+        self.close(request)
+
+    def dispatch(self, request: Request, now: float) -> None:
+        """Send an attempt where one fits, else park or answer."""
+        if request.done:
+            return
+        used = [a.server for a in request.attempts]
+
+        def fits(server: Server) -> bool:
+            out = now < server.ejected_until or (server.trial and server.out > 0)
+            return not out and server not in used and self.may_send(request, server, now)
+
+        server = self.split.pick(now, self, request.arrival.key, fits)
+        if server is not None:
+            # The time-out is the client's own: a failure told at that instant is the final answer in time.
+            attempt = self.start_attempt(request, server, request.arrival.deadline - now, now)
+            stats = self.latency[request.arrival.class_index]
+            late = max(stats.mean + OVERDUE_DEVS * stats.dev, OVERDUE_LEAST * request.cls.aim_ms)
+            late = min(late, request.cls.aim_ms)  # where answers are quick, a pause of this node is no hang
+            self.after(late, lambda t: self.overdue(request, attempt, t, 1))
+        elif now + PARK_MS < min(request.arrival.deadline - ANSWER_MARGIN_MS, request.aim_at):
+            self.after(PARK_MS, lambda t: self.dispatch(request, t))
+        else:
+            self.finish(request)
+
+    def overdue(self, request: Request, attempt: Attempt, now: float, first: int = 0) -> None:
+        """Danger: a jammed server answers late and so reports late; the age of what it holds is evidence."""
+        if attempt.status is not None:
+            return
+        server, age, stats = attempt.server, now - attempt.sent_at, self.latency[request.arrival.class_index]
+        self.split.observe(server, age / stats.mean, LATENCY, OVERDUE_GAIN, now)
+        self.after((OVERDUE_AGAIN - 1.0) * age, lambda t: self.overdue(request, attempt, t))
+        # Danger: a server that hangs eats what it is sent; where it answers others, one connection is silent.
+        quiet = server.heard_at < attempt.sent_at
+        server.silent += first * quiet
+        hangs = quiet and (server.silent >= SILENT_MOST or (server.trial and not first))
+        if hangs:
+            self.health.eject(server, now, MAX_EJECTED * self.ready)
+        if hangs or age > stats.mean + LOST_DEVS * stats.dev:
+            elsewhere = any(may_follow(attempt, request.cls, s.row, now) for s in self.untried(request, now))
+            if elsewhere and self.settings.may_cancel and self.again(request, now):
+                self.actions.append(Cancel(request.arrival.request_id, len(request.attempts) - 1))
+
+    def ended(self, request: Request, attempt: Attempt, event: Outcome, now: float) -> None:
+        self.evidence(request, attempt, event, now)
+        if request.done:
+            return
+        if event.status == Status.REJECTED:  # no server will take it
+            return self.finish(request, refuse=False)
+        cost = event.status not in (Status.UNREACHABLE, Status.NOT_SENT)  # those have cost no server anything
+        final = request.cls.effect == Effect.UNSAFE and attempt.may_have_run()
+        if final or not self.again(request, now, cost):
+            return self.finish(request)
+        self.retry_tokens -= cost
+        self.dispatch(request, now)
+
+    def again(self, request: Request, now: float, cost: bool = True) -> bool:
+        """Whether another attempt can still be useful and the budget lasts: retries must make no storm."""
+        return self.retry_tokens >= cost and self.in_time(request, now)
+
+    def in_time(self, request: Request, now: float) -> bool:
+        """Whether an answer may still come before the client has gone."""
+        usual = self.latency[request.arrival.class_index].mean
+        return request.arrival.deadline - now >= ANSWER_MARGIN_MS + usual / 2
--- /dev/null
+++ b/lupinlink/brain/choice.py
@@ -0,0 +1,113 @@
+"""Which server a request is sent to: the split, by what is known of the servers."""
+
+import math
+from bisect import bisect_right
+from collections.abc import Callable, Iterable
+from itertools import accumulate
+from random import Random
+
+from lupinlink.brain.health import SlowStart
+from lupinlink.interface import Server, Settings
+from lupinlink.node import Node
+from lupinlink.spread.aperture import Aperture
+from lupinlink.spread.keys import Homes
+
+LATENCY, REPORT = 0, 1  # sources of a load figure
+SHARPNESS, TRUST_GAIN, TRUST_MIN = 1.8, 0.01, 0.1  # power of the known load, cut to what it foretold so far
+FADE_MS = 4000.0  # a figure this old counts for 1/e of itself: the share fades to even
+TABLE_MS, TABLE_MIN_MS = 200.0, 20.0  # weights are drawn up anew this often, or this soon after trouble
+REPORT_GAIN, LATENCY_GAIN, OVERDUE_GAIN = 0.6, 0.3, 0.5  # reports count all nodes', a latency much chance
+SIZE_RATE, KIND_RATE, SIZE_MAX = 0.04, 0.3, 1.5  # share a second of a log load taken for size; bound
+LOAD_MAX = 3.0  # bound on a log load: no figure, however absurd, rules a server in or out for good
+LEVEL_GAIN, GROUP_GAIN = 0.02, 0.05  # of one figure for the usual of all, and of its group
+OWN_SHARPNESS, PICK_TRIES = 4.0, 8  # power of this node's own requests in flight over size; most draws
+GOLDEN = 0.6180339887498949  # step of draws: turns come evenly spread
+PRICE_SCALE = 30.0  # log weight lost for each point of the crossing price, while the own zone is at ease
+
+
+class Split:
+    """Random choice of a server, weighted against its last known load, fading to even with age."""
+
+    def __init__(self, settings: Settings, slow_start: SlowStart, rng: Random) -> None:
+        self.settings, self.slow_start, self.rng, self.draw = settings, slow_start, rng, rng.random()
+        self.levels: dict[tuple[int, int], float] = {}  # usual log figure: of zones' latencies, of reports
+        self.table, self.weights, self.sums = list[Server](), list[float](), list[float]()
+        self.due_at, self.spill, self.cov, self.var, self.trust = -math.inf, 0.0, 0.05, 0.1, 0.5
+        self.homes, self.aperture = Homes(settings.peers), Aperture(settings.rank, settings.peers)
+
+    def observe(self, server: Server, figure: float, source: int, gain: float, now: float) -> None:
+        """Take a load figure; what counts is its log over the usual one, so that any unit serves."""
+        if not 0.0 < figure < math.inf:
+            return  # NaN and absurd reports must not poison the weights
+        # A crossing's way there and back is no load: latencies are held against the usual one of their zone.
+        level = (source, server.row.zone if source == LATENCY else -1)
+        group, raw = server.group, math.log(figure) - self.levels.get(level, 0.0)
+        raw -= (server.size + group.size) * (source == REPORT)  # held requests say more of a small server
+        load = min(max(raw, -LOAD_MAX), LOAD_MAX)
+        self.levels[level] = self.levels.get(level, 0.0) + LEVEL_GAIN * load
+        if source == LATENCY and gain <= LATENCY_GAIN:  # what the last known load foretold of this answer
+            known = server.load * self.fade(server, now)
+            self.cov += TRUST_GAIN * (known * load - self.cov)
+            self.var += TRUST_GAIN * (known * known - self.var)
+        if gain == OVERDUE_GAIN:  # trouble must not wait for the next table
+            self.due_at = min(self.due_at, now + TABLE_MIN_MS)
+        if source == LATENCY:  # lasting differences of latency are differences of size
+            for item, rate in ((server, SIZE_RATE), (group, KIND_RATE)):  # by time, not by traffic
+                step = rate * load * min((now - item.sized_at) / 1000.0, 2.0)
+                item.size = min(max(item.size - step, -SIZE_MAX), SIZE_MAX)
+                item.sized_at = now
+        prior = group.load + (server.load - group.load) * self.fade(server, now)
+        server.load, server.known_at = prior + gain * (load - prior), now
+        group.count += gain > 0.0
+        group.load += min(gain, max(GROUP_GAIN, 1.0 / (group.count + 1))) * (load - group.load)
+
+    def fade(self, server: Server, now: float) -> float:
+        return min(1.0, math.exp((server.known_at - now) / FADE_MS))
+
+    def size(self, server: Server) -> float:
+        return server.row.size_hint * math.exp(server.size + server.group.size)
+
+    def weight(self, server: Server, now: float) -> float:
+        """The aged figure: a server not heard of fades to the usual load of its zone and kind."""
+        usual = server.group.load
+        log = -SHARPNESS * self.trust * (usual + (server.load - usual) * self.fade(server, now))
+        if server.row.zone != self.settings.zone:
+            log -= PRICE_SCALE * self.settings.cross_zone_price * (1.0 - self.spill)
+        sound = (1.0 - server.failing) ** 2
+        return math.exp(log) * sound * self.slow_start.warmth(server, now) * self.size(server) + 1e-9
+
+    def pick(self, now: float, node: Node, key: str, fits: Callable[[Server], bool]) -> Server | None:
+        """One weighted draw in O(log n), or by the request's key; a scan only when few servers fit."""
+        if now >= self.due_at:
+            listed, usable = list(node.servers.values()), [s.usable(now) for s in node.servers.values()]
+            self.table = [listed[i] for i in self.aperture.near([s.salt for s in listed], usable)]
+            self.weights = [self.weight(s, now) for s in self.table]
+            self.sums = list(accumulate(self.weights))
+            self.due_at = now + TABLE_MS
+            self.trust = min(max(self.cov / self.var, TRUST_MIN), 1.0)
+        crowd, last = 1.0 + node.in_flight / max(1, len(self.table)), None
+        for server in self.drawn(key if self.settings.warm_keys else ""):
+            if fits(server):
+                # This node's own requests in flight are load known at once: draw again in proportion.
+                share = crowd / (1.0 + server.out / self.size(server))
+                if last is None or share > last[0]:
+                    last = (share, server)
+                if self.rng.random() < share**OWN_SHARPNESS:
+                    return server
+        if last is not None:
+            return last[1]
+        warm = (s for s in node.servers.values() if self.slow_start.warmth(s, now) >= 1.0)
+        rest = [s for s in self.table if fits(s)] or [s for s in warm if fits(s)]
+        return self.rng.choices(rest, [self.weight(s, now) for s in rest])[0] if rest else None
+
+    def drawn(self, key: str) -> Iterable[Server]:
+        """Servers at random by their weights. With a key the key's hash is the chance: as long as weights
+        hold, it meets the same few servers, and at every node, where its data are warm (spread/keys.py)."""
+        if key:
+            salts = [s.salt for s in self.table]
+            for i in self.homes.order(key, salts, self.weights, PICK_TRIES, self.rng.random()):
+                yield self.table[i]
+            return
+        for _ in range(PICK_TRIES if self.table else 0):
+            self.draw = (self.draw + GOLDEN) % 1.0
+            yield self.table[bisect_right(self.sums, self.draw * self.sums[-1], 0, len(self.sums) - 1)]
--- /dev/null
+++ b/lupinlink/brain/health.py
@@ -0,0 +1,62 @@
+"""Which servers are fit for work: how much a cold one may have, and who is left out."""
+
+from random import Random
+
+from lupinlink.brain.admission import AT_EASE
+from lupinlink.interface import Server, Settings
+
+AT_EASE_STEP, TIGHT_STEP = 1.04, 0.96  # a cold server at ease gets so much more, another so much less
+EJECT_AT, OVER_FLEET = 0.5, 3.0  # failing share to be ejected, and over the fleet's: all fail, none is out
+EJECT_MS, EJECT_MAX_MS, MAX_EJECTED = 2000.0, 16000.0, 0.4  # doubled each time in a row; share at a time
+RETURN_LOAD = 1.5  # a returning server is taken for this loaded (log), fading: it returns gently
+
+
+class SlowStart:
+    """Keeps all nodes together under what a server that has just started can do."""
+
+    def __init__(self, settings: Settings) -> None:
+        self.share, self.span, self.crowd = settings.cold_share, settings.cold_ms, max(1, settings.peers / 2)
+        self.per_server = 0.0  # this node's even share a server and millisecond
+
+    def warmth(self, server: Server, now: float) -> float:
+        """The least share of its full capacity that the server has by now."""
+        age = now - server.row.started_ms
+        if server.row.started_ms <= 0.0 or age >= self.span or self.span <= 0.0:
+            return 1.0
+        return min(1.0, server.boost * (self.share + (1.0 - self.share) * max(0.0, age) / self.span))
+
+    def report(self, server: Server, busy: float) -> None:
+        """A cold server at ease may be given more; of many nodes each one sees few of its reports."""
+        server.boost = max(1.0, server.boost * (AT_EASE_STEP if busy < AT_EASE else TIGHT_STEP) ** self.crowd)
+
+    def allows(self, server: Server, now: float) -> bool:
+        """Danger: cold servers falling over when nodes that cannot see each other all try them at once."""
+        warmth = self.warmth(server, now)
+        earned = (now - server.tokens_at) * self.per_server * warmth
+        server.tokens, server.tokens_at = min(1.0, server.tokens + earned), now
+        return warmth >= 1.0 or server.tokens >= 1.0
+
+
+class Health:
+    """Outlier ejection by failures, with a cap; the way back is the fading of a bad figure."""
+
+    def __init__(self, rng: Random) -> None:
+        self.rng, self.fleet, self.ejected = rng, 0.0, list[Server]()
+
+    def record(self, server: Server, gain: float, failed: bool, now: float, ready: int) -> None:
+        server.failing += gain * (failed - server.failing)
+        self.fleet += 0.02 * (failed - self.fleet)
+        server.ejections *= server.failing >= 0.05
+        server.trial = server.trial and failed
+        if failed and server.failing >= max(EJECT_AT, min(0.9, OVER_FLEET * self.fleet)):
+            self.eject(server, now, MAX_EJECTED * ready)
+
+    def eject(self, server: Server, now: float, most: float) -> None:
+        """Leave it out for a while, doubled each time in a row; it comes back on trial."""
+        self.ejected = [s for s in self.ejected if s.ejected_until > now]
+        if server in self.ejected or len(self.ejected) + 1 > most:
+            return
+        span = min(EJECT_MS * 2.0**server.ejections, EJECT_MAX_MS) * self.rng.uniform(0.75, 1.25)
+        self.ejected.append(server)
+        server.ejected_until, server.ejections, server.trial = now + span, server.ejections + 1, True
+        server.load, server.known_at = max(server.load, RETURN_LOAD), now + span
--- /dev/null
+++ b/lupinlink/brain/learning.py
@@ -0,0 +1,135 @@
+"""What a node makes of what it sees: its servers' load and health, and period by period the admission."""
+
+import math
+from random import Random
+
+from lupinlink import interface as api
+from lupinlink.brain.admission import SEED_X, Admission, SheddingOrder
+from lupinlink.brain.choice import FADE_MS, LATENCY, LATENCY_GAIN, OVERDUE_GAIN, REPORT, REPORT_GAIN, Split
+from lupinlink.brain.health import Health, SlowStart
+from lupinlink.interface import Attempt, LatencyStats, Period, Request, Server, Status
+from lupinlink.node import Node
+
+PERIOD_MS, PERIOD_JITTER = 1000.0, 0.25  # T, under the paper's 3 s: bursts end by then; nodes never in step
+PERIOD_AIMS, MOST_DELAY = 2.5, 2.0  # in aims: T is no longer, quick work is judged sooner; later is late
+MIN_SAMPLES, LEAST_PERIOD, MAX_PERIODS = 8, 0.5, 3  # fewer served say little: it goes on, up to so many T
+RETURN_SHARE, STATS_GAIN = 0.5, 0.02  # refused held to return, if unmarked; of one latency for its class
+OUTLIER, ABSENT_MOST = 1.1, 3  # log load whose delays tell of no other; not reached in a row: nobody there
+SPILL_FROM, SPILL_SPAN = 0.9, 0.8  # the own zone's preference ends over this span of delay over target
+PROBE_MOST, PROBE_DRAWS = 2.0, 4  # probes an arrival if unheard of; the longest so of those drawn
+FULL_FIGURE, FULL_DELAY = 4.0, 1.5  # turned away by a full server: latency over usual, and delay in aims
+HEALTH_GAIN, TIMEOUT_GAIN = 0.2, 0.3  # one broken answer or connection says little of the next
+
+
+class Learning(Node):
+    """Learns from each piece of news and, period by period, revises the admission."""
+
+    def __init__(self, settings: api.Settings, rng: Random) -> None:
+        super().__init__(settings, rng)
+        self.latency = [LatencyStats(c.aim_ms * SEED_X, c.aim_ms * SEED_X) for c in settings.classes]
+        late = sum(c.late_worth for c in settings.classes) / len(settings.classes)
+        self.admission = Admission(settings.peers, late, settings.warm_keys)
+        self.order, self.health, self.slow_start = SheddingOrder(settings), Health(rng), SlowStart(settings)
+        self.split, self.period, self.probe_tokens = Split(settings, self.slow_start, rng), Period(0.0), 0.0
+        self.probes = settings.may_probe and settings.reports_in_probes and not settings.reports_in_answers
+        self.span = min(PERIOD_MS, PERIOD_AIMS * min(c.aim_ms for c in settings.classes))
+
+    def capacity(self, now: float) -> float:
+        """Servers that take work, a cold one by its warmth."""
+        return sum(self.slow_start.warmth(s, now) for s in self.servers.values() if s.usable(now))
+
+    def look_ahead(self, now: float) -> None:
+        """Fewer servers may be left: refuse from now on what they cannot bear, the delay tells too late."""
+        admission, share = self.admission, self.admission.foresight.look(self.capacity(now))
+        if share < admission.admit:
+            admission.admit, admission.refusing, admission.delta = share, True, 0.0
+            self.begin_period(now)
+
+    def begin_period(self, now: float) -> None:
+        """From here on by the admission as it stands."""
+        self.order.revise(self.admission.admit, max(now - self.period.start, 1.0) / 1000.0, self.latency)
+        self.period = Period(now)
+
+    def end_period(self, now: float) -> None:
+        self.after(self.span * self.rng.uniform(1.0 - PERIOD_JITTER, 1.0 + PERIOD_JITTER), self.end_period)
+        period, seconds = self.period, max(now - self.period.start, 1.0) / 1000.0
+        if seconds * 1000.0 < (MAX_PERIODS if 0 < period.count < MIN_SAMPLES else LEAST_PERIOD) * self.span:
+            return
+        fresh = float(period.arrivals - period.returned)
+        if not self.settings.clients_mark_retries:  # refused clients who return are not new load
+            fresh = max(period.arrivals - RETURN_SHARE * period.refused, 0.5 * period.arrivals)
+        busy = period.busy_sum / period.busy_count if period.busy_count >= MIN_SAMPLES else None
+        through = min(1.0, period.held / max(1, period.arrivals))
+        rate, delay = fresh / seconds, self.delay(period, seconds, now)
+        self.admission.revise(rate, delay, self.capacity(now), busy, through)
+        even = period.arrivals / seconds / 1000.0 / max(1, len(self.split.table))
+        self.slow_start.per_server += 0.5 * (even - self.slow_start.per_server)
+        over = (self.admission.delay / self.admission.target - SPILL_FROM) / SPILL_SPAN
+        self.split.spill = min(max(over, 0.0), 1.0)
+        self.begin_period(now)
+
+    def delay(self, period: Period, seconds: float, now: float) -> float | None:
+        """Mean delay in aims: of the served and, by a latency's share in the period, of those out (Little).
+
+        Danger: where answers take as long as a period, the served ones tell of the admission before last.
+        """
+        out = [(now - a.sent_at, r.cls.aim_ms) for r, a in self.outstanding() if a.server.load < OUTLIER]
+        if not period.count:
+            oldest = max((age / aim for age, aim in out), default=0.0)  # a single slow request is no jam
+            return oldest if len(out) >= MIN_SAMPLES and oldest > self.admission.target else None
+        served, span = period.delay_sum / period.count, seconds * 1000.0
+        # Danger: full servers turn away at once. Counted as passing through, they make a jam look quick.
+        held = max(1, period.held)
+        little = sum(1.0 / aim for _, aim in out) * span / held
+        return served + min(1.0, period.latency_sum / held / span) * (little - served)
+
+    def evidence(self, request: Request, attempt: Attempt, event: api.Outcome, now: float) -> None:
+        """What an outcome says of the server and, for d, of all; quick errors say nothing of load."""
+        server, status, aim = attempt.server, event.status, request.cls.aim_ms
+        stats, delay = self.latency[request.arrival.class_index], (now - attempt.sent_at) / aim
+        self.report(server, event.report, now)
+        if status == Status.TIMEOUT and now - attempt.sent_at < stats.mean:
+            return  # its client's patience was short, which says nothing of the server
+        load = status == Status.TIMEOUT and server.heard_at >= attempt.sent_at  # it answers others: no fault
+        if status in (Status.OK, Status.ERROR, Status.OVERLOADED, Status.REJECTED):
+            server.heard_at, server.silent, server.absent = now, 0, 0
+        if status == Status.OK:
+            gain = 0.0 if self.settings.reports_in_answers else LATENCY_GAIN
+            self.split.observe(server, delay * aim / stats.mean, LATENCY, gain, now)
+            stats.add(delay * aim, STATS_GAIN)
+        elif status == Status.OVERLOADED:
+            self.split.observe(server, FULL_FIGURE, LATENCY, OVERDUE_GAIN, now)
+            delay = FULL_DELAY
+        if not load and status not in (Status.OVERLOADED, Status.CANCELLED, Status.NOT_SENT, Status.REJECTED):
+            gain = TIMEOUT_GAIN if status == Status.TIMEOUT else HEALTH_GAIN
+            self.health.record(server, gain, status != Status.OK, now, self.ready)
+        if status == Status.UNREACHABLE:
+            server.absent += 1
+            if server.absent >= ABSENT_MOST:  # nothing is there: however many, none of them is to be tried
+                self.health.eject(server, now, math.inf)
+        if (load or status in (Status.OK, Status.OVERLOADED)) and server.load < OUTLIER:
+            # One bad server must not shed traffic that others could carry, nor one long wait outweigh many.
+            delay = min(delay, MOST_DELAY)
+            self.period.add(delay, delay * aim, status != Status.OVERLOADED)
+
+    def report(self, server: Server, report: dict[str, float] | None, now: float) -> None:
+        if report and "utilization" in report:
+            self.slow_start.report(server, report["utilization"])
+            self.period.report(report["utilization"])
+        for name in ("in_flight", "queued", "latency_ms", "utilization"):
+            if report and name in report:
+                return self.split.observe(server, 1.0 + report[name], REPORT, REPORT_GAIN, now)
+
+    def probe_some(self) -> None:
+        """Where reports come by probe only, make up for what this node's own requests do not show."""
+        self.probe_tokens += PROBE_MOST / (1.0 + self.slow_start.per_server * FADE_MS) ** 2
+        if self.probes and self.split.table and self.probe_tokens >= 1.0:
+            self.probe_tokens = 0.0
+            drawn = self.rng.choices(self.split.table, cum_weights=self.split.sums, k=PROBE_DRAWS)
+            self.actions.append(api.Probe(min(drawn, key=lambda s: s.known_at).row.name))
+
+    def probed(self, server: Server, event: api.ProbeResult, now: float) -> None:
+        if event.status == Status.OK:
+            self.report(server, event.report, now)
+        elif event.status == Status.TIMEOUT:
+            self.split.observe(server, FULL_FIGURE, LATENCY, OVERDUE_GAIN, now)
--- a/lupinlink/lab/variants.py
+++ b/lupinlink/lab/variants.py
@@ -12,7 +12,10 @@
 
 from lupinlink import adapter
 from lupinlink import interface as api
-from lupinlink.brain import Admission, Balancer, Health, Split
+from lupinlink.brain import Balancer
+from lupinlink.brain.admission import Admission
+from lupinlink.brain.choice import Split
+from lupinlink.brain.health import Health
 from lupinlink.interface import Server
 from lupinlink.node import Node
 
--- a/lupinlink/node.py
+++ b/lupinlink/node.py
@@ -7,6 +7,7 @@
 
 from lupinlink import interface as api
 from lupinlink.interface import Attempt, EndpointState, Group, MembershipKind, Request, Server
+from lupinlink.spread.keys import salt
 
 
 class Node:
@@ -16,6 +17,7 @@
         self.settings, self.rng = settings, rng
         self.servers: dict[str, Server] = {}
         self.open: dict[str, Request] = {}
+        self.groups: dict[tuple[int, int], Group] = {}  # by zone and kind
         self.ready = 0
         self.in_flight = 0
         self.actions: list[api.Action] = []
@@ -84,11 +86,17 @@
         """The attempts that are out."""
         return [(r, a) for r in self.open.values() for a in r.attempts if a.status is None]
 
+    def untried(self, request: Request, now: float) -> list[Server]:
+        """The usable servers that the request has not been sent to, by name: a restart makes none new."""
+        used = {a.server.row.name for a in request.attempts}
+        return [s for name, s in self.servers.items() if name not in used and s.usable(now)]
+
     def start_attempt(self, request: Request, server: Server, timeout_ms: float, now: float) -> Attempt:
         """Record and emit a send."""
         attempt = Attempt(server, now)
         request.attempts.append(attempt)
         server.out += 1
+        server.tokens -= 1.0
         self.in_flight += 1
         self.actions.append(api.Send(request.arrival.request_id, server.row.name, timeout_ms))
         return attempt
@@ -144,7 +152,9 @@
             known = self.servers.get(row.name)
             if known is None or row.started_ms > known.row.started_ms:
                 # After a restart nothing learnt of the old process holds.
-                known = self.servers[row.name] = Server(row, now, Group(now))
+                group = self.groups.setdefault((row.zone, row.kind), Group(now))
+                known = Server(row, now, group, tokens_at=now, salt=salt(row.name))
+                self.servers[row.name] = known
                 self.listed(known)
             known.row, known.ready = row, row.state == EndpointState.READY
         if event.kind != MembershipKind.FAILED:
--- a/lupinlink/spread/keys.py
+++ b/lupinlink/spread/keys.py
@@ -25,6 +25,11 @@
 )
 
 
+def salt(name: str) -> int:
+    """The 32 bits by which all proxies alike mix a server of that name with keys."""
+    return crc32(name.encode()) * HASH_MULTIPLIER & 0xFFFFFFFF
+
+
 class Homes:
     """Counts keys as they arrive at one proxy; holds at most ``2 * REMEMBERED`` of them."""
 
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -6,7 +6,17 @@
 
 import pytest
 
-from lupinlink.brain import DRAIN, FLOOR, LATE_TARGET, RISE, SEED_X, TARGET, THETA, Admission, SheddingOrder
+from lupinlink.brain.admission import (
+    DRAIN,
+    FLOOR,
+    LATE_TARGET,
+    RISE,
+    SEED_X,
+    TARGET,
+    THETA,
+    Admission,
+    SheddingOrder,
+)
 from lupinlink.interface import Arrival, Effect, LatencyStats, Period, RequestClass, Settings, Status, Tenant
 from tests.helpers import SAFE, Stand, sends
 
--- /dev/null
+++ b/tests/test_ci_files.py
@@ -0,0 +1,49 @@
+"""The check on files in .ci: what it lets pass, and each fault by its line."""
+
+from __future__ import annotations
+
+import importlib.util
+from types import ModuleType
+
+import pytest
+
+from tests.stage import ROOT
+
+
+def load() -> ModuleType:
+    spec = importlib.util.spec_from_file_location("ci_files", ROOT / ".ci" / "files.py")
+    assert spec is not None and spec.loader is not None
+    module = importlib.util.module_from_spec(spec)
+    spec.loader.exec_module(module)
+    return module
+
+
+CHECK = load()
+
+
+@pytest.mark.parametrize(
+    "lines, listed, said",
+    [
+        (250, None, ""),
+        (251, None, "a.py has 251 lines, 250 at most: split it by concern"),
+        (300, 300, ""),
+        (301, 300, "a.py grew from 300 to 301 lines: a file over 250 may only shrink"),
+        (299, 300, "a.py has shrunk to 299 lines: put 299 for 300 in .ci/large-files"),
+        (250, 300, "a.py is no longer over 250 lines: take it out of .ci/large-files"),
+        (None, 300, "a.py is no longer over 250 lines: take it out of .ci/large-files"),
+    ],
+)
+def test_a_long_file_may_only_shrink(lines: int | None, listed: int | None, said: str) -> None:
+    counts, known = ({} if n is None else {"a.py": n} for n in (lines, listed))
+    assert CHECK.ratchet_faults(counts, known) == ([said] if said else [])
+
+
+def test_the_policy_is_whole_and_within_its_lines_and_columns() -> None:
+    half = "x\n \n" * 250
+    assert CHECK.policy_faults({"a.py": half, "b.py": half}, {"a.py", "b.py"}) == []
+    (unnamed,) = CHECK.policy_faults({"a.py": half}, {"a.py", "b.py"})
+    assert unnamed == "b.py is not named under policy in deploy/balancer.toml"
+    (long,) = CHECK.policy_faults({"a.py": half, "b.py": half + "x"}, {"a.py", "b.py"})
+    assert long == "the policy files have 501 lines that are not blank, 500 at most"
+    (wide,) = CHECK.policy_faults({"a.py": "\n" + "é" * 111}, {"a.py"})
+    assert wide == "a.py:2 has 111 columns, 110 at most"
--- a/tests/test_foresight.py
+++ b/tests/test_foresight.py
@@ -6,7 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lupinlink.brain import TABLE_MS
+from lupinlink.brain.choice import TABLE_MS
 from lupinlink.interface import Arrival, Endpoint, EndpointState, Refuse, Settings, Status
 from lupinlink.limits.foresight import BEARS, COLD_KEYS, LAG_GAIN, LEAST, Foresight
 from tests.helpers import SAFE, Stand, sends
--- a/tests/test_lab_model.py
+++ b/tests/test_lab_model.py
@@ -8,6 +8,7 @@
 import sys
 import unittest
 from collections.abc import Callable
+from random import Random
 from typing import Any
 
 import numpy as np
@@ -271,8 +272,9 @@
             return all(a.status is not None for a in request.attempts) and server.ready
         return super().may_send(request, server, now)
 
-    def may_refuse(self, request: api.Request) -> bool:
-        return self.sin == "refuse" or super().may_refuse(request)
+    def finish(self, request: api.Request, refuse: bool = True) -> None:
+        request.attempts = [] if self.sin == "refuse" else request.attempts  # forgets what may have run
+        super().finish(request, refuse)
 
 
 class SinfulProxy(Proxy):
@@ -280,8 +282,6 @@
 
     def __init__(self, settings: Any, seed: int, *rest: Any) -> None:
         super().__init__(settings, seed, *rest)
-        from random import Random
-
         self._module = Sinner(settings, Random(seed))
 
     def _pass_ended(self, end: Any, handle: int, *rest: Any) -> None:
--- /dev/null
+++ b/tests/test_same_actions.py
@@ -0,0 +1,65 @@
+"""The module's actions for seeded streams of events: a change of form must not change them."""
+
+import hashlib
+from heapq import heappop, heappush
+from random import Random
+
+from lupinlink import interface as api
+from lupinlink.adapter import encode
+from lupinlink.interface import Endpoint, EndpointState, MembershipKind, Settings, Status, Tenant
+from tests.helpers import KEYED, SAFE, UNSAFE, Stand
+
+# Who means to change actions puts the new one here and says so in the commit.
+DIGEST = "f34b3dd47f9d1dc5ee8c4104cce73b948b5457d1fc49137c886aff21e5f23485"
+
+
+def played(seed: int, requests: int) -> list[str]:
+    """The actions for requests at a farm of twenty that fails in all ways, on the simulator's wire."""
+    rng, odd, asked, due = Random(seed), seed % 2 == 1, 0.0, list[tuple[float, float, api.Event]]()
+    told = Settings(
+        (SAFE, UNSAFE, KEYED), (Tenant(5.0), Tenant(60.0)), peers=4, rank=seed % 4, max_attempts=3,
+        over_quota_worth=0.2, cross_zone_price=0.05, max_retry_after_ms=900.0, subscribe=True, may_probe=True,
+        reports_in_probes=True, reports_in_answers=not odd, may_cancel=seed % 3 > 0, warm_keys=odd,
+        clients_mark_retries=odd, worth_by_work=odd, cold_ms=5000.0,
+    )  # fmt: skip
+    stand = Stand(told, "", seed)
+    given = list(stand.log)
+
+    def later(delay: float, event: api.Event) -> None:
+        heappush(due, (stand.now + delay, rng.random(), event))
+
+    def row(i: int) -> Endpoint:
+        state = rng.choices(list(EndpointState), (1, 6, 1))[0]
+        return Endpoint(f"s{i}", i % 2, i % 3, i % 5, state, 1.0 + i % 4, asked * (rng.random() < 0.2))
+
+    for i in range(requests):
+        asked += rng.expovariate(0.2 if i // 400 % 2 else 0.04) + 3000.0 * (i % 500 == 499)
+        end, key = asked + rng.choice((60.0, 900.0, 2500.0)), f"k{int(rng.paretovariate(1.0))}"
+        later(asked, api.Arrival(f"r{i}", i % 3, rng.randrange(-1, 3), end, rng.random() < 0.1, key))
+        if i % 40 == 0:
+            kind = MembershipKind((3, 2, 0)[rng.randrange(3)])
+            later(asked, api.Membership(kind, [row(n) for n in range(0, 20, 5 if kind == 3 else 1) if kind]))
+            later(asked + 200.0, api.ClientGone(f"r{i}"))
+    while due and (asked > stand.now or stand.node.open):
+        for action in given:
+            took = rng.expovariate(1.0 / (30.0 + 10.0 * stand.node.in_flight))
+            load = {"utilization": stand.node.in_flight / 40.0, "queued": took / 9.0 - 1.1}
+            status = rng.choices(list(Status), (80, 2, 6, 4, 4, 2, 0, 1, 1))[0]
+            if isinstance(action, api.SetTimer):
+                later(action.delay_ms, api.TimerFired(action.token))
+            elif isinstance(action, api.Probe):
+                later(9.0, api.ProbeResult(action.endpoint, status, 9.0, load))
+            elif isinstance(action, api.Send):
+                name, server = action.request_id, action.endpoint
+                status = Status.UNREACHABLE if server == "s7" else status
+                took, status = min((took, status), (action.timeout_ms, Status.TIMEOUT))
+                number = len(stand.node.open[name].attempts) - 1
+                later(took, api.Outcome(name, status, took, number, status == Status.OK, server, load))
+        stand.now, _, event = heappop(due)
+        given = stand.give(event)
+    return [encode("n", action) for action in stand.log]
+
+
+def test_the_actions_are_those_of_the_digest() -> None:
+    lines = [line for seed in range(4) for line in played(seed, 900)]
+    assert hashlib.sha256("\n".join(lines).encode()).hexdigest() == DIGEST
--- a/tests/test_split.py
+++ b/tests/test_split.py
@@ -8,7 +8,8 @@
 
 import pytest
 
-from lupinlink.brain import FADE_MS, LATENCY, REPORT, SlowStart, Split
+from lupinlink.brain.choice import FADE_MS, LATENCY, REPORT, Split
+from lupinlink.brain.health import SlowStart
 from lupinlink.interface import Endpoint, Group, Server, Settings
 from lupinlink.node import Node
 from tests.helpers import SAFE, Stand
--- a/tests/test_told.py
+++ b/tests/test_told.py
@@ -9,7 +9,7 @@
 import unittest
 from typing import Any, ClassVar
 
-from lupinlink.brain import SlowStart
+from lupinlink.brain.health import SlowStart
 from lupinlink.interface import Endpoint, Group, MembershipKind, Server, Settings, Subscribe
 from lupinlink.net.lists import MAX_LIST, ListError, Objects
 from tests import test_reload
