--- a/lupinlink/net/application_servers.py
+++ b/lupinlink/net/application_servers.py
@@ -18,8 +18,8 @@
 from lupinlink.net import http1
 from lupinlink.net.bodies import SMALL_BYTES, Body, Flow
 from lupinlink.net.counters import Counters
-from lupinlink.net.proxy import Call, PassEnd, Reply
 from lupinlink.net.slots import Slots
+from lupinlink.net.terms import Call, PassEnd, Reply
 from lupinlink.net.typed import READ_BYTES, Connector, Reactor, Transport
 from lupinlink.net.wheel import Clockwork, Timer
 from lupinlink.settings import SOCKET_FIELDS, Settings
--- a/lupinlink/net/hosting.py
+++ b/lupinlink/net/hosting.py
@@ -15,8 +15,9 @@
 from lupinlink.net.lists import STATES
 from lupinlink.net.management import Call as ManagementCall
 from lupinlink.net.management import WrongAskError
-from lupinlink.net.proxy import Call, Proxy
+from lupinlink.net.proxy import Proxy
 from lupinlink.net.seam import FleetSide, Gauges, Listed
+from lupinlink.net.terms import Call
 from lupinlink.net.typed import Reactor
 from lupinlink.net.user_agents import Phase, UserAgents
 from lupinlink.net.wheel import Clockwork
--- a/lupinlink/net/seam.py
+++ b/lupinlink/net/seam.py
@@ -13,7 +13,7 @@
 if TYPE_CHECKING:
     from lupinlink.coordination.part import DoorCalls
     from lupinlink.net.lifecycle import Stand
-    from lupinlink.net.proxy import Call
+    from lupinlink.net.terms import Call
     from lupinlink.net.typed import Reactor
     from lupinlink.net.wheel import Clockwork
     from lupinlink.settings import Settings
--- a/lupinlink/net/user_agents.py
+++ b/lupinlink/net/user_agents.py
@@ -28,8 +28,9 @@
 from lupinlink.net.counters import Counters
 from lupinlink.net.farm import Farm
 from lupinlink.net.lifecycle import Lifecycle
-from lupinlink.net.proxy import Call, Failure, Proxy, Reply
+from lupinlink.net.proxy import Proxy
 from lupinlink.net.slots import Slots
+from lupinlink.net.terms import Call, Failure, Reply
 from lupinlink.net.typed import READ_BYTES, Port, Transport, unsent
 from lupinlink.net.wheel import Clockwork
 from lupinlink.settings import Effect, Settings
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -23,13 +23,12 @@
 print(*sorted(others & {n.split(".")[0] for n in sys.modules}))
 """
 PLAIN = (
-    "brain brain.admission brain.balancer brain.choice brain.health brain.learning brain.repeats "
-    "cli clock commands commands.serve commands.told interface limits limits.foresight "
+    "brain cli clock commands commands.serve commands.told interface limits limits.foresight "
     "limits.progress limits.returns "
     "lupinlink net net.application_servers net.bodies net.counters net.deadlines net.farm net.handover "
     "net.handover.channel net.handover.messages net.handover.room net.handover.upgrade net.http1 "
-    "net.lifecycle net.log net.management net.proxy net.service net.slots net.typed net.user_agents "
-    "net.wheel node records settings spread spread.aperture spread.keys"
+    "net.lifecycle net.log net.management net.open_requests net.proxy net.service net.slots net.terms "
+    "net.typed net.user_agents net.wheel node settings spread spread.aperture spread.keys"
 )
 
 
