Split the user agents' side: phases, peer, answers, requests, calls, places, accepting

As a package, a connection is built in three layers (how it stands and ends, its answers, its requests) that see the crowd through a small protocol; who has a place and who gives way is a table of its own beside the listener.

--- a/lupinlink/net/bodies.py
+++ b/lupinlink/net/bodies.py
@@ -144,10 +144,10 @@
     """An answer that is passed on as it comes: from a pass to a user agent, which may hold it back.
 
     ``length``: of the whole body, where it is known. The pass gives ``pause``, ``resume`` and ``stop``; the
-    user agent's side sets ``data``, ``ended`` and ``broken``.
+    user agent's side sets ``data``, ``ended`` and ``broken``, and counts in ``passed`` what it wrote.
     """
 
-    __slots__ = ("broken", "data", "ended", "length", "pause", "resume", "stop")
+    __slots__ = ("broken", "data", "ended", "length", "passed", "pause", "resume", "stop")
 
     def __init__(
         self,
@@ -157,6 +157,7 @@
         stop: Callable[[], None],
     ) -> None:
         self.length, self.pause, self.resume, self.stop = length, pause, resume, stop
+        self.passed = 0
         self.data: Callable[[bytes], None] = lambda data: None
         self.ended: Callable[[], None] = lambda: None
         self.broken: Callable[[], None] = lambda: None
--- /dev/null
+++ b/lupinlink/net/user_agents/accepting.py
@@ -0,0 +1,189 @@
+"""The listener, and which connections of user agents are taken and kept."""
+
+from __future__ import annotations
+
+import math
+import select
+import socket
+from typing import cast
+
+from twisted.internet.protocol import ServerFactory
+from twisted.internet.tcp import Port as TcpPort
+
+from lupinlink.net import http1
+from lupinlink.net.bodies import Budget
+from lupinlink.net.counters import Counters
+from lupinlink.net.farm import Farm
+from lupinlink.net.lifecycle import Lifecycle
+from lupinlink.net.proxy import Proxy
+from lupinlink.net.typed import Port
+from lupinlink.net.user_agents.calls import CallReader
+from lupinlink.net.user_agents.peer import Peer
+from lupinlink.net.user_agents.phases import Phase
+from lupinlink.net.user_agents.places import Places
+from lupinlink.net.user_agents.requests import UserAgent
+from lupinlink.net.wheel import Clockwork
+from lupinlink.settings import Settings
+
+SWEEP_MS = 50.0
+HELD_SHARE = 0.25  # of the memory beyond the program's own: bodies on their way in, all together
+ACCEPTS = 16  # connections accepted a turn, where there is room for them
+
+
+def waiting(port: Port) -> bool:
+    """Whether connections wait in the kernel's queue of a listener, asked without waiting."""
+    return bool(select.select([port.fileno()], [], [], 0.0)[0])
+
+
+class Listener(TcpPort):
+    """The clients' address. A successor may hold the same socket, so its end here never shuts it down.
+
+    Accepts no more connections a turn than there is room for, so that the cap stops it in time.
+
+    Twisted takes a whole burst in one turn; those beyond the cap would have to be closed unread, and
+    a request that was already written to one of them would be lost.
+    """
+
+    _shouldShutdown = False  # noqa: N815
+
+    @classmethod
+    def on(cls, listening: socket.socket, agents: UserAgents, reactor: object) -> Listener:
+        """A listener on a socket that listens already."""
+        made = cls._fromListeningDescriptor(  # type: ignore[no-untyped-call]
+            reactor, listening.fileno(), listening.family, agents
+        )
+        return cast(Listener, made)
+
+    def share(self) -> None:
+        """Where no socket can be handed over, a second process may bind the same address."""
+        self._reusePort = True
+
+    def doRead(self) -> None:  # noqa: N802
+        agents = cast(UserAgents, self.factory)
+        # Kept here: Twisted sets its own figure anew while it reads, to what it has just accepted.
+        most = self.numberAccepts = max(1, min(ACCEPTS, agents.room))
+        before = agents.counters["user_agents"]
+        super().doRead()  # type: ignore[no-untyped-call]
+        if agents.unwatched_since is None:
+            return
+        if agents.counters["user_agents"] - before < most or not waiting(self):
+            agents.watched()  # the kernel's queue is empty: what comes from now on is read as it comes
+
+
+class UserAgents(ServerFactory):
+    """The listener: it holds every connection of user agents under one cap."""
+
+    noisy = False
+
+    def __init__(
+        self,
+        proxy: Proxy,
+        farm: Farm,
+        clock: Clockwork,
+        settings: Settings,
+        lifecycle: Lifecycle,
+        cap: int,
+        spare_mb: float,
+        counters: Counters,
+    ) -> None:
+        self.proxy, self.clock, self.counters = proxy, clock, counters
+        self._farm, self._lifecycle = farm, lifecycle
+        self.port: Port | None = None
+        self.crowded = False  # full of busy connections: the listener is not read
+        # Since when connections may have queued unread: None while the listener is read as they come; -inf
+        # at the start, for a front may hold connections for this address from before this process was there.
+        self.unwatched_since: float | None = -math.inf
+        self.budget = Budget(0)  # for all bodies on their way in
+        self.read = CallReader(settings, self.budget).read
+        places = self._places = Places(cap, clock, counters)
+        self.connections, self.phases, self.enter = places.connections, places.phases, places.enter
+        self.flowing, self.receiving = places.flowing, places.receiving
+        self.resize(cap, spare_mb)
+        clock.after(SWEEP_MS, self._sweep)
+
+    @property
+    def ready(self) -> bool:
+        """Whether a front should send user agents here."""
+        return self._lifecycle.up(self._farm.ready)
+
+    @property
+    def room(self) -> int:
+        """How many more connections the cap allows."""
+        return self.connections.capacity - len(self.connections)
+
+    def keeps(self, agent: Peer) -> bool:
+        """Whether a connection that has its answer stays.
+
+        While others wait in the kernel's queue, a kept connection would leave them there for good.
+        """
+        if not self._lifecycle.keeps() or self.crowded:
+            return False
+        stays = self._places.worth_keeping(agent)
+        self.counters["given_up_answered"] += not stays
+        return stays
+
+    def buildProtocol(self, addr: object) -> UserAgent | None:
+        if self.connections.full and not self._places.make_room():
+            self.counters["connections_over_cap"] += 1
+            return None
+        agent = UserAgent(self)
+        agent.address = getattr(addr, "host", "")
+        if self.unwatched_since is not None:
+            agent.held_ms = self.clock.now() - self.unwatched_since
+        agent.handle = self.connections.add(agent)
+        self.enter(agent, Phase.SILENT)
+        self.counters["user_agents"] += 1
+        if self.connections.full and not self._places.make_room():
+            # The rest waits in the kernel's queue until there is room, instead of being turned away.
+            self.crowded = True
+            self.listen()
+        return agent
+
+    def lost(self, agent: Peer) -> None:
+        """A connection has ended."""
+        self._places.forget(agent)
+        self._uncrowd()
+
+    def _uncrowd(self) -> None:
+        if self.crowded and not self.connections.full:
+            self.crowded = False
+            self.listen()
+
+    def listen(self) -> None:
+        """Read the listener or leave it, as the service's state and the room here have it."""
+        if self.port is not None:
+            if self._lifecycle.accepts() and not self.crowded:
+                self.port.startReading()
+                if self.unwatched_since is not None and not waiting(self.port):
+                    self.unwatched_since = None  # nobody queued meanwhile
+            else:
+                self.port.stopReading()
+                if self.unwatched_since is None:
+                    self.unwatched_since = self.clock.now()
+
+    def watched(self) -> None:
+        """The listener has been read empty: connections from now on are taken as they come."""
+        if self.port is not None and self._lifecycle.accepts() and not self.crowded:
+            self.unwatched_since = None
+
+    def resize(self, cap: int, spare_mb: float) -> None:
+        """Have room for so many connections; whoever is beyond it stays until it goes."""
+        self.connections.capacity = cap
+        self.budget.most = max(2 * http1.MAX_BODY, int(spare_mb * HELD_SHARE * 1024.0 * 1024.0))
+        self.crowded = self.connections.full
+        self.listen()
+
+    def close_idle(self, unasked: bool) -> None:
+        """Close what is between requests; ``unasked``: also who has not asked anything yet."""
+        self._places.close_idle(unasked)
+
+    def gauges(self) -> dict[str, int]:
+        """The size of every table here."""
+        return {**self._places.gauges(), "bytes_held": self.budget.held}
+
+    def _sweep(self) -> None:
+        # Without a listener nobody wants a place here, and a close may cross a request.
+        self._places.sweep(rests=self._lifecycle.accepts())
+        if self.crowded and self._places.make_room():
+            self._uncrowd()
+        self.clock.after(SWEEP_MS, self._sweep)
--- /dev/null
+++ b/lupinlink/net/user_agents/calls.py
@@ -0,0 +1,55 @@
+"""A request's head in the terms of the decisions. No I/O."""
+
+from __future__ import annotations
+
+from lupinlink.net import http1
+from lupinlink.net.bodies import Body, Budget
+from lupinlink.net.terms import Call
+from lupinlink.settings import Effect, Settings
+
+PASSED = {"x-trace-id", "idempotency-key"}
+
+
+class CallReader:
+    """Knows the classes and tenants by name."""
+
+    def __init__(self, settings: Settings, budget: Budget) -> None:
+        self._settings, self._budget = settings, budget
+        self._classes = {c.name: i for i, c in enumerate(settings.classes)}
+        self._tenants = {t.name: i for i, t in enumerate(settings.tenants)}
+
+    def read(self, message: http1.Message, path: str) -> Call:
+        """A request in the terms of the decisions; raises MessageError for what cannot be put so."""
+        if message.method not in ("GET", "HEAD", "POST"):
+            raise http1.MessageError(405, "method not allowed")
+        parts = path.split("/")
+        index = self._classes.get(parts[1])
+        if index is None:
+            raise http1.MessageError(404, "unknown class")
+        cls = self._settings.classes[index]
+        # Given twice, an id says nothing: application servers may take either, and drop no repeat by it.
+        trace, key = message.get("x-trace-id"), message.get("idempotency-key")
+        if not trace or "," in trace:
+            raise http1.MessageError(400, "no X-Trace-Id")
+        if (cls.effect == Effect.KEYED and not key) or "," in (key or ""):
+            raise http1.MessageError(400, "no Idempotency-Key")
+        text = message.get("x-expires-in-ms")
+        expires = cls.deadline_ms
+        if text is not None:
+            if not text.isascii() or not text.isdigit() or len(text) > 9 or int(text) == 0:
+                raise http1.MessageError(400, "malformed X-Expires-In-Ms")
+            expires = min(float(text), expires)
+        # A connection's own headers, and what it names as such, end here; the two ids always pass.
+        own = (http1.HOP_BY_HOP | message.options()) - PASSED
+        return Call(
+            trace,
+            index,
+            self._tenants.get(message.get("x-customer") or "", -1) if self._tenants else 0,
+            expires,
+            message.get("x-second-try") == "1",
+            message.method,
+            message.target,
+            [(n, v) for n, v in message.headers if n.lower() not in own],
+            Body(self._budget, None),
+            parts[-1] if len(parts) > 2 else "",
+        )
--- /dev/null
+++ b/lupinlink/net/user_agents/peer.py
@@ -0,0 +1,193 @@
+"""A user agent's connection as such: whether it gets on, what of it is read, and how it ends."""
+
+from __future__ import annotations
+
+import fcntl
+import math
+import socket
+import sys
+import termios
+from contextlib import suppress
+from dataclasses import dataclass
+from typing import Protocol
+
+from twisted.internet.protocol import Protocol as Connection
+
+from lupinlink.limits.progress import FIRST_HEAD_MS, HEAD_MS, Progress
+from lupinlink.limits.returns import Rest
+from lupinlink.net import http1
+from lupinlink.net.bodies import Budget
+from lupinlink.net.counters import Counters
+from lupinlink.net.proxy import Proxy
+from lupinlink.net.terms import Call
+from lupinlink.net.typed import READ_BYTES, Transport, unsent
+from lupinlink.net.user_agents.phases import Phase
+from lupinlink.net.wheel import Clockwork
+
+UNREAD_MS = 20000.0  # so long may a user agent read nothing of an answer that is passed on to it
+
+
+@dataclass(slots=True)
+class Intake:
+    """A request whose body is on its way."""
+
+    call: Call
+    progress: Progress
+
+
+class Crowd(Protocol):
+    """What holds all connections, as one of them sees it."""
+
+    proxy: Proxy
+    clock: Clockwork
+    counters: Counters
+    budget: Budget  # for all bodies on their way in
+    flowing: dict[Peer, None]  # answers are being passed on to these
+    receiving: dict[Peer, None]  # their requests are with the decisions before their end
+
+    @property
+    def ready(self) -> bool:
+        """Whether a front should send user agents here."""
+
+    def read(self, message: http1.Message, path: str) -> Call:
+        """A request in the terms of the decisions; raises MessageError for what cannot be put so."""
+
+    def enter(self, agent: Peer, phase: Phase | None, anew: bool = False) -> None:
+        """A connection's phase begins, or begins ``anew``; None: it has ended."""
+
+    def keeps(self, agent: Peer) -> bool:
+        """Whether a connection that has its answer stays."""
+
+    def lost(self, agent: Peer) -> None:
+        """A connection has ended."""
+
+
+class Peer(Connection):
+    """One connection, whatever is said on it."""
+
+    transport: Transport  # type: ignore[assignment]
+
+    def __init__(self, agents: Crowd) -> None:
+        self._agents = agents
+        self._parser = http1.RequestParser(http1.MAX_MESSAGE)
+        self._intake: Intake | None = None
+        self._deaf = self._choked = False
+        self._unread: set[str] = set()  # why it is not read
+        self._left = math.inf  # bytes still to be read by a peer that is to go, at the last look
+        self.choked_at = 0.0
+        self.phase: Phase | None = None
+        self.since = 0.0  # when the phase began
+        self.made_at = self.heard_at = agents.clock.now()
+        self.asked = False  # a whole request was here
+        self.address = ""
+        self.rest: Rest | None = None  # while it stands between two requests
+        self.handle = 0
+        self.held_ms = 0.0  # how long its first request may have waited unread; inf: not known
+
+    def to_go(self) -> tuple[int, int]:
+        """Bytes still to go of a long answer or of a body that comes, and how many of both do not tell."""
+        raise NotImplementedError
+
+    def _drop_all(self) -> None:
+        """Nothing more is taken or passed on here."""
+        raise NotImplementedError
+
+    def connectionMade(self) -> None:
+        self.transport.setTcpNoDelay(True)
+        self.transport.bufferSize = READ_BYTES
+        self.transport.registerProducer(self, True)
+
+    def unread(self) -> bool:
+        """Whether something has come that was not read yet."""
+        with suppress(OSError, AttributeError):
+            return bool(self.transport.getHandle().recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+        return False
+
+    @property
+    def begun(self) -> bool:
+        """Whether a part of a request is here."""
+        return self._parser.begun()
+
+    def stuck(self, now: float) -> bool:
+        """Whether it does not read the answer that is passed on to it."""
+        return self._choked and now - self.choked_at > UNREAD_MS
+
+    @property
+    def choked(self) -> bool:
+        """Whether it does not read at the moment."""
+        return self._choked
+
+    def late(self, now: float) -> bool:
+        """Whether the request that it is sending does not get on."""
+        if self._intake is not None:
+            return self._intake.progress.overdue(now)
+        return now - self.since > HEAD_MS if self.asked else now - self.made_at > FIRST_HEAD_MS
+
+    def leave(self, overdue: bool) -> None:
+        """Its time is up, or others need the room."""
+        if self.phase is Phase.CLOSING and overdue:
+            # Closing at once would take what a slow reader has still to read along.
+            before, self._left = self._left, self._still_to_read()
+            if not 0 < self._left < before:
+                self.transport.abortConnection()
+            else:
+                self._agents.enter(self, Phase.CLOSING, anew=True)
+        elif self.phase is Phase.CLOSING:
+            # No reset, which could overtake the answer: our side has ended already, now the other does.
+            self.transport.loseConnection()
+        elif self._parser.begun():
+            self.reject(408, "request did not arrive")
+        else:
+            self.close()
+
+    def abort(self) -> None:
+        """End it at once."""
+        self.transport.abortConnection()
+
+    def _still_to_read(self) -> float:
+        with suppress(OSError, AttributeError):
+            waiting = fcntl.ioctl(self.transport.getHandle(), termios.TIOCOUTQ, b"\0" * 4)
+            return float(int.from_bytes(waiting, sys.byteorder) + unsent(self.transport))
+        return 0.0
+
+    def close(self) -> None:
+        """Close once all is written; the sweep aborts what does not get there."""
+        self._deaf = True
+        self._agents.enter(self, Phase.CLOSING)
+        self.transport.unregisterProducer()
+        self.transport.loseConnection()
+
+    def reject(self, status: int, why: str) -> None:
+        """Answer what is no proper request, and take nothing more from this connection."""
+        self._agents.counters[f"rejected_{status}"] += 1
+        text = [("Content-Type", "text/plain")]
+        self.transport.write(http1.answer(status, text, f"{why}\n".encode(), close=True))
+        self._hang_up()
+
+    def _hang_up(self) -> None:
+        """Take nothing more; the answer that was written goes out.
+
+        Only our side ends: closing at once would reset the connection under a body that is still coming,
+        and the answer with it.
+        """
+        self._deaf = True
+        self._agents.enter(self, Phase.CLOSING)
+        self._parser = http1.RequestParser()  # what it held is dropped
+        self._drop_all()
+        self.transport.unregisterProducer()
+        self._unread.clear()
+        self.transport.resumeProducing()
+        self.transport.loseWriteConnection()
+
+    def _read_on(self, why: str, on: bool) -> None:
+        """Read it, or leave it unread for that reason until ``on``."""
+        before = bool(self._unread)
+        if on:
+            self._unread.discard(why)
+        else:
+            self._unread.add(why)
+        if before != bool(self._unread):
+            if self._unread:
+                self.transport.pauseProducing()
+            else:
+                self.transport.resumeProducing()
--- /dev/null
+++ b/lupinlink/net/user_agents/requests.py
@@ -0,0 +1,198 @@
+"""Requests as a user agent sends them: one at a time, its body whole or as it comes, to the decisions."""
+
+from __future__ import annotations
+
+import logging
+
+from twisted.internet.protocol import connectionDone
+from twisted.python.failure import Failure as Reason
+
+from lupinlink.limits.progress import Progress
+from lupinlink.net import http1
+from lupinlink.net.terms import Call, Failure
+from lupinlink.net.user_agents.answers import Answered
+from lupinlink.net.user_agents.peer import Crowd, Intake
+from lupinlink.net.user_agents.phases import Phase
+
+log = logging.getLogger("lupinlink.net.user_agents")
+SENT_AHEAD = 8 * 1024  # bytes of further requests that may wait behind one: user agents send one at a time
+# Bytes read and dropped for the sake of a user agent that writes before it reads.
+DISCARDED = 2 * http1.MAX_MESSAGE
+
+
+class UserAgent(Answered):
+    """One connection of a user agent; one request at a time."""
+
+    def __init__(self, agents: Crowd) -> None:
+        super().__init__(agents)
+        self._advancing = self._overrun = False
+        self._discarded = 0
+
+    def dataReceived(self, data: bytes) -> None:
+        self.heard_at = self._agents.clock.now()
+        if self._deaf:
+            # What still comes behind a last answer is of no use; enough of it was read for that to be seen.
+            self._discarded += len(data)
+            if self._discarded > DISCARDED:
+                self.transport.pauseProducing()
+            return
+        self._parser.feed(data)
+        self._advance()
+
+    def connectionLost(self, reason: Reason = connectionDone) -> None:
+        self._deaf = True
+        self._agents.lost(self)
+        self._drop_all()
+
+    def _drop_all(self) -> None:
+        """Nothing more is taken or passed on here."""
+        intake, self._intake = self._intake, None
+        request, self._request = self._request, None
+        flow, self._flow = self._flow, None
+        self._agents.flowing.pop(self, None)
+        self._agents.receiving.pop(self, None)
+        owed, self._waiting = self._waiting, False
+        if owed and request is not None:
+            self._agents.proxy.gone(request)
+        if intake is not None:
+            intake.call.body.break_off()
+            intake.call.body.drop()
+        if flow is not None:
+            flow.stop()
+
+    def to_go(self) -> tuple[int, int]:
+        """Bytes still to go of a long answer or of a body that comes, and how many of both do not tell."""
+        told, untold = 0, 0
+        if self._flow is not None and self._flow.length is not None:
+            told = max(0, self._flow.length - self._flow.passed) + int(self._still_to_read())
+        elif self._flow is not None:
+            untold = 1
+        body = self._intake.call.body if self._intake is not None else None
+        if body is not None and body.length is not None:
+            told += max(0, body.length - body.end)
+        elif body is not None:
+            untold += 1
+        return told, untold
+
+    def _advance(self) -> None:
+        """Take the next request if none is open; calls from within leave the work to the outer one."""
+        if self._advancing:
+            return
+        self._advancing = True
+        try:
+            while not self._deaf and (self._intake is not None or not (self._waiting or self._choked)):
+                message = self._parser.next()
+                ahead = message is not None and len(self._parser.buffer) > SENT_AHEAD
+                if self._overrun or ahead:
+                    raise http1.MessageError(400, "too many requests sent ahead")
+                if message is None:
+                    if self._parser.head is not None:
+                        self._receive(self._parser.head)
+                    break
+                self.asked = True
+                self._agents.enter(self, Phase.OPEN, anew=self._intake is None)
+                if self._intake is None:
+                    self._take(message)
+                else:
+                    self._received(self._intake, message.body)
+        except http1.MessageError as exc:
+            self.reject(exc.status, str(exc))
+        except Exception:
+            log.exception("request failed inside")
+            self._agents.counters["internal_errors"] += 1
+            self.reject(500, Failure.INTERNAL.value)
+        finally:
+            self._advancing = False
+        if self._deaf:
+            return
+        if not self._waiting:
+            # Counted from the first byte: a peer that drips bytes must not hold its connection for ever.
+            begun = Phase.HEAD if self._intake is None else Phase.BODY
+            rests = Phase.RESTING if self.asked else Phase.SILENT
+            self._agents.enter(self, begun if self._parser.begun() else rests)
+        if self._intake is None:
+            held = (self._waiting or self._choked) and len(self._parser.buffer) > SENT_AHEAD
+            # It is told so once the request that is open has its answer.
+            self._overrun = self._overrun or held
+            self._read_on("ahead", not held)
+
+    def _take(self, message: http1.Message) -> None:
+        self._know(message)
+        path = message.target.partition("?")[0]
+        if path == "/up" and message.method in ("GET", "HEAD"):
+            ready = self._agents.ready
+            self._waiting = True
+            self._answer(200 if ready else 503, [("Content-Type", "text/plain")], b"up\n" if ready else b"")
+            return
+        call = self._read(message, path)
+        call.body.add(message.body)
+        call.body.finish()
+        self._give(call)
+
+    def _read(self, message: http1.Message, path: str) -> Call:
+        """The call, with how long it may have waited unread: only the first of a connection can have."""
+        call = self._agents.read(message, path)
+        call.address = self.address
+        call.waited_ms, self.held_ms = self.held_ms, 0.0
+        return call
+
+    def _know(self, head: http1.Message) -> None:
+        # An older user agent takes an answer for ended only when the connection is.
+        self._keep = head.version == 1 and head.keeps_open()
+        self._minor, self._only_head = head.version, head.method == "HEAD"
+
+    def _give(self, call: Call) -> None:
+        """To the decisions."""
+        self._waiting, self._request = True, None
+        request = self._agents.proxy.take(call, self)
+        if self._waiting:
+            self._request = request
+        else:
+            call.body.drop()
+
+    def _receive(self, head: http1.Message) -> None:
+        """A head is here, and a body that is not whole yet."""
+        now = self._agents.clock.now()
+        intake = self._intake
+        if intake is None:
+            self._know(head)
+            call = self._read(head, head.target.partition("?")[0])
+            call.body.length = self._parser.length
+            intake = self._intake = Intake(call, Progress(now))
+            call.body.room = lambda: self._go_on(intake)
+            if (head.get("expect") or "").lower() == "100-continue":
+                self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        body, data = intake.call.body, self._parser.drain()
+        if data:
+            intake.progress.came(len(data), now)
+            body.add(data)
+        if not self._waiting:
+            if self._agents.budget.spent:
+                raise http1.MessageError(503, "no room for this request now")
+            if body.flows:
+                self._agents.counters["bodies_flowing"] += 1
+                self.asked = True
+                self._agents.enter(self, Phase.OPEN)
+                self._agents.receiving[self] = None
+                self._give(intake.call)
+        if body.full and self._intake is not None:
+            intake.progress.hold(now)
+            self._read_on("body", False)
+
+    def _go_on(self, intake: Intake) -> None:
+        """There is room for more of the body."""
+        if self._intake is intake:
+            intake.progress.go_on(self._agents.clock.now())
+            self._read_on("body", True)
+
+    def _received(self, intake: Intake, data: bytes) -> None:
+        """The last byte of a body is here."""
+        self._intake = None
+        self._agents.receiving.pop(self, None)
+        self._read_on("body", True)
+        intake.call.body.add(data)
+        intake.call.body.finish()
+        if not self._waiting:
+            self._give(intake.call)
+        elif self._request is not None:
+            self._agents.proxy.completed(self._request)
