Split application servers: outcomes, passes, pool, sending, connection, dialling, pools

As a package, a connection is built in two layers (what goes out on it, what comes back), a pool knows only what may rest in it, and the pools are what picks a connection. The old names come from the package; the log's source stays.

--- /dev/null
+++ b/lupinlink/net/application_servers/dialling.py
@@ -0,0 +1,84 @@
+"""A connection on its way up."""
+
+from __future__ import annotations
+
+from contextlib import suppress
+
+from twisted.internet.protocol import ClientFactory
+from twisted.python.failure import Failure
+
+from lupinlink.interface import Status
+from lupinlink.net.application_servers.connection import Connection
+from lupinlink.net.application_servers.passes import Pass, Servers
+from lupinlink.net.application_servers.pool import Pool, Rested
+from lupinlink.net.terms import PassEnd
+from lupinlink.net.typed import Connector, Reactor
+from lupinlink.net.wheel import Timer
+
+
+class Dial(ClientFactory):
+    """One connection on its way up, for one pass."""
+
+    noisy = False
+
+    def __init__(self, servers: Servers, pool: Pool, proxy_pass: Pass) -> None:
+        self._servers, self._pool = servers, pool
+        self._pass: Pass | None = proxy_pass
+        self._timer: Timer | None = None
+        self._connector: Connector | None = None
+        self.handle = servers.connections.add(self)
+
+    def start(self, reactor: Reactor) -> None:
+        self._timer = self._servers.clock.after(self._servers.settings.dial_timeout_ms, self._too_slow)
+        pool = self._pool
+        # Twisted's own time-out is off: the wheel has it.
+        connector = reactor.connectTCP(pool.host, pool.port, self, timeout=None)
+        if self._timer is not None:
+            self._connector = connector
+
+    def buildProtocol(self, addr: object) -> Connection:
+        connection = Connection(self._servers, self._pool, self)
+        self._servers.connections.remove(self.handle)
+        connection.handle = self._servers.connections.add(connection)
+        return connection
+
+    def made(self, connection: Rested) -> None:
+        """It is up."""
+        self._pool.dialled()
+        proxy_pass = self._settle()
+        if proxy_pass is None:
+            connection.drop()
+        else:
+            connection.carry(proxy_pass)
+
+    def clientConnectionFailed(self, connector: Connector, reason: Failure) -> None:
+        self._servers.connections.remove(self.handle)
+        proxy_pass = self._settle()
+        if proxy_pass is not None:
+            self._servers.counters["dials_failed"] += 1
+            self._pool.dialled(reason.getErrorMessage())
+            proxy_pass.end(PassEnd(Status.UNREACHABLE))
+
+    def abandon(self) -> None:
+        """Nobody waits for it any more."""
+        self._settle()
+        if self._connector is not None:
+            with suppress(Exception):
+                self._connector.stopConnecting()
+
+    def _too_slow(self) -> None:
+        proxy_pass = self._pass
+        self.abandon()
+        if proxy_pass is not None:
+            self._servers.counters["dials_too_slow"] += 1
+            self._pool.dialled("too slow")
+            proxy_pass.end(PassEnd(Status.UNREACHABLE))
+
+    def _settle(self) -> Pass | None:
+        proxy_pass, self._pass = self._pass, None
+        if self._timer is not None:
+            self._timer.drop()
+            self._timer = None
+        if proxy_pass is not None:
+            proxy_pass.dial = None
+        return proxy_pass
--- /dev/null
+++ b/lupinlink/net/application_servers/pool.py
@@ -0,0 +1,53 @@
+"""The pool of connections to one process of an application server."""
+
+from __future__ import annotations
+
+import logging
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from lupinlink.net.application_servers.passes import Pass
+
+log = logging.getLogger("lupinlink.net.application_servers")
+
+
+class Rested(Protocol):
+    """A connection that may stand idle here."""
+
+    handle: int
+    idle_since: float
+    pool: Pool
+
+    def carry(self, proxy_pass: Pass) -> None: ...
+    def stale(self) -> bool: ...
+    def drop(self) -> None: ...
+
+
+@dataclass(slots=True, eq=False)
+class Pool:
+    """The connections to one process of an application server."""
+
+    name: str
+    host: str
+    port: int
+    started_ms: float
+    current: bool = True  # False: that process is gone, or wants nothing more
+    reached: bool = True  # whether the last connection came up; its changes are logged, not each failure
+    idle: list[Rested] = field(default_factory=list)  # the most recently used last
+
+    def dialled(self, why: str = "") -> None:
+        """A connection came up, or did not and why."""
+        if self.reached == bool(why):
+            self.reached = not why
+            what = "application server out of reach" if why else "application server in reach again"
+            log.info(what, extra={"kv": {"server": self.name, "why": why or "connected"}})
+
+    def forget(self, connection: Rested) -> None:
+        if connection in self.idle:
+            self.idle.remove(connection)
+
+    def void(self) -> None:
+        """Close what is idle; what is busy closes after its pass."""
+        self.current = False
+        while self.idle:
+            self.idle.pop().drop()
--- /dev/null
+++ b/lupinlink/net/application_servers/pools.py
@@ -0,0 +1,161 @@
+"""All pools of connections to application servers, under one cap; each pass finds its connection here."""
+
+from __future__ import annotations
+
+from twisted.internet.defer import Deferred
+
+from lupinlink.interface import Endpoint, EndpointState, Status
+from lupinlink.net import http1
+from lupinlink.net.application_servers.dialling import Dial
+from lupinlink.net.application_servers.outcomes import read_report
+from lupinlink.net.application_servers.passes import Pass
+from lupinlink.net.application_servers.pool import Pool
+from lupinlink.net.bodies import SMALL_BYTES, Body
+from lupinlink.net.counters import Counters
+from lupinlink.net.slots import Slots
+from lupinlink.net.terms import Call, PassEnd
+from lupinlink.net.typed import Reactor
+from lupinlink.net.wheel import Clockwork
+from lupinlink.settings import Settings
+
+IDLE_SHARE = 0.6  # of the application server's idle limit: a request must never meet its close half-way
+SWEEP_MS = 250.0
+PROBE_MS = 1000.0
+REPLACED = ("x-expires-in-ms", "host")
+
+
+class ApplicationServers:
+    """All pools, under one cap on connections."""
+
+    def __init__(
+        self,
+        reactor: Reactor,
+        clock: Clockwork,
+        settings: Settings,
+        cap: int,
+        counters: Counters,
+    ) -> None:
+        self.clock, self.settings, self.counters = clock, settings, counters
+        self.connections: Slots[object] = Slots(cap)
+        self._reactor = reactor
+        self._pools: dict[str, Pool] = {}
+        self._idle_ms = settings.idle_close_ms * IDLE_SHARE
+        clock.after(SWEEP_MS, self._sweep)
+
+    def resize(self, cap: int) -> None:
+        """Have room for so many connections; idle ones beyond it go at once, busy ones when they end."""
+        self.connections.capacity = cap
+        while len(self.connections) > cap and self._evict():
+            pass
+
+    def learn(self, rows: list[tuple[Endpoint, str, int]], full: bool) -> None:
+        """The farm's list: a new process under a known name, or a new address, voids the old pool."""
+        named = {row.name for row, _, _ in rows}
+        for row, host, port in rows:
+            pool = self._pools.get(row.name)
+            if pool is None or (pool.host, pool.port) != (host, port) or row.started_ms > pool.started_ms:
+                if pool is not None:
+                    pool.void()
+                pool = self._pools[row.name] = Pool(row.name, host, port, row.started_ms)
+            pool.current = row.state == EndpointState.READY
+            if not pool.current:
+                pool.void()
+            if row.state == EndpointState.GONE:
+                del self._pools[row.name]
+        for name in [n for n in self._pools if n not in named] if full else ():
+            self._pools.pop(name).void()
+
+    def start(self, server: str, call: Call, timeout_ms: float) -> Pass:
+        """Send a pass on an idle connection, or on a new one."""
+        pool = self._pools.get(server)
+        headers = [(n, v) for n, v in call.headers if n.lower() not in REPLACED]
+        host = f"{pool.host}:{pool.port}" if pool is not None else server
+        body = call.body
+        waits = timeout_ms if body.whole else call.expires_ms  # which counts from the last byte
+        headers += [("Host", host), ("X-Expires-In-Ms", str(max(1, int(waits))))]
+        length = body.end if body.whole else http1.CHUNKED if body.length is None else body.length
+        data = http1.request_head(call.method, call.target, headers, length)
+        whole = body.whole and body.end <= SMALL_BYTES
+        if whole:
+            data += body.read(0, body.end)
+        elif body.whole:
+            body.length = body.end  # told now, however it was told before
+        return self._send(server, data, timeout_ms, None if whole else body, call.method == "HEAD")
+
+    def probe(self, server: str) -> Deferred[PassEnd]:
+        """Ask an application server how it fares."""
+        target = "/metrics/load" if self.settings.reports_in_probes else "/alive"
+        data = http1.request("GET", target, [("Host", server)])
+        return self._send(server, data, PROBE_MS).ended.addCallback(self._probed)
+
+    @staticmethod
+    def _probed(end: PassEnd) -> PassEnd:
+        if end.reply is not None and end.reply.flow is not None:
+            end.reply.flow.stop()
+        if end.reply is not None and end.report is None:
+            end.report = read_report(end.reply.body.decode("latin-1"))
+        return end
+
+    def _send(
+        self, server: str, data: bytes, timeout_ms: float, body: Body | None = None, only_head: bool = False
+    ) -> Pass:
+        now = self.clock.now()
+        proxy_pass = Pass(self, server, data, now + timeout_ms, body, only_head)
+        pool = self._pools.get(server)
+        if pool is None or timeout_ms <= 0.0:
+            proxy_pass.end(PassEnd(Status.NOT_SENT))
+            return proxy_pass
+        while pool.idle:
+            connection = pool.idle.pop()
+            if now - connection.idle_since < self._idle_ms and not connection.stale():
+                self.counters["connections_reused"] += 1
+                connection.carry(proxy_pass)
+                return proxy_pass
+            connection.drop()
+        if self.connections.full:
+            self._evict()
+        if self.connections.full:
+            self.counters["passes_over_cap"] += 1
+            proxy_pass.end(PassEnd(Status.NOT_SENT))
+            return proxy_pass
+        self.counters["connections_opened"] += 1
+        proxy_pass.dial = Dial(self, pool, proxy_pass)
+        proxy_pass.dial.start(self._reactor)
+        return proxy_pass
+
+    def _evict(self) -> bool:
+        """Make room: the connection that has been idle longest goes. Its socket is freed a turn later."""
+        oldest = min(
+            (pool.idle[0] for pool in self._pools.values() if pool.idle),
+            key=lambda c: c.idle_since,
+            default=None,
+        )
+        if oldest is not None:
+            oldest.pool.forget(oldest)
+            oldest.drop()
+            self.connections.remove(oldest.handle)
+        return oldest is not None
+
+    def _sweep(self) -> None:
+        """Close idle connections well before their application server would."""
+        limit = self.clock.now() - self._idle_ms
+        for pool in self._pools.values():
+            while pool.idle and pool.idle[0].idle_since <= limit:
+                pool.idle.pop(0).drop()
+        self.clock.after(SWEEP_MS, self._sweep)
+
+    def gauges(self) -> dict[str, int]:
+        """The size of every table here."""
+        idle = sum(len(pool.idle) for pool in self._pools.values())
+        return {"server_connections_now": len(self.connections), "server_connections_idle": idle,
+                "pools": len(self._pools)}  # fmt: skip
+
+    def reached(self, server: str) -> bool:
+        """Whether the last connection to it came up; True before the first."""
+        pool = self._pools.get(server)
+        return pool is None or pool.reached
+
+    def close(self) -> None:
+        """Close what is idle; for a stop."""
+        for pool in self._pools.values():
+            pool.void()
--- /dev/null
+++ b/lupinlink/net/application_servers/sending.py
@@ -0,0 +1,174 @@
+"""A connection to an application server as requests go out on it: heads, bodies as they come, rests."""
+
+from __future__ import annotations
+
+import socket
+from contextlib import suppress
+from typing import Protocol
+
+from twisted.internet.interfaces import IPullProducer
+from twisted.internet.protocol import Protocol as TcpProtocol
+from zope.interface import implementer  # type: ignore[import-untyped]
+
+from lupinlink.interface import Status
+from lupinlink.net import http1
+from lupinlink.net.application_servers.passes import Pass, Servers
+from lupinlink.net.application_servers.pool import Pool, Rested
+from lupinlink.net.bodies import Body
+from lupinlink.net.terms import PassEnd
+from lupinlink.net.typed import READ_BYTES, Transport
+from lupinlink.net.wheel import Timer
+
+STALL_MS = 5000.0  # so long may an application server take nothing of a body
+WRITE_BYTES = 64 * 1024
+
+
+class Opening(Protocol):
+    """What brought a connection up."""
+
+    def made(self, connection: Rested) -> None: ...
+
+
+@implementer(IPullProducer)
+class Sending(TcpProtocol):
+    """One connection to an application server: one proxy pass at a time, idle in its pool between.
+
+    As a pull producer it learns when the kernel has taken a request's last byte: a break before that
+    proves that the request never ran, a break after it does not.
+    """
+
+    transport: Transport  # type: ignore[assignment]
+
+    def __init__(self, servers: Servers, pool: Pool, dial: Opening) -> None:
+        self._servers, self.pool, self._dial = servers, pool, dial
+        self._pass: Pass | None = None
+        self._parser = http1.AnswerParser(http1.MAX_MESSAGE)
+        self._unsent: bytes | None = None
+        self._body: Body | None = None  # of the request, while some of it is still to be sent
+        self._sent = 0  # bytes of it that have gone out
+        self._starved = False  # it has no more at the moment
+        self._written = True
+        self._whole_by: Timer | None = None
+        self._held_back = False  # by the user agent, which does not read
+        self.idle_since = 0.0
+        self.handle = 0
+
+    def connectionMade(self) -> None:
+        self.transport.setTcpNoDelay(True)
+        self.transport.bufferSize = READ_BYTES
+        self._dial.made(self)
+
+    def carry(self, proxy_pass: Pass) -> None:
+        """Send a pass's request."""
+        self._pass, proxy_pass.connection = proxy_pass, self
+        self._unsent, self._written = proxy_pass.data, False
+        self._body, self._sent, self._starved = proxy_pass.body, 0, False
+        self._parser.asked_for_head = proxy_pass.only_head
+        if self._body is not None:
+            self._body.more = self._more
+        self.transport.registerProducer(self, False)
+
+    def resumeProducing(self) -> None:
+        """All that was written has gone to the kernel."""
+        if self._unsent is not None:
+            data, self._unsent = self._unsent, None
+            self.transport.write(data)
+        elif self._body is not None:
+            self._pump()
+        else:
+            self._written = True
+            self.transport.unregisterProducer()
+
+    def _more(self) -> None:
+        if self._starved or (self._body is not None and self._body.broken):
+            self._starved = False
+            self._pump()
+
+    def _pump(self) -> None:
+        """Send on what is here of the request's body."""
+        body = self._body
+        assert body is not None
+        if body.broken:
+            # Its end is never to be written, so it never runs.
+            self._finish(PassEnd(Status.NOT_SENT), reuse=False)
+            return
+        data = body.read(self._sent, WRITE_BYTES)
+        self._sent += len(data)
+        last = body.whole and self._sent == body.end
+        if last:
+            self._body, body.more = None, None
+        out = data
+        if body.length is None:
+            out = http1.chunk(data) + (http1.LAST_CHUNK if last else b"")
+        self._settle()
+        if out:
+            self.transport.write(out)
+            self._whole_by = self._servers.clock.after(STALL_MS, self._stalled)
+        elif last:
+            self.resumeProducing()
+        else:
+            self._starved = True
+        body.sent(self._sent)
+
+    def _stalled(self) -> None:
+        if self._pass is not None and not self._written:
+            self._servers.counters["uploads_stalled"] += 1
+            self._finish(PassEnd(Status.NOT_SENT), reuse=False)
+
+    def stopProducing(self) -> None:
+        pass  # connectionLost follows
+
+    def drop(self) -> None:
+        """Close at once. Twisted closes on its next turn, after other writes: the end must go first."""
+        self._pass = None
+        self._settle()
+        self._let_body_go()
+        with suppress(OSError, AttributeError):
+            self.transport.getHandle().shutdown(socket.SHUT_RDWR)
+        self.transport.abortConnection()
+
+    def stale(self) -> bool:
+        """Whether this idle connection has ended, or brought what nobody asked for: no request may meet it.
+
+        Danger: bytes that came behind the last answer would be taken for the answer to the next request.
+        """
+        try:
+            self.transport.getHandle().recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return False
+        except OSError:
+            pass
+        return True
+
+    def _settle(self) -> None:
+        if self._whole_by is not None:
+            self._whole_by.drop()
+            self._whole_by = None
+
+    def _finish(self, end: PassEnd, reuse: bool) -> None:
+        self._settle()
+        proxy_pass, self._pass = self._pass, None
+        assert proxy_pass is not None
+        proxy_pass.connection = None
+        self._rest(reuse)
+        proxy_pass.end(end)
+
+    def _rest(self, reuse: bool) -> None:
+        """Back to the pool, or closed."""
+        self._go_on()
+        if reuse and self.pool.current:
+            self.idle_since = self._servers.clock.now()
+            self.pool.idle.append(self)
+        else:
+            self.drop()
+
+    def _go_on(self) -> None:
+        if self._held_back:
+            self._held_back = False
+            self.transport.resumeProducing()
+
+    def _let_body_go(self) -> None:
+        """What is still to be sent of a request never will be, from here."""
+        body, self._body = self._body, None
+        if body is not None:
+            body.more = None
