Give the older errors codes, and the operators a page of all codes kept equal by a test

Change: SettingsError is LL601, the adapter's WireError LL602, the laboratory's LL650 to LL655 in modules of their own; ValueError and RuntimeError stay second bases. settings is a package (model, parser, config) with the same names. A command that fails tells code and remedy. docs/operators/errors.md is written from the types by python -m tests.test_errors.

--- a/lupinlink/adapter.py
+++ b/lupinlink/adapter.py
@@ -10,6 +10,7 @@
 from typing import Any, TextIO
 
 from lupinlink.brain import Balancer
+from lupinlink.errors import LupinError
 from lupinlink.interface import (
     Action,
     Arrival,
@@ -46,9 +47,13 @@
 }
 
 
-class WireError(Exception):
+class WireError(LupinError):
     """The input breaks the wire's rules."""
 
+    code = "LL602"
+    about = "the adapter was given a line that the simulator's wire does not have"
+    remedy = "look at the line it names; the simulator and this version must speak the same wire"
+
 
 def _number(text: str) -> float:
     return 0.0 if text == "-" else float(text)
--- a/lupinlink/lab/desk.py
+++ b/lupinlink/lab/desk.py
@@ -77,7 +77,7 @@
     try:
         return library.load(name, sets)
     except LibraryError as exc:
-        raise WrongError(str(exc), 1) from exc
+        raise WrongError("\n".join(exc.lines), 1) from exc
 
 
 def _drive(name: str) -> str:
@@ -108,7 +108,7 @@
         rig.check_size(loaded.scenario)
         chosen = processes.program(program)
     except DriveError as exc:
-        raise WrongError(str(exc), 2) from exc
+        raise WrongError(exc.line(), 2) from exc
     found = play(
         loaded,
         "fleet",
@@ -239,7 +239,7 @@
         if not complete:
             print("lupinlink: stopped before its end", file=sys.stderr)
     except DriveError as exc:
-        print(f"lupinlink: {exc}", file=sys.stderr)
+        print(f"lupinlink: {exc.line()}", file=sys.stderr)
     finally:
         for number, handler in zip(numbers, before, strict=True):
             signal.signal(number, handler)
@@ -341,7 +341,7 @@
         for other in folders[1:]:
             found[other] = comparing.compare(Path(folders[0]), Path(other))
     except ResultsError as exc:
-        raise WrongError(str(exc), 1) from exc
+        raise WrongError(exc.line(), 1) from exc
     if as_json:
         print(msgspec.json.format(msgspec.json.encode(found)).decode())
         return 0
@@ -363,7 +363,7 @@
     try:
         print(page.write(Path(folder)))
     except ResultsError as exc:
-        raise WrongError(str(exc), 1) from exc
+        raise WrongError(exc.line(), 1) from exc
     except OSError as exc:
         raise WrongError(f"{exc.filename}: {exc.strerror}", 1) from exc
     return 0
@@ -425,7 +425,7 @@
     try:
         found = operations.operate(kind, times, rate, crowd, sockets, memory_mb, seed)
     except DriveError as exc:
-        raise WrongError(str(exc), 1) from exc
+        raise WrongError(exc.line(), 1) from exc
     print(told_plainly(found, as_json))
     return 0 if found.sound else 1
 
--- a/lupinlink/lab/fleet/gate.py
+++ b/lupinlink/lab/fleet/gate.py
@@ -12,9 +12,9 @@
 from pathlib import Path
 
 from lupinlink.lab.emulated import listen
+from lupinlink.lab.errors import FleetError as FleetError
 from lupinlink.lab.fleet import addresses
 from lupinlink.lab.fleet.addresses import Instruction
-from lupinlink.lab.sockets import DriveError
 
 # asm-generic/socket.h; the socket module does not name them.
 SO_ATTACH_FILTER, SO_DETACH_FILTER = 26, 27
@@ -22,10 +22,6 @@
 RANGE = Path("/proc/sys/net/ipv4/ip_local_port_range")
 
 
-class FleetError(DriveError):
-    """The rig could not do its part; one line."""
-
-
 def attach(sock: socket.socket, program: list[Instruction]) -> None:
     """Drop in the kernel what the program says; it replaces the one before."""
     code = b"".join(struct.pack("HBBI", *instruction) for instruction in program)
--- a/lupinlink/lab/library.py
+++ b/lupinlink/lab/library.py
@@ -8,20 +8,13 @@
 from pathlib import Path
 from typing import Any
 
+from lupinlink.lab.errors import LibraryError as LibraryError
 from lupinlink.lab.model.scenario import Flaw, Scenario, ScenarioError, read
 
 DEEPEST = 8  # includes within includes
 FOLDER = Path(str(files("lupinlink.lab"))) / "scenarios"
 
 
-class LibraryError(ValueError):
-    """A scenario that cannot be read or played; one line a flaw."""
-
-    def __init__(self, lines: list[str]) -> None:
-        super().__init__("\n".join(lines))
-        self.lines = lines
-
-
 @dataclass(slots=True)
 class Loaded:
     """A scenario with its tables as merged and the file that each key came from."""
--- a/lupinlink/lab/load.py
+++ b/lupinlink/lab/load.py
@@ -14,6 +14,7 @@
 
 from lupinlink.lab.callers import Answer, Call, Pool
 from lupinlink.lab.emulated import HOST, listen
+from lupinlink.lab.errors import LoadError as LoadError
 from lupinlink.lab.loop import LoopClock
 from lupinlink.lab.model.servers import NEVER_RUN, Ending, Job, Machine, Server
 from lupinlink.lab.model.streams import Streams
@@ -25,10 +26,6 @@
 LEAD_S, PATIENCE_S = 0.2, 5.0
 
 
-class LoadError(ValueError):
-    """What was asked of the load tool cannot be done; one line."""
-
-
 class Loaded(Struct, frozen=True):
     """What came of a load. Latencies count from when a request was due, not from when it went out."""
 
--- a/lupinlink/lab/model/scenario.py
+++ b/lupinlink/lab/model/scenario.py
@@ -7,6 +7,9 @@
 import msgspec
 from msgspec import Meta, Struct, field
 
+from lupinlink.lab.model.flaws import Flaw as Flaw
+from lupinlink.lab.model.flaws import ScenarioError as ScenarioError
+
 Share = Annotated[float, Meta(ge=0.0, le=1.0)]
 Positive = Annotated[float, Meta(gt=0.0, le=1e9)]
 Amount = Annotated[float, Meta(ge=0.0, le=1e9)]
@@ -251,24 +254,6 @@
     faults: dict[str, Fault] = field(default_factory=dict)
 
 
-class Flaw(Struct, frozen=True):
-    """One thing that is wrong with a scenario."""
-
-    key: str  # as written in the file: load.rate
-    why: str
-
-    def __str__(self) -> str:
-        return f"{self.key}: {self.why}" if self.key else self.why
-
-
-class ScenarioError(ValueError):
-    """A scenario that cannot be played; every flaw that was found."""
-
-    def __init__(self, flaws: list[Flaw]) -> None:
-        super().__init__("; ".join(map(str, flaws)))
-        self.flaws = flaws
-
-
 def read(raw: dict[str, Any]) -> Scenario:
     """A scenario from its tables; raises ScenarioError with each flaw's key and reason."""
     flaws = []
--- a/lupinlink/lab/results.py
+++ b/lupinlink/lab/results.py
@@ -17,6 +17,7 @@
 from msgspec import Struct, field
 
 from lupinlink import __version__
+from lupinlink.lab.errors import ResultsError as ResultsError
 from lupinlink.lab.model.referee import Broken, Referee, Reply, Try
 from lupinlink.lab.model.scenario import Scenario
 from lupinlink.lab.model.windows import FleetSecond
@@ -29,10 +30,6 @@
 PACKAGES = ("twisted", "numpy", "msgspec", "hdrhistogram", "matplotlib")
 
 
-class ResultsError(ValueError):
-    """A folder that holds no run, or one of another format."""
-
-
 class Latencies(Struct, frozen=True):
     """Quantiles of served requests in milliseconds, from whole at the proxy to the answer's last byte."""
 
--- a/lupinlink/lab/sockets.py
+++ b/lupinlink/lab/sockets.py
@@ -21,6 +21,7 @@
 from lupinlink.lab.asking import Asking
 from lupinlink.lab.callers import Flood, Pool
 from lupinlink.lab.emulated import HOST, Fronts, RosterFront
+from lupinlink.lab.errors import DriveError as DriveError
 from lupinlink.lab.loop import Lag, LoopClock
 from lupinlink.lab.model.referee import Try
 from lupinlink.lab.model.scenario import Scenario, settings
@@ -34,10 +35,6 @@
 AGENT_SHARE = 1.0 / 3.0  # of a proxy's descriptors: user agents hold no more connections there
 
 
-class DriveError(RuntimeError):
-    """The drive itself could not do its part; one line."""
-
-
 class ProxyProcess:
     """One real proxy."""
 
--- a/lupinlink/net/lists.py
+++ b/lupinlink/net/lists.py
@@ -21,7 +21,7 @@
 class ListError(LupinError, ValueError):
     """What discovery wrote is no list."""
 
-    code = "LL610"
+    code = "LL603"
     about = "discovery wrote something that is no list of application servers"
     remedy = "look at what discovery answers to GET /discovery/hosts; the last good list stays in force"
 
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -33,7 +33,7 @@
     "net.open_requests net.proxy net.service net.slots net.terms net.typed net.user_agents "
     "net.user_agents.accepting net.user_agents.answers net.user_agents.calls net.user_agents.peer "
     "net.user_agents.phases net.user_agents.places net.user_agents.requests net.watch net.wheel node "
-    "records settings spread spread.aperture spread.keys"
+    "records settings settings.config settings.model settings.parser spread spread.aperture spread.keys"
 )
 
 
