--- a/lupinlink/lab/fleet/addresses.py
+++ b/lupinlink/lab/fleet/addresses.py
@@ -56,3 +56,16 @@
             (0x06, 0, 0, NOTHING),
         ]
     return [*program, (0x06, 0, 0, EVERYTHING)]
+
+
+def drops_of(clients: Iterable[str] | None) -> list[Instruction]:
+    """The same for single addresses: what comes from one of them or goes to it is dropped; None: all."""
+    if clients is None:
+        return [(0x06, 0, 0, NOTHING)]
+    program: list[Instruction] = []
+    numbers = [int.from_bytes(bytes(map(int, client.split(".")))) for client in clients]
+    for at in (DESTINATION, DESTINATION - 4):
+        program.append((0x20, 0, 0, at))
+        for number in numbers:
+            program += [(0x15, 0, 1, number), (0x06, 0, 0, NOTHING)]
+    return [*program, (0x06, 0, 0, EVERYTHING)]
