--- a/lupinlink/lab/desk.py
+++ b/lupinlink/lab/desk.py
@@ -101,11 +101,11 @@
     as_json: bool,
 ) -> int:  # fmt: skip
     """Play a scenario on a fleet of real processes."""
-    from lupinlink.lab.fleet import processes, rig
+    from lupinlink.lab.fleet import processes, rig, size
 
     loaded = _load(name, sets)
     try:
-        rig.check_size(loaded.scenario)
+        size.check_size(loaded.scenario)
         chosen = processes.program(program)
     except DriveError as exc:
         raise WrongError(exc.line(), 2) from exc
--- a/lupinlink/lab/fleet/fronts.py
+++ b/lupinlink/lab/fleet/fronts.py
@@ -4,10 +4,11 @@
 
 import asyncio
 from collections.abc import Callable
-from contextlib import suppress
 from functools import partial
 from random import Random
 
+import aiohttp
+
 from lupinlink.lab.asking import Asking
 from lupinlink.lab.callers import Call, Pool
 from lupinlink.lab.fleet import addresses
@@ -16,11 +17,10 @@
 from lupinlink.lab.model.user_agents import Ask
 from lupinlink.lab.model.world import World
 from lupinlink.lab.sockets import AGENT_SHARE
-from lupinlink.net import http1
 
 LOOK_S = 1.0  # between two looks at a proxy that is in
 SEEK_S = 0.1  # and at one that is not
-ANSWER_S = 1.0  # so long may the answer to a look take
+ANSWER = aiohttp.ClientTimeout(total=1.0)  # so long may the answer to a look take
 NOTICE_S = 2.0  # a proxy that answers no look is noticed to be dead after so long
 LEAVES_MS = 600.0  # past its time a user agent closes its connection
 
@@ -44,45 +44,19 @@
 
 
 class Look:
-    """Asks one proxy again and again whether it is up, on a connection that it keeps."""
+    """Asks one proxy again and again whether it is up, on a connection that is kept."""
 
-    def __init__(self, host: str, port: int) -> None:
-        self._host, self._port = host, port
-        self._streams: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
+    def __init__(self, session: aiohttp.ClientSession, host: str, port: int) -> None:
+        self._session, self._url = session, f"http://{host}:{port}/up"
 
     async def status(self) -> int:
         """The status of ``GET /up``; 0: no answer came."""
-        kept = self._streams is not None
         try:
-            async with asyncio.timeout(ANSWER_S):
-                return await self._ask()
-        except (OSError, asyncio.IncompleteReadError, asyncio.LimitOverrunError, TimeoutError):
-            self.close()
-        if kept:  # a proxy may close a connection at rest
-            return await self.status()
-        return 0
-
-    async def _ask(self) -> int:
-        if self._streams is None:
-            self._streams = await asyncio.open_connection(self._host, self._port)
-        reader, writer = self._streams
-        writer.write(http1.request("GET", "/up", [("Host", "lab")]))
-        parser = http1.AnswerParser()
-        while (message := parser.next()) is None:
-            data = await reader.read(4096)
-            if not data:
-                raise asyncio.IncompleteReadError(b"", None)
-            parser.feed(data)
-        if not message.keeps_open():
-            self.close()
-        return message.status
-
-    def close(self) -> None:
-        """Ask on a new connection the next time."""
-        if self._streams is not None:
-            with suppress(OSError):
-                self._streams[1].close()
-            self._streams = None
+            # A kept connection may be closed at rest: the client then asks again on a new one.
+            async with self._session.get(self._url, headers={"Host": "lab"}, timeout=ANSWER) as answer:
+                return answer.status
+        except (OSError, aiohttp.ClientError, TimeoutError):
+            return 0
 
 
 class ZoneFront:
@@ -110,8 +84,11 @@
         self._leaving: set[int] = set()
         self._front.alive = [False] * len(zones)
         self._front.revise()
+        self._session = session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=30.0)
+        )
         self._tasks = [
-            loop.create_task(self._watch(i, Look(addresses.listens(zone, i), port)))
+            loop.create_task(self._watch(i, Look(session, addresses.listens(zone, i), port)))
             for i, its_zone in enumerate(zones)
             if its_zone == zone
         ]
@@ -150,9 +127,10 @@
         else:
             self._leaving.discard(proxy)
 
-    def close(self) -> None:
+    async def close(self) -> None:
         """End all connections."""
         for task in self._tasks:
             task.cancel()
+        await self._session.close()
         for pool in self._pools:
             pool.close()
--- a/lupinlink/lab/fleet/helper.py
+++ b/lupinlink/lab/fleet/helper.py
@@ -108,6 +108,11 @@
             self._send()
             self._channel.send("figures", self._figures())
 
+    async def close(self) -> None:
+        """End what is open."""
+        if self._front is not None:
+            await self._front.close()
+
     def _do(self, what: str, *figures: Any) -> None:
         if what == "start":
             self._start_ms = figures[0]
@@ -185,6 +190,7 @@
     loop.set_exception_handler(helper.trouble)
     await helper.serve()
     await channel.receive()  # the rig closes once it has read all
+    await helper.close()
     return 0
 
 
