--- a/lupinlink/lab/fleet/consul_control.py
+++ b/lupinlink/lab/fleet/consul_control.py
@@ -107,8 +107,9 @@
         return reply(self._service.calls.rows(request.query.getall("client", [])))
 
     async def _records(self, request: web.Request) -> web.Response:
-        """The newest records below ``?prefix=`` and all sessions, whatever is played."""
+        """The newest records below ``?prefix=``, all sessions, how many calls wait; whatever is played."""
         state = self._service.state
         rows = state.records.below(request.query.get("prefix", ""))
         sessions = [shown_session(one) for one in state.sessions.values()]
-        return reply({"records": [shown(row) for row in rows], "sessions": sessions, "index": state.index})
+        found = {"records": [shown(row) for row in rows], "sessions": sessions, "index": state.index}
+        return reply({**found, "waiting": self._service.waiting})
--- a/lupinlink/lab/fleet/consul_service.py
+++ b/lupinlink/lab/fleet/consul_service.py
@@ -145,6 +145,11 @@
         self.state.due(self.now() + 1.0)
         self.wake()
 
+    @property
+    def waiting(self) -> int:
+        """How many calls wait for a change."""
+        return sum(map(len, self._waiting.values()))
+
     async def changed(self, key: str, exact: bool, until: float) -> bool:
         """Wait until something below a prefix has changed; False: answer with what there is."""
         one: asyncio.Future[None] = self._loop.create_future()
@@ -157,4 +162,6 @@
             return False
         finally:
             waiting.discard(one)
+            if not waiting and self._waiting.get((key, exact)) is waiting:
+                del self._waiting[key, exact]
         return history == self.state.history and not self.faults.meets("no_leader")
--- a/tests/test_fleet_consul.py
+++ b/tests/test_fleet_consul.py
@@ -39,6 +39,10 @@
             found = json.loads(raw) if raw and "json" in answer.content_type else raw
             return answer.status, int(answer.headers.get("X-Consul-Index", 0)), found
 
+    async def somebody_waits(self) -> None:
+        while not (await self("GET", "/_stand_in/records", control=True))[2]["waiting"]:
+            pass
+
     async def play(self, kind: str, **more: Any) -> None:
         status, _, said = await self("PUT", "/_stand_in/fault", {"kind": kind, **more}, control=True)
         assert status == 200, said
@@ -88,8 +92,9 @@
             _, index, ((row),) = await one("GET", "/v1/kv/a?recurse")
             self.assertEqual((row["Key"], row["Value"], row["ModifyIndex"]), ("a/x", text("1"), index))
             wait = asyncio.create_task(two("GET", f"/v1/kv/a?recurse&index={index}&wait=20s"))
-            while not (await one("PUT", "/v1/kv/b", b"elsewhere"))[2] or wait.done():
-                pass
+            await one.somebody_waits()
+            await one("PUT", "/v1/kv/b", b"elsewhere")
+            self.assertFalse(wait.done())
             await one("PUT", f"/v1/kv/a/x?cas={index}", b"3")
             _, later, (row,) = await wait
             self.assertEqual((row["Value"], row["CreateIndex"]), (text("3"), index))
@@ -187,8 +192,7 @@
             self.assertEqual((await one("GET", "/v1/kv/x?raw"))[2], b"4")
             _, index, _ = await one("GET", "/v1/kv/x")
             waits = asyncio.create_task(two("GET", f"/v1/kv/x?index={index}&wait=1m"))
-            while not (await one("GET", "/v1/kv/x"))[2] or waits.done():
-                pass
+            await one.somebody_waits()
             await one.play("no_leader")
             self.assertEqual((await waits)[0], 500)
             self.assertEqual((await one("PUT", "/v1/kv/x", b"5"))[0], 500)
@@ -208,7 +212,7 @@
             await one("PUT", "/v1/kv/x", b"2")
             _, index, _ = await one("GET", "/v1/kv/x")
             wait = asyncio.create_task(two("GET", f"/v1/kv/x?index={index}&wait=1m"))
-            await one("GET", "/v1/kv/x")
+            await one.somebody_waits()
             await one("PUT", "/_stand_in/restore", control=True)
             status, back, _ = await wait
             self.assertEqual((status, back), (200, saved))
