--- a/lupinlink/lab/desk.py
+++ b/lupinlink/lab/desk.py
@@ -19,7 +19,7 @@
 from lupinlink.lab.fleet.rig import FleetDrive
 from lupinlink.lab.library import LibraryError, Loaded
 from lupinlink.lab.model.referee import Try
-from lupinlink.lab.model.scenario import unplayable
+from lupinlink.lab.model.scenario_check import unplayable
 from lupinlink.lab.results import ResultsError
 from lupinlink.lab.sockets import DriveError, SocketsDrive
 from lupinlink.lab.virtual import VirtualDrive
--- a/lupinlink/lab/fleet/befalling.py
+++ b/lupinlink/lab/fleet/befalling.py
@@ -8,8 +8,8 @@
 from lupinlink.lab.fleet.bank import Bank
 from lupinlink.lab.fleet.discovery import Discovery
 from lupinlink.lab.fleet.ground import Ground
+from lupinlink.lab.model.fault_kinds import Fault
 from lupinlink.lab.model.outage import Return
-from lupinlink.lab.model.scenario import Fault
 
 STEPS = 10  # a roll restarts a tenth at a time
 
--- a/lupinlink/lab/fleet/starting.py
+++ b/lupinlink/lab/fleet/starting.py
@@ -13,7 +13,7 @@
 from lupinlink.lab.fleet.gate import FleetError
 from lupinlink.lab.fleet.ground import Ground
 from lupinlink.lab.fleet.processes import FleetProxy, Program, room
-from lupinlink.lab.model.scenario import settings
+from lupinlink.lab.model.proxy_settings import settings
 
 HELPER_MB = 120.0
 
--- a/lupinlink/lab/library.py
+++ b/lupinlink/lab/library.py
@@ -9,7 +9,9 @@
 from typing import Any
 
 from lupinlink.lab.errors import LibraryError as LibraryError
-from lupinlink.lab.model.scenario import Flaw, Scenario, ScenarioError, read
+from lupinlink.lab.model.flaws import Flaw, ScenarioError
+from lupinlink.lab.model.scenario import Scenario
+from lupinlink.lab.model.scenario_check import read
 
 DEEPEST = 8  # includes within includes
 FOLDER = Path(str(files("lupinlink.lab"))) / "scenarios"
--- a/lupinlink/lab/model/arrivals.py
+++ b/lupinlink/lab/model/arrivals.py
@@ -8,7 +8,8 @@
 import numpy as np
 from numpy.typing import NDArray
 
-from lupinlink.lab.model.scenario import ClassSpec, Fault, Load, Scenario
+from lupinlink.lab.model.fault_kinds import Fault
+from lupinlink.lab.model.scenario import ClassSpec, Load, Scenario
 from lupinlink.lab.model.streams import Streams
 
 Floats = NDArray[np.float64]
--- a/lupinlink/lab/model/faults.py
+++ b/lupinlink/lab/model/faults.py
@@ -7,10 +7,11 @@
 
 from lupinlink.clock import Clock
 from lupinlink.lab.model.farm import Farm
+from lupinlink.lab.model.fault_kinds import PROXY_KINDS, Fault
 from lupinlink.lab.model.network import Ways
 from lupinlink.lab.model.outage import Return, returns
 from lupinlink.lab.model.roster import Roster
-from lupinlink.lab.model.scenario import PROXY_KINDS, Fault, Scenario
+from lupinlink.lab.model.scenario import Scenario
 from lupinlink.lab.model.streams import Streams
 from lupinlink.lab.model.user_agents import Front
 
--- a/lupinlink/lab/model/outage.py
+++ b/lupinlink/lab/model/outage.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-from lupinlink.lab.model.scenario import ORDERS, Fault
+from lupinlink.lab.model.fault_kinds import ORDERS, Fault
 from lupinlink.lab.model.streams import Streams
 
 SPREAD_S = 1.0  # machines that get their power back at one moment start within this
--- a/lupinlink/lab/sockets.py
+++ b/lupinlink/lab/sockets.py
@@ -23,8 +23,9 @@
 from lupinlink.lab.emulated import HOST, Fronts, RosterFront
 from lupinlink.lab.errors import DriveError as DriveError
 from lupinlink.lab.loop import Lag, LoopClock
+from lupinlink.lab.model.proxy_settings import settings
 from lupinlink.lab.model.referee import Try
-from lupinlink.lab.model.scenario import Scenario, settings
+from lupinlink.lab.model.scenario import Scenario
 from lupinlink.lab.model.streams import Draws
 from lupinlink.lab.model.world import World
 from lupinlink.settings import VARIABLES
--- a/lupinlink/lab/virtual.py
+++ b/lupinlink/lab/virtual.py
@@ -20,8 +20,9 @@
 from lupinlink.interface import Endpoint, MembershipKind, Status
 from lupinlink.lab.model.clock import VirtualClock
 from lupinlink.lab.model.farm import Place
+from lupinlink.lab.model.proxy_settings import settings
 from lupinlink.lab.model.referee import End, Reply, Try
-from lupinlink.lab.model.scenario import Scenario, settings
+from lupinlink.lab.model.scenario import Scenario
 from lupinlink.lab.model.servers import NEVER_RUN, Ending, Job, Server
 from lupinlink.lab.model.user_agents import Ask
 from lupinlink.lab.model.world import World
--- a/tests/test_fleet_parts.py
+++ b/tests/test_fleet_parts.py
@@ -20,9 +20,10 @@
 from lupinlink.lab.loop import LoopClock
 from lupinlink.lab.model import windows
 from lupinlink.lab.model.clock import VirtualClock
+from lupinlink.lab.model.fault_kinds import ORDERS, Fault
 from lupinlink.lab.model.outage import returns
 from lupinlink.lab.model.referee import End, Referee, Reply, Sums, Try
-from lupinlink.lab.model.scenario import ORDERS, Fault, Scenario
+from lupinlink.lab.model.scenario import Scenario
 from lupinlink.lab.model.streams import Streams
 from lupinlink.lab.model.windows import FleetSecond, ServerSecond
 from lupinlink.lab.model.witnesses import Hearing, Witness
