--- /dev/null
+++ b/lupinlink/coordination/client.py
@@ -0,0 +1,97 @@
+"""An ``Agreement`` over a form's single calls: what both forms share, so that both behave alike."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+
+from twisted.internet.defer import Deferred
+
+from lupinlink.clock import Clock
+from lupinlink.coordination.contract import Lease, Record, Step, View, Watch
+from lupinlink.coordination.keeping import KeptLease
+from lupinlink.coordination.pace import Pace
+from lupinlink.coordination.watching import StandingQuestion
+from lupinlink.coordination.wire import Found, Wire
+from lupinlink.errors import LupinError
+
+BURST = 8  # standing questions that may be asked at once after a rest
+
+
+@dataclass(frozen=True, slots=True)
+class Pacing:
+    """How often the service is asked."""
+
+    ask_ms: float = 1000.0  # between two standing questions of this process, on average and at least
+    wait_ms: float = 10000.0  # how long a question may stand unanswered while nothing changes
+
+
+class Counted:
+    """A ``Wire`` that counts calls by kind."""
+
+    def __init__(self, wire: Wire) -> None:
+        self._wire = wire
+        self.calls: Counter[str] = Counter()
+
+    def read(self, prefix: str, index: int, wait_ms: float) -> Deferred[Found]:
+        self.calls["watch" if index else "read"] += 1
+        return self._wire.read(prefix, index, wait_ms)
+
+    def commit(self, steps: Sequence[Step]) -> Deferred[dict[str, Record]]:
+        self.calls["commit"] += 1
+        return self._wire.commit(steps)
+
+    def open(self, ttl_ms: float) -> Deferred[str]:
+        self.calls["open"] += 1
+        return self._wire.open(ttl_ms)
+
+    def renew(self, lease: str) -> Deferred[float]:
+        self.calls["renew"] += 1
+        return self._wire.renew(lease)
+
+    def close(self, lease: str) -> Deferred[None]:
+        self.calls["close"] += 1
+        return self._wire.close(lease)
+
+
+class Client:
+    """The service as one process sees it: a ``contract.Agreement``."""
+
+    def __init__(
+        self, wire: Wire, clock: Clock, draw: Callable[[], float], pacing: Pacing | None = None
+    ) -> None:
+        """``draw``: from [0, 1), of this process alone: it spreads its calls in time."""
+        self._wire = Counted(wire)
+        self._clock, self._draw, self._pacing = clock, draw, pacing or Pacing()
+        self._pace = Pace(self._pacing.ask_ms, BURST)
+
+    @property
+    def calls(self) -> int:
+        """Calls made so far."""
+        return self._wire.calls.total()
+
+    @property
+    def calls_by_kind(self) -> dict[str, int]:
+        """The same by kind: read, watch, commit, open, renew, close."""
+        return dict(self._wire.calls)
+
+    def read(self, prefix: str) -> Deferred[View]:
+        asked_ms = self._clock.now()
+        return self._wire.read(prefix, 0, 0.0).addCallback(
+            lambda found: View(prefix, found.records, found.index, asked_ms)
+        )
+
+    def commit(self, steps: Sequence[Step]) -> Deferred[dict[str, Record]]:
+        return self._wire.commit(list(steps))
+
+    def lease(self, ttl_ms: float, lost: Callable[[LupinError], None]) -> Deferred[Lease]:
+        asked_ms = self._clock.now()
+        return self._wire.open(ttl_ms).addCallback(
+            lambda name: KeptLease(self._wire, self._clock, self._draw, name, ttl_ms, asked_ms, lost)
+        )
+
+    def watch(self, prefix: str, seen: Callable[[View], None], silent: Callable[[LupinError], None]) -> Watch:
+        return StandingQuestion(
+            self._wire, self._clock, self._pace, self._draw, prefix, self._pacing.wait_ms, seen, silent
+        )
--- a/lupinlink/coordination/contract.py
+++ b/lupinlink/coordination/contract.py
@@ -33,7 +33,7 @@
 
     key: str
     value: bytes
-    revision: int  # of its last change; rises with each change, in one history of the service
+    revision: int  # of its last change (a write of what stands there is none); rises in one history
     lease: str = ""  # the lease that holds it, or empty
     taken: int = 0  # how often it was taken by a lease since it was created
 
@@ -49,7 +49,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Delete:
-    """Remove a record, if it stands at ``revision``; None: in any case."""
+    """Remove a record, if it stands at ``revision`` (which counts for two steps); None: in any case."""
 
     key: str
     revision: int | None
@@ -136,7 +136,7 @@
         ...
 
     def commit(self, steps: Sequence[Step]) -> Deferred[dict[str, Record]]:
-        """All steps or none; gives the records written or checked, by key.
+        """All steps or none, each seeing those before it; gives the records written, by key.
 
         Fails: ConflictError (a step did not fit), UnreachableError or BusyError: nothing happened;
         UncertainError: it may have happened, read and look; TooMuchError: asked wrongly, nothing happened.
@@ -154,6 +154,8 @@
     def watch(self, prefix: str, seen: Callable[[View], None], silent: Callable[[LupinError], None]) -> Watch:
         """Tell ``seen`` of each newer state below ``prefix``, the present one first; ``silent`` of failures.
 
-        Asks again by itself, with decorrelated back-off. After a restore ``seen`` gets a View of lower index.
+        An answer that nothing has changed is told too: its ``asked_ms`` is newer. Changes that come fast are
+        told together. Asks again by itself, with decorrelated back-off. After a restore ``seen`` gets a View
+        of lower index.
         """
         ...
--- /dev/null
+++ b/lupinlink/coordination/pace.py
@@ -0,0 +1,22 @@
+"""How often one process may put its standing questions, all of them together. Pure.
+
+A virtual-scheduling leaky bucket (the generic cell rate algorithm, ITU-T I.371): one question each ``gap_ms``
+on average, ``burst`` at once after a rest. Records that change all the time are then looked at once a gap and
+not at each change, and questions that all failed together come back one by one.
+"""
+
+from __future__ import annotations
+
+
+class Pace:
+    """Hands out moments; one that was handed out and not used is lost."""
+
+    def __init__(self, gap_ms: float, burst: int) -> None:
+        self._gap, self._credit = gap_ms, gap_ms * (burst - 1)
+        self._next = float("-inf")
+
+    def wait_ms(self, now: float) -> float:
+        """How long the caller must wait before it asks; the moment is its own."""
+        start = max(self._next, now - self._credit)
+        self._next = start + self._gap
+        return max(0.0, start - now)
--- /dev/null
+++ b/lupinlink/coordination/steps.py
@@ -0,0 +1,31 @@
+"""Whether a commit is one that the service takes at all. Pure; both forms ask here and so refuse alike."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from lupinlink.coordination.contract import ABSENT, MOST_STEPS, MOST_VALUE, Delete, Drop, Put, Step, Take
+from lupinlink.coordination.errors import TooMuchError
+
+
+def cost(step: Step) -> int:
+    """Operations of the service that a step takes: one, and two for a Delete at a revision.
+
+    The service's own delete at a revision says yes when the record has long gone; the step must not, or two
+    processes would both believe that they removed it.
+    """
+    return 2 if isinstance(step, Delete) and step.revision not in (None, ABSENT) else 1
+
+
+def weigh(steps: Sequence[Step]) -> None:
+    """Raise TooMuchError for a commit that is empty, too long, or names a key or value that cannot be."""
+    if not steps:
+        raise TooMuchError("a commit without steps")
+    operations = sum(map(cost, steps))
+    if operations > MOST_STEPS:
+        raise TooMuchError(f"a commit of {operations} operations; {MOST_STEPS} is the most")
+    for step in steps:
+        if not step.key or step.key.startswith("/"):
+            raise TooMuchError(f"{step.key!r} cannot be a record's key")
+        if isinstance(step, Put | Take | Drop) and len(step.value) > MOST_VALUE:
+            raise TooMuchError(f"{step.key}: {len(step.value)} bytes; {MOST_VALUE} is the most")
