--- a/lupinlink/coordination/client.py
+++ b/lupinlink/coordination/client.py
@@ -4,14 +4,13 @@
 
 from collections import Counter
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
 
 from twisted.internet.defer import Deferred
 
 from lupinlink.clock import Clock
 from lupinlink.coordination.contract import Lease, Record, Step, View, Watch
 from lupinlink.coordination.keeping import KeptLease
-from lupinlink.coordination.pace import Pace
+from lupinlink.coordination.pace import Pace, Pacing
 from lupinlink.coordination.watching import StandingQuestion
 from lupinlink.coordination.wire import Found, Wire
 from lupinlink.errors import LupinError
@@ -19,14 +18,6 @@
 BURST = 8  # standing questions that may be asked at once after a rest
 
 
-@dataclass(frozen=True, slots=True)
-class Pacing:
-    """How often the service is asked."""
-
-    ask_ms: float = 1000.0  # between two standing questions of this process, on average and at least
-    wait_ms: float = 10000.0  # how long a question may stand unanswered while nothing changes
-
-
 class Counted:
     """A ``Wire`` that counts calls by kind."""
 
@@ -85,7 +76,7 @@
     def commit(self, steps: Sequence[Step]) -> Deferred[dict[str, Record]]:
         return self._wire.commit(list(steps))
 
-    def lease(self, ttl_ms: float, lost: Callable[[LupinError], None]) -> Deferred[Lease]:
+    def lease(self, ttl_ms: float, lost: Callable[[LupinError], object]) -> Deferred[Lease]:
         asked_ms = self._clock.now()
         return self._wire.open(ttl_ms).addCallback(
             lambda name: KeptLease(self._wire, self._clock, self._draw, name, ttl_ms, asked_ms, lost)
@@ -93,5 +84,5 @@
 
     def watch(self, prefix: str, seen: Callable[[View], None], silent: Callable[[LupinError], None]) -> Watch:
         return StandingQuestion(
-            self._wire, self._clock, self._pace, self._draw, prefix, self._pacing.wait_ms, seen, silent
+            self._wire, self._clock, self._pace, self._draw, prefix, self._pacing, seen, silent
         )
--- a/lupinlink/coordination/contract.py
+++ b/lupinlink/coordination/contract.py
@@ -143,7 +143,7 @@
         """
         ...
 
-    def lease(self, ttl_ms: float, lost: Callable[[LupinError], None]) -> Deferred[Lease]:
+    def lease(self, ttl_ms: float, lost: Callable[[LupinError], object]) -> Deferred[Lease]:
         """A new lease, renewed until it is ended. ``lost`` is called once, when it can no longer be believed.
 
         The service ends it no sooner than ``ttl_ms`` after the last renewal, perhaps as late as twice that;
--- a/lupinlink/coordination/errors.py
+++ b/lupinlink/coordination/errors.py
@@ -67,3 +67,11 @@
     code = "LL107"
     about = "the agreement service was restored to an older state"
     remedy = "check halts and releases asked for after that state was saved, and ask for them again"
+
+
+class DeniedError(UnreachableError):
+    """The call surely did nothing, and will not until somebody changes the token or its rights."""
+
+    code = "LL108"
+    about = "the agreement service does not let this process in"
+    remedy = "set the token in the fleet file, and its rights: key and session write below the prefix"
--- a/lupinlink/coordination/keeping.py
+++ b/lupinlink/coordination/keeping.py
@@ -35,7 +35,7 @@
         name: str,
         ttl_ms: float,
         asked_ms: float,
-        lost: Callable[[LupinError], None],
+        lost: Callable[[LupinError], object],
     ) -> None:
         """``asked_ms``: the clock before the lease was asked for."""
         self.name = name
--- a/lupinlink/coordination/ledger.py
+++ b/lupinlink/coordination/ledger.py
@@ -100,8 +100,9 @@
             after = self._step(step, before, now)
             if after != before:
                 changed[step.key] = after
-            written.pop(step.key, None)
-            if after is not None and isinstance(step, Put | Take | Drop):
+            if after is None:
+                written.pop(step.key, None)
+            elif isinstance(step, Put | Take | Drop):
                 written[step.key] = after
         if changed:
             self.index += 1
--- a/lupinlink/coordination/memory.py
+++ b/lupinlink/coordination/memory.py
@@ -13,10 +13,11 @@
 from twisted.internet.defer import Deferred
 
 from lupinlink.clock import Clock
-from lupinlink.coordination.client import Client, Pacing
+from lupinlink.coordination.client import Client
 from lupinlink.coordination.contract import Record, Step
 from lupinlink.coordination.errors import BusyError, CoordinationError, UncertainError, UnreachableError
 from lupinlink.coordination.ledger import Ledger, Saved
+from lupinlink.coordination.pace import Pacing
 from lupinlink.coordination.wire import Found
 
 T = TypeVar("T")
--- a/lupinlink/coordination/pace.py
+++ b/lupinlink/coordination/pace.py
@@ -7,6 +7,17 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Pacing:
+    """How often the service is asked."""
+
+    ask_ms: float = 1000.0  # between two standing questions of this process, on average and at least
+    wait_ms: float = 10000.0  # how long a question may stand unanswered while nothing changes
+    again_ms: float = 500.0  # the shortest wait after one that failed
+
 
 class Pace:
     """Hands out moments; one that was handed out and not used is lost."""
--- a/lupinlink/coordination/steps.py
+++ b/lupinlink/coordination/steps.py
@@ -4,8 +4,18 @@
 
 from collections.abc import Sequence
 
-from lupinlink.coordination.contract import ABSENT, MOST_STEPS, MOST_VALUE, Delete, Drop, Put, Step, Take
-from lupinlink.coordination.errors import TooMuchError
+from lupinlink.coordination.contract import (
+    ABSENT,
+    MOST_STEPS,
+    MOST_VALUE,
+    Delete,
+    Drop,
+    Held,
+    Put,
+    Step,
+    Take,
+)
+from lupinlink.coordination.errors import ConflictError, TooMuchError
 
 
 def cost(step: Step) -> int:
@@ -18,7 +28,11 @@
 
 
 def weigh(steps: Sequence[Step]) -> None:
-    """Raise TooMuchError for a commit that is empty, too long, or names a key or value that cannot be."""
+    """Raise TooMuchError for a commit that is empty, too long, or names a key or value that cannot be.
+
+    Raises ConflictError for a step of a lost lease, whose name is empty. Danger: to the service "held by no
+    session" is a condition like any other, and a record that nobody holds would meet it.
+    """
     if not steps:
         raise TooMuchError("a commit without steps")
     operations = sum(map(cost, steps))
@@ -29,3 +43,5 @@
             raise TooMuchError(f"{step.key!r} cannot be a record's key")
         if isinstance(step, Put | Take | Drop) and len(step.value) > MOST_VALUE:
             raise TooMuchError(f"{step.key}: {len(step.value)} bytes; {MOST_VALUE} is the most")
+        if isinstance(step, Take | Held | Drop) and not step.lease:
+            raise ConflictError(f"{step.key}: the lease was lost")
--- a/lupinlink/coordination/watching.py
+++ b/lupinlink/coordination/watching.py
@@ -13,12 +13,12 @@
 from lupinlink.coordination.contract import View
 from lupinlink.coordination.errors import CoordinationError
 from lupinlink.coordination.history import follow
-from lupinlink.coordination.pace import Pace
+from lupinlink.coordination.pace import Pace, Pacing
 from lupinlink.coordination.wire import Found, Wire
 from lupinlink.errors import LupinError
 
 log = logging.getLogger(__name__)
-FIRST_AGAIN_MS, MOST_AGAIN_MS = 500.0, 10000.0  # waits after failures
+MOST_AGAIN_MS = 10000.0  # between questions that failed
 SPREAD_MS = 100.0  # a change wakes every process at once; they ask again within this
 
 
@@ -32,13 +32,13 @@
         pace: Pace,
         draw: Callable[[], float],
         prefix: str,
-        wait_ms: float,
+        pacing: Pacing,
         seen: Callable[[View], None],
         silent: Callable[[LupinError], None],
     ) -> None:
         self._wire, self._clock, self._pace, self._draw = wire, clock, pace, draw
-        self._prefix, self._wait_ms, self._seen, self._silent = prefix, wait_ms, seen, silent
-        self._backoff = Backoff(FIRST_AGAIN_MS, MOST_AGAIN_MS, draw)
+        self._prefix, self._wait_ms, self._seen, self._silent = prefix, pacing.wait_ms, seen, silent
+        self._backoff = Backoff(pacing.again_ms, MOST_AGAIN_MS, draw)
         self._told: View | None = None
         self._index = 0  # as the service gave it
         self._stopped = False
--- /dev/null
+++ b/tests/agreements.py
@@ -0,0 +1,152 @@
+"""The two forms of the agreement service, started for tests, each with switches for what may go wrong."""
+
+from __future__ import annotations
+
+import json
+import random
+import subprocess
+import sys
+import urllib.request
+from contextlib import suppress
+from itertools import count
+from typing import Any
+
+from twisted.internet import reactor
+
+from lupinlink.coordination.client import Client
+from lupinlink.coordination.consul import ConsulWire, Place
+from lupinlink.coordination.ledger import Saved
+from lupinlink.coordination.memory import MemoryService, MemoryWire
+from lupinlink.coordination.pace import Pacing
+from lupinlink.net.wheel import Clockwork
+from tests.stage import ROOT
+
+PACING = Pacing(ask_ms=20.0, wait_ms=150.0, again_ms=50.0)
+LOCK_DELAY_MS = 200.0
+CALL_MS = 400.0
+
+
+class InMemory:
+    """The form in memory."""
+
+    def __init__(self) -> None:
+        self.clock = Clockwork(reactor)
+        self._service = MemoryService(self.clock, LOCK_DELAY_MS, late=1.5)
+        self._wires: list[MemoryWire] = []
+        self._saved = Saved(1)
+
+    def client(self) -> Client:
+        wire = self._service.wire()
+        self._wires.append(wire)
+        return Client(wire, self.clock, random.Random(len(self._wires)).random, PACING)
+
+    def cut(self, number: int, on: bool = True) -> None:
+        """One client's calls do not arrive, or do again."""
+        self._wires[number].cut = on
+
+    def gone(self, on: bool = True) -> None:
+        self._service.reachable = not on
+        self._service.changed()
+
+    def busy(self, on: bool = True) -> None:
+        for wire in self._wires:
+            wire.busy = on
+
+    def lose_answer(self) -> None:
+        for wire in self._wires:
+            wire.lost_answers = 1
+
+    def save(self) -> None:
+        self._saved = self._service.save()
+
+    def restore(self) -> None:
+        self._service.restore(self._saved)
+
+    def expire(self, lease: str) -> None:
+        self._service.expire(lease)
+
+    def close(self) -> None:
+        """Nothing is left."""
+
+
+class StandIn:
+    """Consul's API as the rig stands in for it, in a process of its own; one for all tests."""
+
+    _process: subprocess.Popen[str] | None = None
+    _ports: dict[str, int]
+    _run = count(1)
+
+    def __init__(self) -> None:
+        kind = type(self)
+        if kind._process is None:
+            kind._process = subprocess.Popen(
+                [sys.executable, "-m", "lupinlink.lab.fleet.consul", "--ttl-floor", "0.1"],
+                cwd=ROOT, stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True,
+            )  # fmt: skip
+            assert kind._process.stdout is not None
+            kind._ports = json.loads(kind._process.stdout.readline())
+        self.clock = Clockwork(reactor)
+        self._prefix = f"run{next(self._run)}/"
+        self._hosts: list[str] = []
+        self._wires: list[ConsulWire] = []
+        self._faults: set[str] = set()
+
+    def client(self) -> Client:
+        host = f"127.0.1.{len(self._hosts) + 1}"
+        place = Place(host, self._ports["port"], self._prefix, "", CALL_MS, LOCK_DELAY_MS)
+        wire = ConsulWire(reactor, place)
+        self._hosts.append(host)
+        self._wires.append(wire)
+        return Client(wire, self.clock, random.Random(len(self._hosts)).random, PACING)
+
+    def call(self, what: str, method: str = "PUT", **body: Any) -> Any:
+        """A call to the service's control port."""
+        url = f"http://127.0.0.1:{self._ports['control']}/_stand_in/{what}"
+        asked = urllib.request.Request(url, json.dumps(body).encode(), method=method)
+        with urllib.request.urlopen(asked, timeout=10) as answer:
+            return json.load(answer)
+
+    def _fault(self, kind: str, on: bool, **more: Any) -> None:
+        (self._faults.add if on else self._faults.discard)(kind)
+        self.call("fault", kind=kind, on=on, **more)
+
+    def cut(self, number: int, on: bool = True) -> None:
+        self._fault("cut", on, clients=[self._hosts[number]])
+
+    def gone(self, on: bool = True) -> None:
+        self._fault("gone", on)
+
+    def busy(self, on: bool = True) -> None:
+        self._fault("too_many", on)
+
+    def no_leader(self, on: bool = True) -> None:
+        self._fault("no_leader", on)
+
+    def slow(self, ms: float, on: bool = True) -> None:
+        self._fault("slow", on, ms=ms)
+
+    def lose_answer(self) -> None:
+        self._fault("lose_answers", True, count=1)
+
+    def save(self) -> None:
+        self.call("save")
+
+    def restore(self) -> None:
+        self.call("restore")
+
+    def expire(self, lease: str) -> None:
+        self.call(f"expire?session={lease}")
+
+    def close(self) -> None:
+        for kind in list(self._faults):
+            self._fault(kind, False)
+        for wire in self._wires:
+            wire.stop()
+
+    @classmethod
+    def end(cls) -> None:
+        """The process ends."""
+        if cls._process is not None:
+            with suppress(OSError):
+                cls._process.communicate(timeout=10)
+            cls._process = None
