--- a/lupinlink/cli.py
+++ b/lupinlink/cli.py
@@ -1,7 +1,7 @@
 """lupinlink: one real proxy around the decision module, and the tools beside it.
 
 Usage:
-  lupinlink [serve] [--config=FILE]
+  lupinlink [serve] [--config=FILE] [--fleet=FILE]
   lupinlink check [--config=FILE]
   lupinlink lab COMMAND [ARGUMENTS...]
   lupinlink version
@@ -17,6 +17,7 @@
 
 Options:
   --config=FILE  The configuration; else LB_CONFIG names it.
+  --fleet=FILE   What it agrees on with the fleet; else LB_FLEET names it; without one it serves alone.
   -h --help      Show this text.
 
 LB_NAME, LB_LISTEN, LB_DISCOVERY and LB_MGMT go before what the configuration says.
--- a/lupinlink/commands/serve.py
+++ b/lupinlink/commands/serve.py
@@ -1,37 +1,74 @@
 """Run one proxy in the foreground; the log goes to standard error.
 
 Usage:
-  lupinlink [serve] [--config=FILE]
+  lupinlink [serve] [--config=FILE] [--fleet=FILE]
   lupinlink serve (-h | --help)
 
 Options:
   --config=FILE  The configuration; else LB_CONFIG names it.
+  --fleet=FILE   What it agrees on with the fleet; else LB_FLEET names it; without one it serves alone.
   -h --help      Show this text.
 
 LB_NAME, LB_LISTEN, LB_DISCOVERY and LB_MGMT go before what the configuration says.
 
 Signals: SIGTERM and SIGINT stop it, SIGHUP reads the configuration anew, SIGUSR1 logs the counters.
-Exit: 0 stopped; 1 it could not serve; 2 the configuration is bad.
+Exit: 0 stopped; 1 it could not serve; 2 the configuration or the fleet file is bad.
 """
 
 from __future__ import annotations
 
 import os
+import sys
 from functools import partial
+from typing import TYPE_CHECKING, Any, cast
 
 from docopt import docopt
 
 from lupinlink.commands.told import told_off
-from lupinlink.settings import load_config
+from lupinlink.settings import Config, load_config
+
+if TYPE_CHECKING:
+    from lupinlink.net.seam import FleetSide
 
 
 def main(argv: list[str]) -> int:
     """Serve until a signal ends it; returns the exit code."""
     args = docopt(__doc__ or "", argv=argv)
+    file = args["--fleet"] or os.environ.get("LB_FLEET", "")
     try:
         config = load_config(os.environ, args["--config"])
         from lupinlink.net.service import serve
 
-        return serve(config, partial(load_config, os.environ, args["--config"], again=True))
+        load = partial(load_config, os.environ, args["--config"], again=True)
+        if not file:
+            return serve(config, load)
+        found = fleet_side(file, config)
+        return serve(config, load, found) if found is not None else 2
     except ValueError as exc:
         return told_off(exc)
+
+
+def fleet_side(file: str, config: Config) -> FleetSide | None:
+    """What a fleet file adds; None after one line on standard error, if it cannot be used.
+
+    Imported only here: a plain serve must load nothing of it.
+    """
+    from twisted.internet import reactor
+
+    from lupinlink import __version__
+    from lupinlink.errors import LupinError
+
+    try:
+        try:
+            from lupinlink.config.files import load_fleet
+            from lupinlink.net.fleet import Fleet
+        except ModuleNotFoundError as exc:
+            if (exc.name or "").startswith("lupinlink"):
+                raise
+            from lupinlink.config.errors import FleetExtraError
+
+            raise FleetExtraError(f"{file}: {exc}") from exc
+        return Fleet(load_fleet(file), config, cast(Any, reactor), __version__)
+    except LupinError as exc:
+        print(f"lupinlink: {exc.line()}", file=sys.stderr)
+        return None
--- /dev/null
+++ b/lupinlink/config/fleet.py
@@ -0,0 +1,113 @@
+"""The fleet file: through what processes agree, who this one is, and which parts it takes. Pure.
+
+Every key with unit, range and default: deploy/fleet.toml. A part is off unless its table is there; its
+settings are a msgspec Struct of its own package, loaded only then.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from importlib import import_module
+from typing import Annotated, Any, Literal
+
+import msgspec
+from msgspec import Meta, Struct
+
+from lupinlink.config.errors import FleetFileError, FleetPartError
+from lupinlink.config.explain import explain
+from lupinlink.errors import LupinError
+
+PARTS = {  # by table: where the Struct of its settings is
+    "release": "lupinlink.release.settings:ReleaseSettings",
+    "quota": "lupinlink.quota.settings:QuotaSettings",
+    "migration": "lupinlink.migration.settings:MigrationSettings",
+}
+Name = Annotated[str, Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}\Z")]
+MaybeName = Annotated[str, Meta(pattern=r"^([A-Za-z0-9][A-Za-z0-9._+-]{0,62})?\Z")]
+
+
+class AgreementSettings(Struct, frozen=True, forbid_unknown_fields=True):
+    """The ``[agreement]`` table."""
+
+    form: Literal["consul", "memory"] = "consul"  # memory: this process agrees with itself alone
+    address: Annotated[str, Meta(pattern=r"^[^\s:/]+:[0-9]{1,5}\Z")] = "127.0.0.1:8500"  # IPv4 or a name
+    prefix: Annotated[str, Meta(pattern=r"^([^\s/]+/)+\Z", max_length=200)] = "lupinlink/"  # before all keys
+    token: Annotated[str, Meta(max_length=200)] = ""  # of Consul's access control; empty: none
+    lease_s: Annotated[float, Meta(ge=1.0, le=86400.0)] = 10.0  # without renewal
+    lock_delay_s: Annotated[float, Meta(ge=0.0, le=60.0)] = 1.0  # after a lease that ended
+    call_ms: Annotated[float, Meta(ge=100.0, le=60000.0)] = 2000.0  # time-out of a call
+    ask_ms: Annotated[float, Meta(ge=100.0, le=60000.0)] = 1000.0  # between standing questions, on average
+    wait_s: Annotated[float, Meta(ge=1.0, le=600.0)] = 10.0  # how long one stands while nothing changes
+
+    @property
+    def place(self) -> tuple[str, int]:
+        """Host and port of ``address``."""
+        host, _, port = self.address.rpartition(":")
+        return host, int(port)
+
+    def check(self) -> None:
+        """What no bound of one key tells. Raises FleetFileError."""
+        if not 0 < self.place[1] <= 65535:
+            raise FleetFileError(f"address: port {self.place[1]}; allowed: 1 to 65535")
+        if self.call_ms > self.lease_s * 1000.0 / 3.0:
+            raise FleetFileError(
+                f"call_ms: {self.call_ms:g} is over a third of lease_s: few slow calls would lose the lease; "
+                f"allowed: to {self.lease_s * 1000.0 / 3.0:g}"
+            )
+
+
+class MemberSettings(Struct, frozen=True, forbid_unknown_fields=True):
+    """The ``[member]`` table."""
+
+    zone: MaybeName = ""  # empty: as the proxy's own settings have it
+    version: MaybeName = ""  # empty: the program's
+    pool: MaybeName = ""  # for migrations
+
+
+class FleetFile(Struct, frozen=True):
+    """What was read."""
+
+    agreement: AgreementSettings
+    member: MemberSettings
+    parts: Mapping[str, Any]  # by table: the settings of the parts that are on
+    folder: str = ""  # of the file, where a path in it that is not absolute begins
+
+
+def read_fleet(raw: Mapping[str, Any], name: str, folder: str = "") -> FleetFile:
+    """Check what a fleet file holds; ``name`` is the file's, for the one line that tells what is wrong.
+
+    Raises FleetFileError, FleetPartError, and what a part's own settings raise.
+    """
+    unknown = raw.keys() - PARTS.keys() - {"agreement", "member"}
+    if unknown:
+        tables = ", ".join(["agreement", "member", *PARTS])
+        raise FleetFileError(f"{name}: {min(unknown)}: there is no such table; allowed: {tables}")
+    return FleetFile(
+        _table(raw, name, "agreement", AgreementSettings),
+        _table(raw, name, "member", MemberSettings),
+        {table: _table(raw, name, table, _settings(name, table)) for table in PARTS if table in raw},
+        folder,
+    )
+
+
+def _settings(name: str, table: str) -> Any:
+    module, _, kind = PARTS[table].partition(":")
+    try:
+        return getattr(import_module(module), kind)
+    except ImportError as exc:
+        raise FleetPartError(f"{name}: {table}: {exc}") from exc
+
+
+def _table(raw: Mapping[str, Any], name: str, table: str, kind: Any) -> Any:
+    try:
+        settings = msgspec.convert(raw.get(table, {}), kind)
+        if hasattr(settings, "check"):
+            settings.check()
+    except msgspec.ValidationError as exc:
+        key, what, allowed = explain(kind, str(exc))
+        place = f"{table}.{key}" if key else table
+        raise FleetFileError(f"{name}: {place}: {what}; allowed: {allowed}") from exc
+    except (LupinError, ValueError) as exc:
+        kept = type(exc) if isinstance(exc, LupinError) else FleetFileError
+        raise kept(f"{name}: {table}: {exc}") from exc
+    return settings
--- a/lupinlink/coordination/lead.py
+++ b/lupinlink/coordination/lead.py
@@ -5,6 +5,9 @@
 (Ongaro and Ousterhout, "In Search of an Understandable Consensus Algorithm", USENIX ATC 2014, on drawn
 time-outs). Taking it writes a fence over all that are known (``lupinlink.coordination.fence``).
 
+After a restore the stored fence may lie under one that others obeyed. Whoever sees a lead under a lower fence
+than it has met writes that one beside the record, and the lead goes on under a higher one.
+
 What a lead writes goes with ``guard()`` in the same commit: then a lead that stood still and was replaced can
 write nothing more. What it tells others goes with ``fence``: they obey none under the highest they have met.
 """
@@ -41,6 +44,7 @@
 SPREAD_MS = 2000.0  # over which campaigns are drawn
 LOCK_DELAY_MS = 1000.0  # of the service, if the caller knows no better
 MOST_AGAIN_MS = 5000.0  # between two tries that failed
+MET = "/met"  # after the key: where the highest fence stands that somebody met and the lead does not have
 
 
 class Lead:
@@ -71,6 +75,7 @@
         self._spread_ms, self._lock_delay_ms = spread_ms, lock_delay_ms
         self._backoff = Backoff(max(lock_delay_ms, 500.0), MOST_AGAIN_MS, draw)
         self._record: Record | None = None  # as last seen
+        self._met: Record | None = None  # what somebody complained of
         self._known = False  # whether it was seen at all
         self._lease: Lease | None = None  # under which it leads
         self._taken_ms = 0.0  # when the answer came to what made it lead
@@ -88,7 +93,7 @@
     @property
     def holder(self) -> str:
         """Who led when the record was last seen; empty: nobody."""
-        return read_mark(self._record.value).holder if self._record is not None and self._record.lease else ""
+        return _mark(self._record).holder if self._record is not None and self._record.lease else ""
 
     def guard(self) -> tuple[Step, ...]:
         """What each commit under this lead must hold. Raises LeaseLostError when it does not lead."""
@@ -124,15 +129,15 @@
             own = self._record
             if record is None or own is None or record.revision < own.revision:
                 return  # asked before it led: older than what it wrote itself
-        self._record, self._known = record, True
+        self._record, self._known, self._met = record, True, view.records.get(self._key + MET)
         self._look()
 
     def _look(self) -> None:
         if self._watch is None or not self._known or self._asking:
             return
         record, lease = self._record, self._tenure.lease
-        mark = read_mark(record.value) if record is not None else Mark()
-        self._seen.admits(mark.fence)
+        mark, met = _mark(record), _mark(self._met)
+        self._seen.admits(max(mark.fence, met.fence))
         mine = record is not None and lease is not None and record.lease == lease.name
         if self._lease is not None and not mine:
             self._dismiss(LeaseLostError(f"{self._key} is held by another or by nobody"))
@@ -140,6 +145,8 @@
             self._lead(mark.fence, record, lease)
         elif lease is not None and (record is None or not record.lease):
             self._plan(self._lock_delay_ms if record is not None and mark.holder else 0.0)
+        elif mark.fence < self._seen.highest and met.fence < self._seen.highest:
+            self._plan(0.0)
         else:
             self._unplan()
 
@@ -168,14 +175,21 @@
     def _campaign(self) -> None:
         self._planned = False
         lease, record = self._tenure.lease, self._record
+        if record is not None and record.lease and (lease is None or record.lease != lease.name):
+            self._complain()
+            return
         if lease is None:
             return
-        stored = read_mark(record.value).fence if record is not None else 0
-        mark = Mark(self._seen.next(stored), self._name)
+        mark = Mark(self._seen.next(_mark(record).fence), self._name)
         # Danger: without the guard two candidates would write one and the same fence, one after the other.
         revision = record.revision if record is not None else ABSENT
         self._commit([Guarded(self._key, revision), Take(self._key, write_mark(mark), lease.name)])
 
+    def _complain(self) -> None:
+        value = write_mark(Mark(self._seen.highest, self._name))
+        revision = self._met.revision if self._met is not None else ABSENT
+        self._commit([Put(self._key + MET, value, revision)])
+
     def _commit(self, steps: list[Step]) -> None:
         self._asking = True
         done = self._agreement.commit(steps)
@@ -186,7 +200,9 @@
         self._backoff.reset()
         if self._watch is None:
             return
-        now = records[self._key]
+        now = records.get(self._key)
+        if now is None:
+            return  # it was a complaint; the watch tells what comes of it
         self._taken_ms = self._clock.now()
         if self._record is None or self._record is before or self._record.revision < now.revision:
             self._record = now  # else the watch has told of what came after
@@ -209,3 +225,7 @@
             self._lease = None
             log.warning("leads no more", extra={"kv": {"key": self._key, "why": error.line()}})
             self._lost(error)
+
+
+def _mark(record: Record | None) -> Mark:
+    return read_mark(record.value) if record is not None else Mark()
--- a/lupinlink/coordination/tenure.py
+++ b/lupinlink/coordination/tenure.py
@@ -33,6 +33,7 @@
         self._call = 0
         self._stopped = False
         self.failures = 0  # in a row, of asking for a lease
+        self.why = ""  # the last of them
 
     @property
     def lease(self) -> Lease | None:
@@ -72,9 +73,9 @@
     def _failed(self, failure: Failure) -> None:
         if self._stopped:
             return
-        self.failures += 1
+        self.failures, self.why = self.failures + 1, _line(failure)
         if self.failures == 1:
-            log.warning("no lease", extra={"kv": {"why": _line(failure)}})
+            log.warning("no lease", extra={"kv": {"why": self.why}})
         self._call = self._clock.at(self._clock.now() + self._backoff.next_ms(), self._ask)
 
     def _ended(self, error: LupinError) -> None:
--- /dev/null
+++ b/lupinlink/net/fleet.py
@@ -0,0 +1,189 @@
+"""The shell that wires the fleet's parts into one proxy; loaded only when a fleet file is given.
+
+It is the service's ``FleetSide``. Everything is put together before the service is, which asks for the door's
+calls then, and begins to act in ``started``. A part is wired by a module of its own (``WIRED``): its ``make``
+gets the ``Kit`` and its table's settings and gives a ``Part``, which may be a ``Gate`` as well.
+"""
+
+from __future__ import annotations
+
+import logging
+import random
+import time
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+from importlib import import_module
+from typing import TYPE_CHECKING, Any, Protocol, cast, runtime_checkable
+
+from lupinlink.config.errors import FleetPartError
+from lupinlink.config.fleet import AgreementSettings, FleetFile
+from lupinlink.coordination.client import Client
+from lupinlink.coordination.contract import Agreement
+from lupinlink.coordination.memory import MemoryService
+from lupinlink.coordination.pace import Pacing
+from lupinlink.coordination.part import Answer, Ask, DoorCalls, Member, Part
+from lupinlink.coordination.presence import Presence
+from lupinlink.coordination.tenure import Tenure
+from lupinlink.coordination.wire import Wire
+from lupinlink.errors import LupinError
+from lupinlink.net.seam import Host, Refusal
+from lupinlink.net.wheel import Clockwork
+
+if TYPE_CHECKING:
+    from lupinlink.net.terms import Call
+    from lupinlink.net.typed import Reactor
+    from lupinlink.settings import Config
+
+log = logging.getLogger(__name__)
+WIRED = {  # by table of the fleet file: the module whose ``make`` wires the part
+    "release": "lupinlink.net.fleet_release",
+    "quota": "lupinlink.net.fleet_quota",
+    "migration": "lupinlink.net.fleet_migration",
+}
+
+
+@runtime_checkable
+class Gate(Protocol):
+    """A part that may refuse calls; there is one at most."""
+
+    def admits(self, call: Call) -> Refusal | None:
+        """As ``FleetSide.admits``."""
+        ...
+
+    @property
+    def settled(self) -> Callable[[Call], None] | None:
+        """As ``FleetSide.settled``."""
+        ...
+
+
+@dataclass(slots=True)
+class Kit:
+    """What a part is made of."""
+
+    agreement: Agreement
+    clock: Clockwork
+    tenure: Tenure  # the process's one lease: a lease of its own would cost a part a call each 3 s
+    draw: Callable[[], float]
+    member: Member
+    settings: AgreementSettings
+    folder: str  # of the fleet file
+    made: dict[str, Part] = field(default_factory=dict)  # the parts before this one, by table
+    _host: Host | None = None
+
+    @property
+    def host(self) -> Host:
+        """The service; there from ``Part.start`` on."""
+        assert self._host is not None, "the service has not started"
+        return self._host
+
+    def lead_words(self) -> dict[str, Any]:
+        """What ``Lead`` is to be told beside its own."""
+        return {"lock_delay_ms": self.settings.lock_delay_s * 1000.0}
+
+
+class Fleet:
+    """The fleet's side of one process."""
+
+    def __init__(self, file: FleetFile, config: Config, reactor: Reactor, version: str) -> None:
+        """Raises FleetPartError, and what a part's own making raises."""
+        agreement, member = file.agreement, file.member
+        zones, zone = config.settings.zones, config.settings.zone
+        own_zone = zones[zone] if zone < len(zones) else str(zone)
+        draw = random.SystemRandom().random  # Danger: equal seeds would make a fleet act in step
+        clock = Clockwork(reactor)
+        self._began = time.monotonic()
+        self._wire = self._service(agreement, reactor, clock, config.name)
+        pacing = Pacing(agreement.ask_ms, agreement.wait_s * 1000.0)
+        self._client = Client(self._wire, clock, draw, pacing)
+        self._tenure = Tenure(self._client, clock, agreement.lease_s * 1000.0, draw)
+        self._file = file
+        self._kit = Kit(
+            self._client, clock, self._tenure, draw,
+            Member(config.name, member.zone or own_zone, member.version or version, member.pool),
+            agreement, file.folder,
+        )  # fmt: skip
+        self._presence = Presence(self._client, clock, self._tenure, self._kit.member, draw)
+        for table, settings in file.parts.items():
+            self._kit.made[table] = self._make(table, settings)
+        gates = [part for part in self._kit.made.values() if isinstance(part, Gate)]
+        self._gate = gates[0] if gates else None
+
+    @staticmethod
+    def _service(agreement: AgreementSettings, reactor: Reactor, clock: Clockwork, name: str) -> Wire:
+        if agreement.form == "memory":
+            return MemoryService(clock, agreement.lock_delay_s * 1000.0).wire()
+        from lupinlink.coordination.consul import ConsulWire, Place
+
+        host, port = agreement.place
+        lock_delay_ms = agreement.lock_delay_s * 1000.0
+        place = Place(host, port, agreement.prefix, agreement.token, agreement.call_ms, lock_delay_ms, name)
+        return ConsulWire(reactor, place)
+
+    def _make(self, table: str, settings: Any) -> Part:
+        try:
+            made = import_module(WIRED[table]).make(self._kit, settings)
+        except ModuleNotFoundError as exc:
+            raise FleetPartError(f"{table}: {exc}") from exc
+        return cast(Part, made)
+
+    def started(self, host: Host) -> None:
+        """The reactor runs."""
+        self._kit._host = host
+        self._tenure.listen(lambda lease: None, self._lost)
+        self._tenure.start()
+        self._presence.start()
+        for part in self._kit.made.values():
+            part.start()
+        where = self._file.agreement.address if self._file.agreement.form == "consul" else "memory"
+        log.info("fleet", extra={"kv": {"agreement": where, "parts": ",".join(self._kit.made) or "none"}})
+
+    def stopping(self) -> None:
+        """This process ends. What is told the service now may arrive or not; leases end by themselves."""
+        for part in self._kit.made.values():
+            try:
+                part.stop()
+            except Exception:
+                log.exception("a part failed to stop")
+        self._presence.stop()
+        self._tenure.stop()
+
+    def calls(self) -> DoorCalls:
+        """The parts' calls, and one that tells how this process stands with the agreement service."""
+        table: dict[str, Mapping[str, Callable[[Ask], Answer]]] = {"/control/fleet": {"GET": self._state}}
+        for name, part in self._kit.made.items():
+            for path, methods in part.calls().items():
+                if path in table:
+                    raise FleetPartError(f"{name}: {path} is a call of another part")
+                table[path] = methods
+        return table
+
+    def admits(self, call: Call) -> Refusal | None:
+        """As the quota has it."""
+        return self._gate.admits(call) if self._gate is not None else None
+
+    @property
+    def settled(self) -> Callable[[Call], None] | None:
+        """As the quota has it."""
+        return self._gate.settled if self._gate is not None else None
+
+    def _lost(self, error: LupinError) -> None:
+        log.warning("lease lost", extra={"kv": {"why": error.line()}})
+
+    def _state(self, ask: Ask) -> Answer:
+        lease, now = self._tenure.lease, self._kit.clock.now()
+        member, agreement = self._kit.member, self._file.agreement
+        seconds = max(1e-3, time.monotonic() - self._began)
+        kinds = ", ".join(f"{kind} {n}" for kind, n in sorted(self._client.calls_by_kind.items()))
+        held = f"held, believed for {(lease.until_ms() - now) / 1000.0:.1f} s more" if lease else "none"
+        where = f"{agreement.address}, below {agreement.prefix}" if agreement.form == "consul" else "memory"
+        rows = {
+            "member": f"{member.name}, zone {member.zone}, version {member.version}"
+            + (f", pool {member.pool}" if member.pool else ""),
+            "agreement": where,
+            "lease": held if lease or not self._tenure.failures else f"none: {self._tenure.why}",
+            "joined": "yes" if self._presence.known else "no",
+            "calls": f"{self._client.calls} in {seconds:.0f} s, {self._client.calls / seconds:.2f} a second "
+            f"({kinds or 'none'})",
+            "parts": ", ".join(self._kit.made) or "none",
+        }
+        return Answer(200, "".join(f"{name:<10} {text}\n" for name, text in rows.items()))
--- /dev/null
+++ b/tests/test_lead.py
@@ -0,0 +1,206 @@
+"""One lead, whatever happens: leases, fences and campaigns over any order of events."""
+
+from __future__ import annotations
+
+import random
+import unittest
+from collections.abc import Callable
+
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
+
+from lupinlink.coordination.contract import Held, Put
+from lupinlink.coordination.errors import LeaseLostError
+from lupinlink.coordination.fence import Mark, write_mark
+from lupinlink.coordination.keeping import KeptLease
+from lupinlink.coordination.memory import MemoryService
+from lupinlink.errors import LupinError
+from lupinlink.lab.model.clock import VirtualClock
+from tests.fleet_members import KEY, TTL_MS, Candidate, Works
+
+WHO = st.integers(0, 2)
+
+
+class LeadMachine(RuleBasedStateMachine):
+    """Three candidates; each may stand still, be cut off, lose answers; the service may go back."""
+
+    @initialize(late=st.floats(1.0, 2.0))
+    def begin(self, late: float) -> None:
+        self.clock = VirtualClock()
+        self.service = MemoryService(self.clock, 1000.0, late)
+        self.works = Works(self.service)
+        self.all = [Candidate(self.service, self.clock, i) for i in range(3)]
+        self.saved = self.service.save()
+        self.ended: set[str] = set()  # leases that were ended by force
+        self.decided: dict[int, Callable[[], None]] = {}
+
+    @rule(ms=st.floats(1.0, 15000.0))
+    def time(self, ms: float) -> None:
+        self.clock.run(self.clock.now() + ms)
+
+    @rule(who=WHO)
+    def stand_still(self, who: int) -> None:
+        self.decided[who] = self.all[who].decide()
+        self.all[who].clock.stopped = True
+
+    @rule(who=WHO)
+    def go_on(self, who: int) -> None:
+        # Danger: what it does first, it does in the belief that it had when it was stopped.
+        self.decided.pop(who, lambda: None)()
+        self.all[who].clock.go_on()
+
+    @rule(who=WHO, cut=st.booleans())
+    def cut(self, who: int, cut: bool) -> None:
+        self.all[who].wire.cut = cut
+
+    @rule(who=WHO, asks=st.integers(0, 2), answers=st.integers(0, 2))
+    def lose(self, who: int, asks: int, answers: int) -> None:
+        self.all[who].wire.lost_asks, self.all[who].wire.lost_answers = asks, answers
+
+    @rule(who=WHO)
+    def work(self, who: int) -> None:
+        self.all[who].decide()()
+
+    @rule(who=WHO)
+    def expire(self, who: int) -> None:
+        lease = self.all[who].tenure.lease
+        if lease is not None:
+            self.ended.add(lease.name)
+            self.service.expire(lease.name)
+
+    @rule()
+    def save(self) -> None:
+        self.saved = self.service.save()
+
+    @precondition(lambda self: self.service.ledger.index > self.saved.index)
+    @rule()
+    def restore(self) -> None:
+        self.ended |= self.service.ledger.grants.keys() - self.saved.grants.keys()
+        self.service.restore(self.saved)
+        self.works.fences.clear()
+
+    @rule()
+    def heal(self) -> None:
+        """All goes well for long enough: one leads, under a fence that everybody obeys."""
+        for one in self.all:
+            one.wire.cut, one.wire.lost_asks, one.wire.lost_answers = False, 0, 0
+            one.clock.go_on()
+        self.clock.run(self.clock.now() + 90000.0)
+        leads = [one for one in self.all if one.lead.leads]
+        assert len(leads) == 1
+        assert all(one.lead.holder == leads[0].lead._name for one in self.all)
+        assert all(one.seen.admits(leads[0].lead.fence) for one in self.all)
+        before = len(self.works.fences)
+        leads[0].decide()()
+        self.clock.run(self.clock.now() + 10.0)
+        assert self.works.fences[before:] == [leads[0].lead.fence]
+
+    @invariant()
+    def work_is_accepted_under_fences_that_only_rise(self) -> None:
+        if hasattr(self, "works"):
+            assert self.works.fences == sorted(self.works.fences)
+
+    @invariant()
+    def a_process_leads_under_fences_that_only_rise(self) -> None:
+        for one in getattr(self, "all", ()):
+            assert one.became == sorted(set(one.became))
+
+    @invariant()
+    def a_lease_is_believed_no_longer_than_it_is_granted(self) -> None:
+        for one in getattr(self, "all", ()):
+            lease = one.tenure.lease
+            if lease is not None and lease.name not in self.ended:
+                self.service.ledger.expire(self.clock.now())
+                assert lease.name in self.service.ledger.grants
+
+
+LeadMachine.TestCase.settings = settings(
+    max_examples=40, stateful_step_count=40, deadline=None, derandomize=True,
+    suppress_health_check=list(HealthCheck),
+)  # fmt: skip
+LeadTest = LeadMachine.TestCase
+
+
+class LeadCases(unittest.TestCase):
+    def setUp(self) -> None:
+        self.clock = VirtualClock()
+        self.service = MemoryService(self.clock, 1000.0, late=1.5)
+        self.works = Works(self.service)
+
+    def candidates(self, number: int) -> list[Candidate]:
+        found = [Candidate(self.service, self.clock, i) for i in range(number)]
+        self.clock.run(self.clock.now() + 20000.0)
+        return found
+
+    def test_a_holder_that_stood_still_writes_nothing_more(self) -> None:
+        all_ = self.candidates(3)
+        first = next(one for one in all_ if one.lead.leads)
+        write, fence = first.decide(), first.lead.fence
+        first.clock.stopped = True
+        self.clock.run(self.clock.now() + 4 * TTL_MS)
+        second = next(one for one in all_ if one is not first and one.lead.leads)
+        self.assertGreater(second.lead.fence, fence)
+        self.assertFalse(first.lead.leads)
+        self.assertRaises(LeaseLostError, first.lead.guard)
+        write()
+        first.clock.go_on()
+        self.clock.run(self.clock.now() + 100.0)
+        self.assertEqual((first.failed, self.works.fences, first.lost), (1, [], 1))
+        self.assertTrue(first.seen.admits(second.lead.fence))
+        self.assertFalse(first.seen.admits(fence))
+
+    def test_two_hundred_do_not_storm_when_the_holder_goes(self) -> None:
+        all_ = self.candidates(200)
+        first = next(one for one in all_ if one.lead.leads)
+        before = sum(one.client.calls_by_kind.get("commit", 0) for one in all_)
+        name = first.tenure.lease.name if first.tenure.lease else ""
+        first.wire.cut = True
+        self.service.expire(name)
+        self.clock.run(self.clock.now() + 5000.0)
+        self.assertEqual(sum(one.lead.leads for one in all_ if one is not first), 1)
+        after = sum(one.client.calls_by_kind.get("commit", 0) for one in all_ if one is not first)
+        self.assertLessEqual(after - before, 10)
+
+    def test_a_lead_that_is_let_go_is_taken_at_once(self) -> None:
+        all_ = self.candidates(2)
+        first, second = sorted(all_, key=lambda one: not one.lead.leads)
+        first.lead.stop()
+        self.clock.run(self.clock.now() + 2500.0)  # the spread, and no lock-delay
+        self.assertTrue(second.lead.leads and not first.lead.leads)
+        self.assertEqual(first.lost, 0)
+
+    def test_a_fence_that_somebody_met_is_overtaken(self) -> None:
+        all_ = self.candidates(3)
+        first = next(one for one in all_ if one.lead.leads)
+        other = next(one for one in all_ if one is not first)
+        other.lead.heard(first.lead.fence + 7)  # as after a restore
+        self.clock.run(self.clock.now() + 10000.0)
+        self.assertGreater(first.lead.fence, first.became[0] + 7)
+        self.assertEqual((first.lost, first.became[-1]), (0, first.lead.fence))
+
+    def test_a_record_that_cannot_be_read_stops_no_campaign(self) -> None:
+        self.service.ledger.commit([Put(KEY, b"\xff", None), Put("x", write_mark(Mark(3)), None)], 0.0)
+        self.assertEqual(sum(one.lead.leads for one in self.candidates(2)), 1)
+
+    def test_the_answer_that_the_service_was_busy_changes_nothing(self) -> None:
+        all_ = self.candidates(2)
+        before = [list(one.became) for one in all_]
+        for one in all_:
+            one.wire.busy = True
+        self.clock.run(self.clock.now() + 5000.0)
+        for one in all_:
+            one.wire.busy = False
+        self.clock.run(self.clock.now() + 20000.0)
+        self.assertEqual([one.became for one in all_], before)
+
+
+class Keeping(unittest.TestCase):
+    def test_a_renewal_that_is_answered_too_late_gives_no_belief_back(self) -> None:
+        clock, lost = VirtualClock(), list[LupinError]()
+        service = MemoryService(clock, delay_ms=TTL_MS)  # as slow as the lease is long
+        name = service.ledger.open(100 * TTL_MS, 0.0)
+        lease = KeptLease(service.wire(), clock, random.Random(1).random, name, TTL_MS, 0.0, lost.append)
+        clock.run(5 * TTL_MS)
+        self.assertEqual(([type(error) for error in lost], lease.holds()), ([LeaseLostError], False))
+        self.assertEqual(Held("r", lease.name), Held("r", ""))
