--- a/lupinlink/net/hosting.py
+++ b/lupinlink/net/hosting.py
@@ -8,20 +8,15 @@
 from urllib.parse import parse_qsl
 
 from lupinlink.coordination.part import Ask, DoorCall
-from lupinlink.net.application_servers import ApplicationServers
-from lupinlink.net.counters import Counters
-from lupinlink.net.farm import Farm
-from lupinlink.net.lifecycle import Lifecycle, Stand
+from lupinlink.net.lifecycle import Stand
 from lupinlink.net.lists import STATES
 from lupinlink.net.management import Call as ManagementCall
 from lupinlink.net.management import WrongAskError
-from lupinlink.net.proxy import Proxy
+from lupinlink.net.parts import Parts
 from lupinlink.net.seam import FleetSide, Gauges, Listed
 from lupinlink.net.terms import Call
-from lupinlink.net.typed import Reactor
-from lupinlink.net.user_agents import Phase, UserAgents
-from lupinlink.net.wheel import Clockwork
-from lupinlink.settings import Settings
+from lupinlink.net.user_agents import Phase
+from lupinlink.settings import Config
 
 log = logging.getLogger(__name__)
 REPORT_MS = 10000.0  # so long does a server's report of its use count
@@ -82,21 +77,13 @@
 class Hosting:
     """Host of the seam, over the service's parts."""
 
-    def __init__(
-        self,
-        fleet: FleetSide,
-        known: tuple[str, Settings],
-        reactor: Reactor,
-        clock: Clockwork,
-        lifecycle: Lifecycle,
-        parts: tuple[Proxy, UserAgents, Farm, ApplicationServers],
-        counters: Counters,
-        acts: Acts,
-    ) -> None:
-        self.name, self.settings = known
-        self.reactor, self.clock, self._acts = reactor, clock, acts
-        self._fleet, self._lifecycle, self._counters = fleet, lifecycle, counters
-        self._proxy, self._agents, self._farm, self._servers = parts
+    def __init__(self, fleet: FleetSide, config: Config, parts: Parts, acts: Acts) -> None:
+        self.name, self.settings = config.name, config.settings
+        self.reactor, self.clock, self._acts = parts.reactor, parts.clock, acts
+        self._fleet, self._lifecycle, self._counters = fleet, parts.lifecycle, parts.counters
+        self._proxy, self._agents, self._farm, self._servers = (
+            parts.proxy, parts.agents, parts.farm, parts.servers,
+        )  # fmt: skip
         self._reports = Reports()
         self._started = self._stopped = False
         self._proxy.admits = self._admits
@@ -115,7 +102,10 @@
     def start(self) -> None:
         """The reactor runs."""
         self._started = True
-        self._fleet.started(self)
+        try:
+            self._fleet.started(self)
+        except Exception:  # user agents are served without it
+            log.exception("fleet failed to start")
 
     def stop(self) -> None:
         """This process ends; a second call does nothing."""
--- /dev/null
+++ b/lupinlink/net/leavers.py
@@ -0,0 +1,40 @@
+"""Sees user agents off while a drain, a handover or a stop is on, until nothing more can come."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from lupinlink.net.parts import Parts
+
+CHECK_MS = 20.0  # how often connections are looked through while they are to go
+
+
+class Leavers:
+    """The lifecycle says who goes when; ``leave`` is called once the process may end."""
+
+    def __init__(self, parts: Parts, leave: Callable[[], None]) -> None:
+        self._clock, self._lifecycle = parts.clock, parts.lifecycle
+        self._proxy, self._agents = parts.proxy, parts.agents
+        self._leave = leave
+        self._checking = False
+
+    def watch(self) -> None:
+        """Begin, unless it is on already."""
+        if not self._checking:
+            self._checking = True
+            self._check()
+
+    def _check(self) -> None:
+        """While user agents are to go: see them off, and leave once nothing more can come."""
+        now, state = self._clock.now(), self._lifecycle
+        if state.keeps():
+            self._checking = False
+            return
+        if state.last_call(now):
+            self._proxy.end_all()
+        if now >= state.idle_from():
+            self._agents.close_idle(unasked=state.stopping)
+        if state.may_leave(now, len(self._agents.connections) + self._proxy.open):
+            self._leave()
+        else:
+            self._clock.after(CHECK_MS, self._check)
--- /dev/null
+++ b/lupinlink/net/parts.py
@@ -0,0 +1,41 @@
+"""What one process of a proxy is made of, put together."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from lupinlink.net.application_servers import ApplicationServers
+from lupinlink.net.counters import Counters
+from lupinlink.net.farm import Farm
+from lupinlink.net.handover.room import Room
+from lupinlink.net.lifecycle import Lifecycle
+from lupinlink.net.proxy import Proxy
+from lupinlink.net.typed import Reactor
+from lupinlink.net.user_agents import UserAgents
+from lupinlink.net.wheel import Clockwork
+from lupinlink.settings import Config
+
+
+@dataclass(slots=True, frozen=True)
+class Parts:
+    """From the clock up to user agents; each knows only those before it."""
+
+    reactor: Reactor
+    clock: Clockwork
+    counters: Counters
+    lifecycle: Lifecycle
+    servers: ApplicationServers
+    farm: Farm
+    proxy: Proxy
+    agents: UserAgents
+
+
+def build(config: Config, reactor: Reactor, room: Room) -> Parts:
+    """All parts of a process with that room; nothing listens yet, and nothing is asked."""
+    counters, clock, lifecycle, settings = Counters(), Clockwork(reactor), Lifecycle(), config.settings
+    servers = ApplicationServers(reactor, clock, settings, room.servers, counters)
+    farm = Farm(reactor, clock, config.discovery, settings, servers, counters)
+    proxy = Proxy(settings, config.seed, clock, servers, farm.watch, counters)
+    farm.news = proxy.news
+    agents = UserAgents(proxy, farm, clock, settings, lifecycle, room.agents, room.spare_mb, counters)
+    return Parts(reactor, clock, counters, lifecycle, servers, farm, proxy, agents)
