Give the fleet rig an agreement service, operators, and a referee of what was agreed

A scenario's table [agreement] starts the stand-in, writes each proxy's fleet file and opens its door; faults meet the service, the lead or a permit's holder; orders are made at proxies' doors; the summary's agreed figures are told by what fronts, processes, servers and user agents showed.

--- a/lupinlink/lab/fleet/bank.py
+++ b/lupinlink/lab/fleet/bank.py
@@ -5,13 +5,14 @@
 import asyncio
 import signal
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from functools import partial
 from pathlib import Path
 
 from lupinlink.lab.fleet.discovery import Discovery
 from lupinlink.lab.fleet.ground import Ground
 from lupinlink.lab.fleet.processes import FleetProxy
+from lupinlink.lab.fleet.seen import Seen
 
 LEAVE_S = 4.5  # a proxy that was told to end is killed after so long
 FRONT_MS = 300.0  # after SIGTERM new connections keep coming for so long
@@ -28,14 +29,21 @@
         self.paused: set[int] = set()
         self.crashes: list[str] = []
         self.started_at = [0.0] * count
+        self.seen: Seen | None = None  # of a fleet that agrees
+        self.wanted: Callable[[int], Awaitable[None]] | None = None  # sees to what is started in its place
+        self.idle: set[int] = set()  # proxies of pools that do not serve at the start
+        self.left = 0  # times that one ended by itself, in order, and was started again
         self._ground, self._discovery, self._tell = ground, discovery, tell
         self._epochs = [0] * count  # a later fault ends an earlier one's restart
 
-    def heard_up(self, proxy: int, up: bool) -> None:
-        """Its front finds it up, or no more."""
+    def heard_up(self, proxy: int, up: bool, at: float, told: bool) -> None:
+        """Its front finds it up, or no more; ``told``: it said so, and was not just silent."""
         self.up.add(proxy) if up else self.up.discard(proxy)
+        one = self.proxies[proxy]
         if up:
-            self.proxies[proxy].is_up()
+            one.is_up()
+        if self.seen is not None and one.runs:
+            self.seen.up(proxy, up, at, told and not one.leaving and proxy not in self.paused)
 
     def start(self, proxy: int) -> None:
         """Start a proxy's process, from what it was told last."""
@@ -62,14 +70,20 @@
         self._epochs[proxy] += 1
         self.paused.discard(proxy)
         self._ground.witness.proxy_died(proxy)
+        self._hurt(proxy)
         self.proxies[proxy].kill()
 
+    def _hurt(self, proxy: int) -> None:
+        if self.seen is not None:
+            self.seen.hurt(proxy)
+
     def roll(self, proxy: int) -> None:
         """A planned restart."""
         one = self.proxies[proxy]
         if not one.runs or proxy in self.paused or self._ground.closing:
             return
         one.leaving = True
+        self._hurt(proxy)
         one.signal(signal.SIGTERM)
         self._epochs[proxy] += 1
         self._ground.clock.after(
@@ -93,6 +107,7 @@
         """Its machine vanishes: what it has open is lost with it."""
         self.paused.add(proxy)
         self._ground.witness.proxy_died(proxy)
+        self._hurt(proxy)
         self.proxies[proxy].signal(signal.SIGSTOP)
 
     def go_on(self, proxy: int) -> None:
@@ -101,6 +116,8 @@
             self.paused.discard(proxy)
             self.proxies[proxy].signal(signal.SIGCONT)
             self._ground.witness.proxy_started(proxy)
+            if self.seen is not None and proxy in self.up:  # its front never missed it
+                self.seen.up(proxy, True, self._ground.clock.now(), False)
 
     def reload(self, proxy: int) -> None:
         """A new configuration: discovery is found at its other port."""
@@ -119,9 +136,24 @@
             if leaving and code == 0:
                 self._ground.witness.proxy_ended(one.index)
                 continue
+            if code == 0 and self.wanted is not None and not self._ground.closing:
+                self._ground.witness.proxy_ended(one.index)
+                self._ground.spawn(self._again(one.index, self.wanted))
+                continue
+            self._hurt(one.index)
             self._ground.witness.proxy_died(one.index)
             self.crashes.append(f"proxy {one.index} ended by itself, exit {code}: {one.last_words()}")
 
+    async def _again(self, proxy: int, wanted: Callable[[int], Awaitable[None]]) -> None:
+        """It ended by itself, in order: what is wanted in its place is started, as a supervisor does."""
+        self.left += 1
+        if self.seen is not None:
+            self.seen.ended(proxy)
+        epoch = self._epochs[proxy] = self._epochs[proxy] + 1
+        await wanted(proxy)
+        if self._epochs[proxy] == epoch and not self._ground.closing:
+            self.start(proxy)
+
     def sample(self, first: int = 0) -> None:
         """What the processes use, a few at a time: all at once would make the rig late."""
         count = len(self.proxies)
@@ -157,5 +189,6 @@
             "proxy_memory_mb": max(use.memory_mb for use in uses),
             "proxy_own_memory_mb_mean": sum(use.own_mb for use in uses) / len(uses),
             "proxy_descriptors": float(max(use.descriptors for use in uses)),
+            "fleet_left": float(self.left),
             "fleet_starts": float(sum(one.starts for one in self.proxies)),
         }
--- a/lupinlink/lab/fleet/befalling.py
+++ b/lupinlink/lab/fleet/befalling.py
@@ -5,6 +5,7 @@
 import math
 from functools import partial
 
+from lupinlink.lab.fleet.agreement_faults import AgreementFaults
 from lupinlink.lab.fleet.bank import Bank
 from lupinlink.lab.fleet.discovery import Discovery
 from lupinlink.lab.fleet.ground import Ground
@@ -19,27 +20,26 @@
 
     def __init__(self, ground: Ground, bank: Bank, discovery: Discovery) -> None:
         self.outages: list[tuple[str, float]] = []  # power losses: name and when
+        self.agreement: AgreementFaults | None = None  # where there is such a service
         self._ground, self._bank, self._discovery = ground, bank, discovery
 
     def play(self, name: str, targets: list[str]) -> None:
         """A fault begins; ``targets``: whom it meets."""
         fault = self._ground.scenario.faults[name]
         clock, bank = self._ground.clock, self._bank
-        proxies = [int(target[1:]) for target in targets] if fault.kind.startswith("proxies_") else []
-        end = clock.now() + fault.for_s * 1000.0
-        if fault.kind == "proxies_killed":
-            for i in proxies:
-                bank.kill(i)
-                bank.start_at(i, end)
+        named = fault.kind.startswith("proxies_") or fault.kind == "agreement_cut"
+        proxies = [int(target[1:]) for target in targets] if named else []
+        if self.agreement is not None and fault.kind.startswith("agreement_"):
+            self.agreement.play(fault, proxies)
+        elif self.agreement is not None and (fault.whom or fault.when):
+            self.agreement.aim(fault, proxies, lambda met: self._strike(name, fault, met))
+        elif fault.kind in ("proxies_killed", "proxies_stopped"):
+            self._strike(name, fault, proxies)
         elif fault.kind == "proxies_rolled":
             step = fault.for_s * 1000.0 / STEPS
             size = math.ceil(len(proxies) / STEPS)
             for k, i in enumerate(proxies):
                 clock.after(step * (k // max(1, size)), partial(bank.roll, i))
-        elif fault.kind == "proxies_stopped":
-            for i in proxies:
-                bank.pause(i)
-                clock.at(end, partial(bank.go_on, i))
         elif fault.kind == "proxies_reloaded":
             for i in proxies:
                 bank.reload(i)
@@ -48,6 +48,22 @@
         elif fault.kind == "power_loss":
             self._power_loss(name, self._ground.world.script.plans[name])
 
+    def _strike(self, name: str, fault: Fault, proxies: list[int]) -> None:
+        """Kill or stop these now, and let them be back when the fault's time is over."""
+        clock, bank = self._ground.clock, self._bank
+        end = clock.now() + fault.for_s * 1000.0
+        for i in proxies:
+            if fault.kind == "proxies_killed":
+                bank.kill(i)
+                bank.start_at(i, end)
+            else:
+                bank.pause(i)
+                clock.at(end, partial(bank.go_on, i))
+        for happened in self._ground.world.script.happened:
+            if happened.name == name and (fault.whom or fault.when):
+                happened.start_ms, happened.end_ms = clock.now(), end
+                happened.targets = [f"n{i}" for i in proxies]
+
     def _cut(self, fault: Fault) -> None:
         discovery, zone = self._discovery, self._ground.zone(fault.zone)
         discovery.cut(zone, True)
--- a/lupinlink/lab/fleet/consul_calls.py
+++ b/lupinlink/lab/fleet/consul_calls.py
@@ -10,7 +10,7 @@
 from aiohttp import web
 
 from lupinlink.lab.fleet.consul_records import MOST_VALUE, Records, RefusedError, Row
-from lupinlink.lab.fleet.consul_service import Service
+from lupinlink.lab.fleet.consul_service import Service, who
 from lupinlink.lab.fleet.consul_state import MOST_STEPS, InvalidError, Session, Step
 
 WHOLE_BODY = 64 << 20
@@ -197,7 +197,9 @@
         delay_ms = DELAY_MS if delay is None else span_ms(delay) if isinstance(delay, str) else delay / 1e6
         ttl_ms = span_ms(new.TTL) if new.TTL else 0.0
         now, deletes = self._service.now(), new.Behavior == "delete"
-        return reply({"ID": self._state.create(now, new.Name, ttl_ms, delay_ms, deletes)})
+        name = self._state.create(now, new.Name, ttl_ms, delay_ms, deletes)
+        self._service.creators[name] = who(request)
+        return reply({"ID": name})
 
     async def _renew(self, request: web.Request) -> web.Response:
         name = request.match_info["name"]
--- a/lupinlink/lab/fleet/consul_control.py
+++ b/lupinlink/lab/fleet/consul_control.py
@@ -110,6 +110,9 @@
         """The newest records below ``?prefix=``, all sessions, how many calls wait; whatever is played."""
         state = self._service.state
         rows = state.records.below(request.query.get("prefix", ""))
-        sessions = [shown_session(one) for one in state.sessions.values()]
+        creators = self._service.creators
+        sessions = [
+            {**shown_session(one), "Client": creators.get(one.name, "")} for one in state.sessions.values()
+        ]
         found = {"records": [shown(row) for row in rows], "sessions": sessions, "index": state.index}
         return reply({**found, "waiting": self._service.waiting})
--- a/lupinlink/lab/fleet/consul_service.py
+++ b/lupinlink/lab/fleet/consul_service.py
@@ -39,6 +39,7 @@
     def __init__(self, loop: asyncio.AbstractEventLoop, seed: int, ttl_floor_s: float) -> None:
         self.state = State(seed, ttl_floor_s * 1000.0)
         self.faults, self.calls = Faults(), Calls()
+        self.creators: dict[str, str] = {}  # session: the client that it was created by
         self.older: Records | None = None  # what ?stale is answered from
         self.older_ms = 0.0
         self.random = random.Random(seed + 1)
--- a/lupinlink/lab/fleet/fronts.py
+++ b/lupinlink/lab/fleet/fronts.py
@@ -60,7 +60,9 @@
 
 
 class ZoneFront:
-    """One zone's user agents and front. ``changed`` is told of its proxies that come in or go out."""
+    """One zone's user agents and front. ``changed`` is told of its proxies that come in or go out, and of
+    the time of the last look at which that was certainly not so, or, of one that goes out, of this one, and
+    whether it said so itself; it is told again of one that was silent and is up as before."""
 
     def __init__(
         self,
@@ -71,7 +73,7 @@
         loop: asyncio.AbstractEventLoop,
         zone: int,
         port: int,
-        changed: Callable[[int, bool], None],
+        changed: Callable[[int, bool, float, bool], None],
         lacking: Callable[[OSError], None],
     ) -> None:
         self.world, self._clock, self._changed = world, clock, changed
@@ -95,11 +97,11 @@
         self._pools = asking.pools
 
     async def _watch(self, proxy: int, look: Look) -> None:
-        up, quiet_since = False, 0.0
+        up, quiet_since, before = False, 0.0, self._clock.now()
         await asyncio.sleep(self._random.uniform(0.0, SEEK_S))
         while True:
             status = await look.status()
-            now = self._clock.now()
+            now, silent = self._clock.now(), bool(quiet_since)
             if status:
                 quiet_since = 0.0
             elif not quiet_since:
@@ -107,10 +109,11 @@
             dead = bool(quiet_since) and now - quiet_since >= NOTICE_S * 1000.0
             is_up = status == 200 or (up and not status and not dead)
             is_up = is_up and proxy not in self._leaving
-            if is_up != up:
+            if is_up != up or (is_up and silent and status):
                 up = is_up
                 self.put(proxy, up)
-                self._changed(proxy, up)
+                self._changed(proxy, up, before if up else now, bool(status))
+            before = now
             await asyncio.sleep(LOOK_S if status else SEEK_S)
 
     def put(self, proxy: int, up: bool) -> None:
--- a/lupinlink/lab/fleet/ground.py
+++ b/lupinlink/lab/fleet/ground.py
@@ -10,7 +10,8 @@
 from lupinlink.lab.fleet.gate import FleetError
 from lupinlink.lab.fleet.size import shares
 from lupinlink.lab.loop import LoopClock
-from lupinlink.lab.model.referee import Referee, Try
+from lupinlink.lab.model.lost import LossReferee
+from lupinlink.lab.model.referee import Try
 from lupinlink.lab.model.scenario import Scenario
 from lupinlink.lab.model.user_agents import Ask
 from lupinlink.lab.model.witnesses import Hearing, Witness
@@ -32,7 +33,8 @@
     ) -> None:
         self.scenario, self.seed, self.loop = scenario, seed, loop
         self.clock = LoopClock(loop)
-        self.judge = Referee(scenario, ended, SLACK_MS)
+        self.taken: list[Callable[[Try], None]] = [ended] if ended is not None else []  # told of ended tries
+        self.judge = LossReferee(scenario, self._took, SLACK_MS)
         self.shares = shares(scenario)
         self.hearing = Hearing(self.judge, 1 + len(scenario.network.zones) + self.shares)
         self.witness = Witness(scenario, self.clock)
@@ -43,6 +45,10 @@
         self.closing = False  # nothing is started again
         self._tasks: set[asyncio.Task[None]] = set()
 
+    def _took(self, one: Try) -> None:
+        for call in self.taken:
+            call(one)
+
     def fail(self, why: str) -> None:
         """The play cannot go on; what was wrong first is kept."""
         self.failure = self.failure or why
@@ -77,6 +83,12 @@
                 return
             await asyncio.sleep(0.02)
 
+    async def pass_time(self, seconds: float) -> None:
+        """Let so much time pass, or less if the play is ended."""
+        until = time.monotonic() + seconds
+        while time.monotonic() < until and self.goes_on:
+            await asyncio.sleep(0.05)
+
     def close(self) -> None:
         """Nothing goes on."""
         for task in list(self._tasks):
--- a/lupinlink/lab/fleet/helper.py
+++ b/lupinlink/lab/fleet/helper.py
@@ -64,7 +64,7 @@
         if task.role == "front":
             self._front = ZoneFront(
                 task.scenario, self._world, asking, clock, loop, task.number, task.port,
-                lambda proxy, up: channel.send("up", proxy, up), self.lacking,
+                lambda *figures: channel.send("up", *figures), self.lacking,
             )  # fmt: skip
         else:
             self._backends = Backends(
--- a/lupinlink/lab/fleet/helpers.py
+++ b/lupinlink/lab/fleet/helpers.py
@@ -34,7 +34,9 @@
 class Helpers:
     """One front a zone, and the shares of the application servers."""
 
-    def __init__(self, ground: Ground, second: Callable[..., None], up: Callable[[int, bool], None]) -> None:
+    def __init__(
+        self, ground: Ground, second: Callable[..., None], up: Callable[[int, bool, float, bool], None]
+    ) -> None:
         """``second`` is told of servers' seconds, ``up`` of proxies that a front finds up or not."""
         self.parts: list[Part] = []
         self.ports: dict[str, int] = {}  # of places, by name
@@ -96,8 +98,8 @@
             ground.fail(f"the rig's {part.role} process has ended by itself")
             part.over.set()
 
-    def _heard_up(self, part: Part, proxy: int, up: bool) -> None:
-        self._up(proxy, up)
+    def _heard_up(self, part: Part, proxy: int, up: bool, at: float, told: bool) -> None:
+        self._up(proxy, up, at, told)
         for other in self.parts:
             if other is not part and other.role == "front":
                 other.channel.send("up", proxy, up)
--- a/lupinlink/lab/fleet/processes.py
+++ b/lupinlink/lab/fleet/processes.py
@@ -65,6 +65,7 @@
     program: Program
     folder: Path
     config: dict[str, Any]  # the deploy page's, all but what each start draws anew
+    fleet: Callable[[], Path] | None = None  # writes its fleet file, where it has one
     process: subprocess.Popen[bytes] | None = None
     starts: int = 0
     leaving: bool = False  # it was told to end
@@ -87,6 +88,8 @@
             "LB_NAME": self.config["name"], "LB_LISTEN": self.config["listen"],
             "LB_DISCOVERY": self.config["discovery"], "LB_CONFIG": str(path),
         }  # fmt: skip
+        if self.fleet is not None:
+            env |= {"LB_FLEET": str(self.fleet()), "LB_MGMT": self.config["mgmt"]}
         limit = f"ulimit -n {self.config['limits']['sockets']}; {self.program.run}"
         try:
             with self.log.open("ab") as log:
--- a/lupinlink/lab/fleet/rig.py
+++ b/lupinlink/lab/fleet/rig.py
@@ -12,6 +12,7 @@
 from typing import Any
 
 from lupinlink.lab.fleet import addresses
+from lupinlink.lab.fleet.agreeing import Agreeing
 from lupinlink.lab.fleet.bank import Bank
 from lupinlink.lab.fleet.befalling import Befalling
 from lupinlink.lab.fleet.discovery import Discovery
@@ -30,6 +31,7 @@
 from lupinlink.lab.model.world import World
 from lupinlink.lab.sockets import LEAD_MS
 
+DOOR = 60  # the ports of operators' doors, after the proxies' own
 NOBODY = 9  # a port that nothing listens at
 
 
@@ -57,6 +59,7 @@
         self._helpers = Helpers(ground, self._notes.heard, self._heard_up)
         self._discovery: Discovery | None = None
         self._bank: Bank | None = None
+        self._agreeing = Agreeing(ground, scenario.agreement) if scenario.agreement is not None else None
 
     @property
     def stopped(self) -> bool:
@@ -92,9 +95,12 @@
         await discovery.open()
         await self._helpers.ready()
         self._bank = bank = Bank(ground, discovery, self._helpers.tell)
-        furnish(ground, bank, discovery, self._program, folder, port)
+        door = port + DOOR if self._agreeing is not None else 0
+        furnish(ground, bank, discovery, self._program, folder, port, door)
+        if self._agreeing is not None:
+            await self._agreeing.start(bank, folder)
         self.figures["ready_s"] = await start_fleet(ground, bank)
-        self.fleet["never_ready"] = sorted(set(range(len(bank.proxies))) - bank.up)
+        self.fleet["never_ready"] = sorted(set(range(len(bank.proxies))) - bank.up - bank.idle)
         befalling = Befalling(ground, bank, discovery)
         await self._serve(bank, discovery, befalling)
         await self._helpers.last_words()
@@ -102,10 +108,14 @@
         if not ground.stopped:
             ground.judge.overdue(ground.clock.now())
         self._sum_up(bank, befalling)
+        if self._agreeing is not None:
+            self.fleet["agreed"] = await self._agreeing.sums(self.seconds)
 
     async def _serve(self, bank: Bank, discovery: Discovery, befalling: Befalling) -> None:
         """User agents ask, and faults befall the fleet, until the scenario's end."""
         ground, clock, world = self._ground, self.clock, self.world
+        if ground.scenario.agreement is not None:
+            await ground.pass_time(ground.scenario.agreement.ready_after_s)
         lag = Lag(clock)
         busy, began, idle_before = time.process_time(), time.monotonic(), idle_s()
         start_ms = math.ceil((clock.now() + LEAD_MS) / 1000.0) * 1000.0
@@ -118,6 +128,8 @@
 
         def begin() -> None:
             world.script.begun.append(befell)
+            if self._agreeing is not None:
+                self._agreeing.plan(bank, befalling)
             world.script.start()
             self._notes.second(discovery, bank)
             bank.sample()
@@ -137,9 +149,9 @@
         if ground.failure:
             raise FleetError(ground.failure)
 
-    def _heard_up(self, proxy: int, up: bool) -> None:
+    def _heard_up(self, proxy: int, up: bool, at: float, told: bool) -> None:
         if self._bank is not None:
-            self._bank.heard_up(proxy, up)
+            self._bank.heard_up(proxy, up, at, told)
 
     def _endpoint(self, proxy: int, name: str) -> str:
         zone, ports = self.world.agents.front.zone_of[proxy], self._helpers.ports
@@ -154,6 +166,8 @@
             await self._bank.end(self._logs, played=bool(self.seconds))
             self.figures["proxy_cpu_s"] = sum(one.cpu_s for one in self._bank.proxies)
         await self._helpers.end()
+        if self._agreeing is not None:
+            await self._agreeing.end()
         if self._discovery is not None:
             self._discovery.close()
         self._ground.close()
--- a/lupinlink/lab/fleet/starting.py
+++ b/lupinlink/lab/fleet/starting.py
@@ -19,14 +19,18 @@
 
 
 def furnish(
-    ground: Ground, bank: Bank, discovery: Discovery, program: Program, folder: Path, port: int
-) -> None:
-    """Give every proxy its configuration, with the list of servers as it stands."""
+    ground: Ground, bank: Bank, discovery: Discovery, program: Program, folder: Path, port: int,
+    door: int,
+) -> None:  # fmt: skip
+    """Give every proxy its configuration, with the list of servers as it stands. ``door``: the port of its
+    operators' door, at its own address; 0: it has none."""
     zones, rows = ground.world.agents.front.zone_of, ground.world.roster.rows.values()
     for i, side in enumerate(discovery.sides):
         side.held = {row.name: row for row in rows}
-        listen = f"{addresses.listens(zones[i], i)}:{port}"
-        config = _config(ground, discovery, i, listen)
+        host = addresses.listens(zones[i], i)
+        config = _config(ground, discovery, i, f"{host}:{port}")
+        if door:
+            config["mgmt"] = f"{host}:{door}"
         bank.proxies.append(FleetProxy(i, program, folder, config))
 
 
@@ -59,7 +63,7 @@
         if i % 16 == 0:
             await asyncio.sleep(0)
     until = began + spec.ready_s
-    while len(bank.up) < spec.count and time.monotonic() < until and ground.goes_on:
+    while len(bank.up | bank.idle) < spec.count and time.monotonic() < until and ground.goes_on:
         await asyncio.sleep(0.02)
         bank.look_for_crashes()
     return time.monotonic() - began
--- a/lupinlink/lab/model/faults.py
+++ b/lupinlink/lab/model/faults.py
@@ -7,7 +7,7 @@
 
 from lupinlink.clock import Clock
 from lupinlink.lab.model.farm import Farm
-from lupinlink.lab.model.fault_kinds import PROXY_KINDS, Fault
+from lupinlink.lab.model.fault_kinds import MEETS_SERVERS, PROXY_KINDS, Fault
 from lupinlink.lab.model.network import Ways
 from lupinlink.lab.model.outage import Return, returns
 from lupinlink.lab.model.roster import Roster
@@ -80,30 +80,17 @@
         if fault.kind == "zone_lost":
             zone = self._scenario.network.zones.index(fault.zone or "")
             return [p.name for p in self._farm.places.values() if p.zone == zone]
-        if fault.kind in PROXY_KINDS:
+        if fault.kind in (*PROXY_KINDS, "agreement_cut"):
             # Whoever runs just now: drawn from all, so that one seed meets the same proxies every time.
             proxies = self._scenario.proxies.count
             met = self._streams.generator(f"fault {name}").permutation(proxies)
             return [f"n{i}" for i in sorted(met[: round(proxies * (fault.share or 0.0))])]
         if fault.kind == "shrink":
             count = round(len(ready) * (fault.share or 0.0))
-        elif fault.kind in (
-            "surge",
-            "member_surge",
-            "hot_proxy",
-            "grow",
-            "roster_down",
-            "roster_stale",
-            "flood",
-            "delay",
-            "zone_shift",
-            "roster_busy",
-            "cut",
-            "power_loss",
-        ):
-            return []
-        else:
+        elif fault.kind in MEETS_SERVERS:
             count = min(len(ready), fault.count or 0)
+        else:
+            return []
         order = self._streams.generator(f"fault {name}").permutation(len(ready))
         return [ready[i] for i in sorted(order[:count])]
 
--- a/lupinlink/lab/model/scenario.py
+++ b/lupinlink/lab/model/scenario.py
@@ -6,6 +6,7 @@
 
 from msgspec import Meta, field
 
+from lupinlink.lab.model.agreement import Agreement, Call, Quota
 from lupinlink.lab.model.fault_kinds import Fault
 from lupinlink.lab.model.schema import Amount, Part, Positive, Share, Span, Times
 
@@ -181,3 +182,6 @@
     rules: Rules = Rules()
     goal: Goal = Goal()
     faults: dict[str, Fault] = field(default_factory=dict)
+    agreement: Agreement | None = None  # of a fleet only
+    quotas: dict[str, Quota] = field(default_factory=dict)
+    orders: dict[str, Call] = field(default_factory=dict)  # by name, so that another file may replace one
--- a/lupinlink/lab/model/scenario_check.py
+++ b/lupinlink/lab/model/scenario_check.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from lupinlink.lab.model.fault_kinds import FAULTS, FLEET_ONLY, MAY, PARTS
+from lupinlink.lab.model.fault_kinds import AGREEMENT_KINDS, FAULTS, FLEET_ONLY, MAY, MEETS_SERVERS, PARTS
 from lupinlink.lab.model.flaws import Flaw as Flaw
 from lupinlink.lab.model.flaws import ScenarioError as ScenarioError
 from lupinlink.lab.model.scenario import Scenario
@@ -104,11 +104,34 @@
             f"{at}.proxy",
             f"is not under proxies.count ({count})",
         )
-        meets_farm = fault.kind in (
-            "crash", "restart", "hang", "slow", "vanish", "reset", "spoil", "errors", "lost",
-        )  # fmt: skip
-        beyond = meets_farm and fault.count is not None and fault.count > scenario.farm.servers
+        beyond = (
+            fault.kind in MEETS_SERVERS and fault.count is not None and fault.count > scenario.farm.servers
+        )
         say(beyond, f"{at}.count", f"is over farm.servers ({scenario.farm.servers})")
+        aimed = fault.kind in ("proxies_killed", "proxies_stopped")
+        both = (fault.share is None) == (fault.whom is None)
+        say(aimed and both, f"{at}.share", f"{fault.kind} needs either a share or whom")
+        agrees = fault.kind in AGREEMENT_KINDS or fault.whom is not None or fault.when is not None
+        say(agrees and scenario.agreement is None, f"{at}.kind", "needs the table agreement")
+        late = fault.save_at_s is not None and fault.save_at_s >= fault.at_s
+        say(late, f"{at}.save_at_s", f"is not before at_s ({fault.at_s:g})")
+    return flaws + _of_agreement(scenario)
+
+
+def _of_agreement(scenario: Scenario) -> list[Flaw]:
+    flaws: list[Flaw] = []
+    for name, quota in scenario.quotas.items():
+        for key, value, known in (("of_class", quota.of_class, scenario.classes),
+                                  ("member", quota.member, scenario.members)):  # fmt: skip
+            if value and value not in known:
+                flaws.append(Flaw(f"quotas.{name}.{key}", f"is none of {', '.join(known)}"))
+    names = {f"n{i}" for i in range(scenario.proxies.count)} | {"any"}
+    for name, call in scenario.orders.items():
+        method, _, path = call.call.partition(" ")
+        if not method.isalpha() or not path.startswith("/"):
+            flaws.append(Flaw(f"orders.{name}.call", "is not METHOD /path"))
+        if call.to not in names:
+            flaws.append(Flaw(f"orders.{name}.to", "is neither any nor a proxy's name, as n0"))
     return flaws
 
 
