--- a/lupinlink/release/course.py
+++ b/lupinlink/release/course.py
@@ -1,12 +1,13 @@
 """One decision of the lead: from what is known and seen to the records to write. Pure.
 
-All that a decision writes goes into one commit: guarded on the lead's lease, on the halt and the order as they
-were read, and on every record's own revision. So a bound is checked on the very state that is changed, and of
+All that a decision writes goes into one commit: guarded on the lead's lease, on the halt and the order as
+they were read, and on every record's own revision. So a bound is checked on the very state that is changed, and of
 two leads, or of a grant and a halt that cross, the service lets one through.
 """
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 from msgspec import Struct
@@ -17,7 +18,6 @@
 from lupinlink.release.halts import ITSELF, halted, reason
 from lupinlink.release.known import Facts, Known
 from lupinlink.release.permits import Grants, bound, without
-from lupinlink.release.presence import Population
 from lupinlink.release.records import (
     AWAY,
     HALT,
@@ -71,7 +71,7 @@
                 turn_back(plan, population)
             follow(plan, population, _outs(permits, plan).held, facts.quiet)
             self._times(plan, facts.now)
-        self._ends(permits, plan, facts, halt.stands, decision, known)
+        self._ends(permits, plan, facts, halt.stands, decision)
         why = ""
         if plan is not None and not plan.ended and not halt.stands:
             why = reason(plan, facts, permits.proxies, permits.servers, self._settings)
@@ -82,7 +82,7 @@
                 decision.puts[HALT] = halt = halted(halt, ITSELF, why)
             if halt.stands and not plan.ended:
                 plan.note = f"halted by {halt.by}: {halt.why}"
-        self._told(permits, plan, facts)
+        self._told(permits, facts)
         decision.urgent = bool(decision.puts) or _without_texts(permits, plan) != texts
         permits.turn = turn if decision.urgent else permits.turn
         permits.fence, permits.lead = self._fence, self._name
@@ -111,44 +111,27 @@
                 placed.why = f"not back {self._settings.back_ms / 1000.0:g} s after it began"
 
     def _ends(
-        self,
-        permits: Permits,
-        plan: Plan | None,
-        facts: Facts,
-        stands: bool,
-        decision: Decision,
-        known: Known,
+        self, permits: Permits, plan: Plan | None, facts: Facts, stands: bool, decision: Decision
     ) -> None:
         def late(name: str) -> bool:
             begun, since = self._since.get(name, (True, facts.now))
             return not begun and facts.now - since > self._settings.permit_ms
 
-        returns = Returns(
-            plan if plan is None or plan.kind == "proxies" else None, permits.proxies, facts.proxies
-        )
+        of_proxies = plan if plan is not None and plan.kind == "proxies" else None
+        returns = Returns(of_proxies, permits.proxies, facts.proxies)
         returns.proxies(late, stands)
-        if plan is None or plan.kind == "proxies":
-            returns.adopt()
-        Returns(
-            plan if plan is None or plan.kind == "servers" else None, permits.servers, facts.servers
-        ).servers(facts.wanted)
+        returns.adopt()
+        of_servers = plan if of_proxies is None else None
+        Returns(of_servers, permits.servers, facts.servers).servers(facts.wanted)
         for name in returns.guards:
             decision.guards[MEMBERS + name] = facts.revisions.get(name, ABSENT)
 
     def _grants(self, permits: Permits, plan: Plan | None, facts: Facts, turn: int, stands: bool) -> str:
         """Give what the bounds let through, operators' own asking first; why the release must halt."""
-        proxies = Grants(
-            bound(self._settings.proxies, facts.proxies, facts.proxies_need),
-            facts.proxies,
-            permits.proxies,
-            turn,
-        )
-        servers = Grants(
-            bound(self._settings.servers, facts.servers, facts.servers_need),
-            facts.servers,
-            permits.servers,
-            turn,
-        )
+        limits = bound(self._settings.proxies, facts.proxies, facts.proxies_need)
+        proxies = Grants(limits, facts.proxies, permits.proxies, turn)
+        limits = bound(self._settings.servers, facts.servers, facts.servers_need)
+        servers = Grants(limits, facts.servers, permits.servers, turn)
         asked = {name: one.ask for name, one in facts.proxies.items() if one.ask and one.heard}
         _ask(proxies, permits.proxies, asked, facts.settled)
         _ask(servers, permits.servers, facts.wanted, facts.settled)
@@ -175,20 +158,20 @@
             if halt.accept:
                 plan.accepted = plan.wave
 
-    def _told(self, permits: Permits, plan: Plan | None, facts: Facts) -> None:
+    def _told(self, permits: Permits, facts: Facts) -> None:
         for outs, population in ((permits.proxies, facts.proxies), (permits.servers, facts.servers)):
             outs.without = without(population, outs.held)
             outs.members = len(population)
 
 
-def _ask(grants: Grants, outs: Outs, asked: dict[str, str] | Population, settled: bool) -> None:
+def _ask(grants: Grants, outs: Outs, asked: Mapping[str, str], settled: bool) -> None:
     """Requests of operators and of other parts, those that wait longest first."""
     waiting = {name: why for name, why in outs.waiting.items() if name in asked}
     outs.waiting = {}
     for name in [*waiting, *sorted(set(asked) - set(waiting))]:
         if name in outs.held and not outs.held[name].plan:
             continue
-        reason = grants.give(name, str(asked[name])) if settled else "until everybody was heard"
+        reason = grants.give(name, asked[name]) if settled else "until everybody was heard"
         if reason:
             outs.waiting[name] = reason
 
--- a/lupinlink/release/gates.py
+++ b/lupinlink/release/gates.py
@@ -112,7 +112,7 @@
             if side.ended < settings.least_samples:
                 return Judgment(
                     Verdict.UNREAD,
-                    f"the {word} ended {side.ended} requests in the soak, {settings.least_samples} are needed",
+                    f"the {word} ended {side.ended} requests, {settings.least_samples} are needed",
                 )
         if self._old:
             late = beyond_chance(new.ended - new.in_time, new.ended, old.ended - old.in_time, old.ended)
--- a/lupinlink/release/presence.py
+++ b/lupinlink/release/presence.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from statistics import median_low
 
 from lupinlink.release.records import Figures, Permit, Report
@@ -50,7 +50,7 @@
     pool: str = ""
     use: float = 0.0
     turn: int = 0
-    figures: Figures = Figures()
+    figures: Figures = field(default_factory=Figures)
 
 
 Population = dict[str, Seen]
@@ -85,7 +85,10 @@
     def look(
         self, members: Mapping[str, tuple[int, Report]], asked_ms: float, restored: bool = False
     ) -> float:
-        """Take every member's revision and report, as asked for at that time; for how long it was deaf, ms."""
+        """Take every member's revision and report, as asked for at that time.
+
+        Gives how many milliseconds lie between the two last questions that were answered.
+        """
         gap, self._asked = asked_ms - self._asked, max(asked_ms, self._asked)
         if restored or gap > self._settings.silent_ms / 2.0:
             self._since = asked_ms
@@ -122,7 +125,8 @@
                 why = "drained"
             seen[name] = Seen(
                 name, report.zone, report.version, report.nonce, not why, why, heard, report.life,
-                report.begun, report.acts, report.left, report.ask, report.pool, report.use, report.turn, report.figures,
+                report.begun, report.acts, report.left, report.ask, report.pool, report.use, report.turn,
+                report.figures,
             )  # fmt: skip
         return seen
 
--- a/lupinlink/release/records.py
+++ b/lupinlink/release/records.py
@@ -2,8 +2,8 @@
 
 Below the fleet's prefix: ``members/NAME`` (written by that proxy alone), ``release/permits`` and
 ``release/plan`` (by the lead alone, under its lease, by compare-and-set), ``release/order``,
-``release/halt`` and ``release/wanted`` (by any process for an operator, by compare-and-set). JSON by msgspec; fields that a later
-program added are passed over. No record holds a time: clocks are not shared.
+``release/halt`` and ``release/wanted`` (by any process for an operator, by compare-and-set). JSON by msgspec;
+fields that a later program added are passed over. No record holds a time: clocks are not shared.
 """
 
 from __future__ import annotations
