--- /dev/null
+++ b/lupinlink/quota/language/printing.py
@@ -0,0 +1,101 @@
+"""From a policy back to text: one form for one policy, with every figure stated and in requests a second."""
+
+from __future__ import annotations
+
+import re
+
+from lupinlink.quota.model import Asked, Expect, Figures, Limit, Policy, Schedule
+
+NAME = re.compile(r"[A-Za-z_][A-Za-z0-9_.-]*")
+
+
+def printed(policy: Policy) -> str:
+    """Text that reads as the same policy (``reading.read``), whatever form it was written in."""
+    inside: dict[str, list[Limit]] = {}
+    for limit in policy.limits:
+        inside.setdefault(limit.parent, []).append(limit)
+    paths = {limit.path: limit for limit in policy.limits}
+    lines = [f"policy {_quoted(policy.version)}"]
+    lines += [_schedule(schedule) for schedule in policy.schedules]
+    for root in inside.get("", []):
+        lines += _quota(root, inside, paths, "")
+    lines += [_expect(expect) for expect in policy.expects]
+    return "\n".join(lines) + "\n"
+
+
+def _quoted(text: str) -> str:
+    return '"' + text.replace("\\", "\\\\").replace('"', '\\"') + '"'
+
+
+def _word(text: str) -> str:
+    return text if NAME.fullmatch(text) else _quoted(text)
+
+
+def _schedule(schedule: Schedule) -> str:
+    if schedule.feast:
+        return f"schedule {schedule.name}: {schedule.days} days before {schedule.feast}"
+    (month, day), (month_2, day_2) = schedule.first, schedule.last
+    return f"schedule {schedule.name}: from {month:02}-{day:02} to {month_2:02}-{day_2:02}"
+
+
+def _figures(figures: Figures) -> str:
+    text = f"rate {figures.rate_per_s!r}/s burst {figures.burst!r}"
+    return text + (f" guaranteed {figures.guaranteed_per_s!r}/s" if figures.guaranteed_per_s else "")
+
+
+def _quota(limit: Limit, inside: dict[str, list[Limit]], paths: dict[str, Limit], indent: str) -> list[str]:
+    outer = paths.get(limit.parent)
+    usual = limit.usual or Figures(limit.rate_per_s, limit.burst, limit.guaranteed_per_s)
+    said = [_figures(usual)]
+    said += [f"during {season.schedule} {{ {_figures(season.figures)} }}" for season in limit.seasons]
+    match = limit.match
+    for kind, names in (
+        ("class", match.classes), ("tenant", match.tenants), ("zone", match.zones),
+        ("key", match.key_prefixes),
+    ):  # fmt: skip
+        if names:
+            said.append(f"match {kind} {', '.join(map(_word, names))}")
+    if match.networks:
+        said.append(f"match address {', '.join(map(str, match.networks))}")
+    if match.second_try is not None:
+        said.append("match second-try" if match.second_try else "match first-try")
+    if limit.by:
+        bits = f" /{limit.by_bits} /{limit.by_bits6}" if limit.by == "address" else ""
+        said.append(f"by {limit.by}{bits} most {limit.most_values}")
+    if limit.worth != 1.0:
+        said.append(f"worth {limit.worth!r}")
+    if not limit.borrows:
+        said.append("borrows no")
+    if limit.says_when != (outer.says_when if outer else True):
+        said.append(f"retry-after {'yes' if limit.says_when else 'no'}")
+    if limit.shadow and not (outer and outer.shadow):
+        said.append("shadow")
+    lines = [f"{indent}quota {limit.path.rpartition('/')[2]} {{", *(f"{indent}  {one}" for one in said)]
+    for part in inside.get(limit.path, []):
+        lines += _quota(part, inside, paths, indent + "  ")
+    return [*lines, f"{indent}}}"]
+
+
+def _about(asked: Asked) -> str:
+    said = [
+        f"{kind} {_word(value)}"
+        for kind, value in (
+            ("class", asked.class_name), ("tenant", asked.tenant), ("zone", asked.zone), ("key", asked.key),
+        )
+        if value
+    ]  # fmt: skip
+    said += [f"address {asked.address}"] if asked.address else []
+    said += ["second-try"] if asked.second_try else []
+    return " ".join(said)
+
+
+def _expect(expect: Expect) -> str:
+    text = f"expect {expect.count} of {_about(expect.asked)}"
+    text += f" on {expect.on.isoformat()}" if expect.on else ""
+    if expect.refused_by:
+        text += f": admitted {expect.admitted} refused by {expect.refused_by}"
+    else:
+        text += f": admitted {expect.admitted}"
+    if expect.limits is not None:
+        text += f" charged {', '.join(expect.limits) or 'nothing'}"
+    return text
--- /dev/null
+++ b/lupinlink/quota/language/reading.py
@@ -0,0 +1,142 @@
+"""From a policy's text to the policy, with findings of statements that do not hold for themselves.
+
+What needs the settings, or one quota held against another, is found by ``lupinlink.quota.checks``.
+"""
+
+from __future__ import annotations
+
+import datetime
+from dataclasses import replace
+
+from lark import Token
+
+from lupinlink.quota.errors import PolicyError, StatementError
+from lupinlink.quota.language.matching import Counted, whole, word
+from lupinlink.quota.language.parsing import Node, parse, place_of
+from lupinlink.quota.language.quotas import Reading, read_quota
+from lupinlink.quota.model import Asked, Expect, Policy, Schedule
+
+MOST_COUNT = 100_000  # requests of one expected case
+MOST_DAYS = 366
+MOST_SCHEDULES = 8  # all ways in which they may hold together are checked
+NAMES = {"class": "class_name", "tenant": "tenant", "zone": "zone", "key": "key", "address": "address"}
+
+
+def read(text: str) -> tuple[Policy, list[PolicyError]]:
+    """The policy, and what is wrong with it; good for use only without findings. Raises SyntaxFaultError."""
+    tree = parse(text)
+    findings: list[PolicyError] = []
+    of: dict[str, list[Node]] = {}
+    for child in tree.children:
+        if not isinstance(child, Token):
+            of.setdefault(str(child.data), []).append(child)
+    (head,) = of["head"]
+    version = word(_token(head, 0))
+    if not version:
+        findings.append(StatementError("a policy needs a version that tells it from others", place_of(head)))
+    schedules: dict[str, Schedule] = {}
+    for node in of.get("schedule", []):
+        schedule = _schedule(node, findings)
+        if schedule.name in schedules or len(schedules) >= MOST_SCHEDULES:
+            text = f"schedule {schedule.name} stands here a second time, or over {MOST_SCHEDULES} stand here"
+            findings.append(StatementError(text, place_of(node)))
+        schedules[schedule.name] = schedule
+    reading = Reading(frozenset(schedules), findings=findings)
+    for node in of.get("quota", []):
+        read_quota(node, None, Counted(), 1, reading)
+    expects = tuple(_expect(node, findings) for node in of.get("expect", []))
+    return Policy(version, tuple(reading.limits.values()), tuple(schedules.values()), expects), findings
+
+
+def _token(node: Node, index: int) -> Token:
+    token = node.children[index]
+    assert isinstance(token, Token)
+    return token
+
+
+def _schedule(node: Node, findings: list[PolicyError]) -> Schedule:
+    span = node.children[1]
+    assert not isinstance(span, Token)
+    schedule = Schedule(str(node.children[0]), place=place_of(node))
+    if span.data == "before":
+        period, feast = str(span.children[1]), str(span.children[2])
+        days = 7 if period.startswith("week") else 1
+        count = whole(_token(span, 0), 1, MOST_DAYS // days, f"{period} before a feast", findings)
+        return replace(schedule, feast=feast, days=count * days)
+    first, last = (_day(_token(span, i), findings) for i in (0, 1))
+    return replace(schedule, first=first, last=last)
+
+
+def _day(token: Token, findings: list[PolicyError]) -> tuple[int, int]:
+    month, day = (int(part) for part in str(token).split("-"))
+    try:
+        datetime.date(2000, month, day)  # a leap year: 02-29 is a day of some years
+    except ValueError:
+        findings.append(StatementError(f"there is no day {token}; months go first", place_of(token)))
+        return 1, 1
+    return month, day
+
+
+def _expect(node: Node, findings: list[PolicyError]) -> Expect:
+    of: dict[str, list[Node]] = {}
+    for child in node.children:
+        assert not isinstance(child, Token)
+        of.setdefault(str(child.data), []).append(child)
+    count = 1
+    if "count" in of:
+        count = whole(_token(of["count"][0], 0), 1, MOST_COUNT, "the count of a case", findings)
+    refused_by = str(of["refusal"][0].children[0]) if "refusal" in of else ""
+    admitted = 0
+    if "admitted" in of:
+        (said,) = of["admitted"]
+        admitted = count
+        if said.children:
+            admitted = whole(_token(said, 0), 0, count, "how many are admitted", findings)
+        if refused_by and admitted == count:
+            findings.append(StatementError("all are admitted and some are refused", place_of(said)))
+    limits: tuple[str, ...] | None = None
+    if "charged" in of:
+        tokens = of["charged"][0].children
+        limits = tuple(str(t) for t in tokens if isinstance(t, Token) and t.type == "PATH")
+    return Expect(
+        _asked(of["about"], findings),
+        count,
+        admitted,
+        refused_by,
+        limits,
+        _date(of, findings),
+        place_of(node),
+    )
+
+
+def _asked(nodes: list[Node], findings: list[PolicyError]) -> Asked:
+    values: dict[str, str] = {}
+    second_try = False
+    for node in nodes:
+        field = _token(node, 0)
+        if field.type == "SECOND_TRY":
+            second_try = True
+            continue
+        name, value = NAMES[str(field)], node.children[1]
+        if name in values:
+            findings.append(StatementError(f"'{field}' stands here a second time", place_of(node)))
+        values[name] = str(value) if isinstance(value, Token) else word(_token(value, 0))
+    return Asked(
+        values.get("class_name", ""),
+        values.get("tenant", ""),
+        values.get("zone", ""),
+        values.get("key", ""),
+        values.get("address", ""),
+        second_try,
+    )
+
+
+def _date(of: dict[str, list[Node]], findings: list[PolicyError]) -> datetime.date | None:
+    if "on" not in of:
+        return None
+    token = _token(of["on"][0], 0)
+    try:
+        return datetime.date.fromisoformat(str(token))
+    except ValueError:
+        findings.append(StatementError(f"there is no day {token}", place_of(token)))
+        return None
--- a/lupinlink/quota/model.py
+++ b/lupinlink/quota/model.py
@@ -78,7 +78,7 @@
     match: Match = field(default_factory=Match)
     seasons: tuple[Season, ...] = ()  # the first whose schedule holds
     usual: Figures | None = None  # the figures outside all seasons; None: those above
-    place: Place = NOWHERE
+    place: Place = field(default=NOWHERE, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
@@ -102,7 +102,7 @@
     days: int = 0
     first: tuple[int, int] = (1, 1)  # month and day
     last: tuple[int, int] = (12, 31)  # included; before ``first``: over the turn of the year
-    place: Place = NOWHERE
+    place: Place = field(default=NOWHERE, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
@@ -115,7 +115,7 @@
     refused_by: str = ""  # path of the limit that refuses the rest; empty: not said
     limits: tuple[str, ...] | None = None  # paths that it is charged to; None: not said
     on: datetime.date | None = None
-    place: Place = NOWHERE
+    place: Place = field(default=NOWHERE, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
