--- a/lupinlink/quota/language/quotas.py
+++ b/lupinlink/quota/language/quotas.py
@@ -13,7 +13,7 @@
 from lupinlink.quota.model import Figures, Limit, Place
 
 MOST_DEPTH = 8  # quotas in one another
-MOST_LIMITS = 2000  # in a file
+MOST_LIMITS = 500  # in a file
 MOST_WORTH = 1e6
 
 
--- a/lupinlink/quota/language/reading.py
+++ b/lupinlink/quota/language/reading.py
@@ -16,7 +16,7 @@
 from lupinlink.quota.language.quotas import Reading, read_quota
 from lupinlink.quota.model import Asked, Expect, Policy, Schedule
 
-MOST_COUNT = 100_000  # requests of one expected case
+MOST_COUNT = 10_000  # requests of one expected case
 MOST_DAYS = 366
 MOST_SCHEDULES = 8  # all ways in which they may hold together are checked
 NAMES = {"class": "class_name", "tenant": "tenant", "zone": "zone", "key": "key", "address": "address"}
--- /dev/null
+++ b/lupinlink/quota/purse.py
@@ -0,0 +1,125 @@
+"""All buckets of one process, charged together or not at all. Pure; time is handed in.
+
+A limit that counts ``by`` a field has one bucket a value, ``most_values`` at most. When they are all taken,
+the one charged longest ago makes room if it is full again: a full bucket says nothing that a new one would
+not. While it is not, further values share one bucket, and a value that later gets one of its own starts with
+what is left in the shared one. So no value gets over rate * window + burst by being forgotten: what it spent
+since its own bucket was full was spent from the shared one, which therefore holds no more than its own would.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from lupinlink.quota.buckets import Bucket, made
+from lupinlink.quota.model import Charge, Limit, Short
+from lupinlink.quota.shares import Draw, divide
+
+Table = dict[str, Bucket]
+
+
+class LocalPurse:
+    """A ``Purse`` of whole buckets: what one process may let in by itself."""
+
+    def __init__(self, limits: Sequence[Limit]) -> None:
+        """``limits``: with the figures that hold (``Policy.at``). Every bucket is full at first."""
+        self._taken: list[tuple[Bucket, Draw, bool]] = []  # by the last ``take``
+        self._set(limits)
+        self._tables: list[Table] = [{} for _ in limits]  # by value, the one charged last at the end
+        self._others: list[Bucket | None] = [None] * len(limits)  # of values that have none; None: full
+
+    def _set(self, limits: Sequence[Limit]) -> None:
+        index = {limit.path: i for i, limit in enumerate(limits)}
+        self._names = [(limit.path, *counted_by(limits, index, i)) for i, limit in enumerate(limits)]
+        self._sizes, self._draws = divide(limits)
+        self._parents = [index.get(limit.parent, -1) for limit in limits]
+        self._most = [limit.most_values for limit in limits]
+
+    def __len__(self) -> int:
+        """Buckets held, those shared by further values not counted."""
+        return sum(map(len, self._tables))
+
+    def take(self, charges: Sequence[Charge], now_ms: float) -> Short | None:
+        draws, parents = self._draws, self._parents
+        found: list[tuple[int, Bucket, Draw]] = []
+        short, worst = -1, 0.0
+        last = len(charges) - 1
+        for k, (limit, value) in enumerate(charges):
+            bucket = self._find(limit, value, now_ms)
+            inner = charges[k + 1][0] if k < last else -1
+            draw = draws[inner] if inner >= 0 and parents[inner] == limit else self._sizes[limit].plain
+            wait = bucket.wait(draw)
+            if wait > worst:
+                short, worst = limit, wait
+            found.append((k, bucket, draw))
+        # Nothing was charged so far: all or none.
+        if short >= 0:
+            return Short(short, worst)
+        self._taken = [(bucket, draw, bucket.spend(draw)) for _, bucket, draw in found]
+        for limit, value in charges:
+            table = self._tables[limit]
+            if len(table) > 1 and value in table:
+                table[value] = table.pop(value)
+        return None
+
+    def refund(self, charges: Sequence[Charge], now_ms: float) -> None:
+        """Only of the last ``take``; a second call finds nothing to undo."""
+        taken, self._taken = self._taken, []
+        for bucket, draw, reserved in taken:
+            bucket.give_back(draw, reserved)
+
+    def _find(self, limit: int, value: str, now: float) -> Bucket:
+        """The bucket that a value is charged to, settled."""
+        table = self._tables[limit]
+        bucket = table.get(value)
+        if bucket is not None:
+            bucket.settle(now)
+            return bucket
+        others = self._others[limit]
+        if others is not None:
+            others.settle(now)
+            if others.full():
+                others = self._others[limit] = None
+        if len(table) >= self._most[limit]:
+            oldest = next(iter(table))
+            table[oldest].settle(now)
+            # Danger: forgotten while it is not full, a value would come back to a full one, over and over.
+            if not table[oldest].full():
+                if others is None:
+                    others = self._others[limit] = made(self._sizes[limit], now)
+                return others
+            del table[oldest]
+        bucket = table[value] = others.twin(now) if others is not None else made(self._sizes[limit], now)
+        return bucket
+
+    def renew(self, limits: Sequence[Limit], now_ms: float) -> None:
+        """Go on under other figures, of another season or version: what a bucket lacks it goes on lacking.
+
+        A bucket is carried on where its limit has the same path and counts by the same fields; all others
+        begin full.
+        """
+        before = dict(zip(self._names, zip(self._tables, self._others, strict=True), strict=True))
+        self._set(limits)
+        self._taken = []
+        self._tables, self._others = [], []
+        for i, name in enumerate(self._names):
+            table, others = before.get(name, ({}, None))
+            buckets = list(table.values()) + ([others] if others is not None else [])
+            for bucket in buckets:
+                bucket.settle(now_ms)
+            size = self._sizes[i]
+            renewed = {value: bucket.resized(size, now_ms) for value, bucket in table.items()}
+            shared = others.resized(size, now_ms) if others is not None else None
+            while len(renewed) > self._most[i]:
+                dropped = renewed.pop(next(iter(renewed)))
+                shared = shared or made(size, now_ms).resized(size, now_ms)
+                shared.tokens = min(shared.tokens, dropped.tokens)
+            self._tables.append(renewed)
+            self._others.append(shared)
+
+
+def counted_by(limits: Sequence[Limit], index: dict[str, int], i: int) -> tuple[tuple[str, int, int], ...]:
+    """The fields that a limit counts by, those of the limits round it first, with the bits of an address."""
+    limit = limits[i]
+    outer = counted_by(limits, index, index[limit.parent]) if limit.parent else ()
+    return (*outer, (limit.by, limit.by_bits, limit.by_bits6)) if limit.by else outer
--- a/lupinlink/quota/schedules.py
+++ b/lupinlink/quota/schedules.py
@@ -8,7 +8,8 @@
 from __future__ import annotations
 
 import datetime
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
+from functools import cache
 
 from lupinlink.quota.model import Schedule
 
@@ -28,15 +29,38 @@
     return datetime.date(year, month, day + 1)
 
 
+def _feast(name: str, year: int) -> datetime.date:
+    return easter(year) if name == "easter" else datetime.date(year, 12, 25)
+
+
 def holds(schedule: Schedule, day: datetime.date) -> bool:
     """Whether a schedule holds on that day. Before a feast: the ``days`` days up to its eve."""
     if not schedule.feast:
         first, last, now = schedule.first, schedule.last, (day.month, day.day)
         return first <= now <= last if first <= last else now >= first or now <= last
-    feast = easter(day.year) if schedule.feast == "easter" else datetime.date(day.year, 12, 25)
-    return 0 < (feast - day).days <= schedule.days
+    # The feast of next year too: its weeks may begin before the turn of the year.
+    return any(0 < (_feast(schedule.feast, day.year + i) - day).days <= schedule.days for i in (0, 1))
 
 
 def holding(schedules: Iterable[Schedule], day: datetime.date) -> frozenset[str]:
     """The names of all schedules that hold on that day, for ``Policy.at``."""
     return frozenset(schedule.name for schedule in schedules if holds(schedule, day))
+
+
+@cache
+def _by_date() -> tuple[int, ...]:
+    """For each date that Easter can have, one year in which it has it."""
+    dates = {(easter(year).month, easter(year).day): year for year in range(2300, 1999, -1)}
+    return tuple(dates.values())
+
+
+def together(schedules: Sequence[Schedule]) -> set[frozenset[str]]:
+    """Every set of schedules that can hold on one day, in years with every date of Easter."""
+    years = _by_date() if any(one.feast == "easter" for one in schedules) else (2000,)
+    found: set[frozenset[str]] = {frozenset()}
+    for year in years:
+        day = datetime.date(year, 1, 1)
+        while day.year == year:
+            found.add(holding(schedules, day))
+            day += datetime.timedelta(days=1)
+    return found
