--- a/lupinlink/quota/language/matching.py
+++ b/lupinlink/quota/language/matching.py
@@ -10,7 +10,7 @@
 
 from lupinlink.quota.errors import PolicyError, StatementError, UnboundedError
 from lupinlink.quota.language.parsing import Node, place_of
-from lupinlink.quota.model import Match, Network
+from lupinlink.quota.model import Match, Network, Place
 
 MOST_VALUES = 100_000  # buckets of one quota; one with its entry is some 300 bytes
 NAMED_VALUES = 1000  # buckets where the settings bound the values: classes, tenants, zones
@@ -51,6 +51,7 @@
     networks: list[Network] = []
     second_try: bool | None = None
     seen: set[str] = set()
+    places: dict[tuple[str, str], Place] = {}
     for node in nodes:
         field, values = node.children[0], node.children[1:]
         assert isinstance(field, Token)
@@ -66,6 +67,7 @@
             networks += _networks(tokens, findings)
         else:
             names[kind] = tuple(word(token) for token in tokens if isinstance(token, Token))
+            places |= {(kind, name): place_of(t) for name, t in zip(names[kind], tokens, strict=True)}
             if not all(names[kind]) and kind in ("class", "key"):
                 findings.append(StatementError(f"an empty {kind} matches nothing", place_of(node)))
     return Match(
@@ -75,6 +77,7 @@
         names.get("key", ()),
         tuple(networks),
         second_try,
+        places,
     )
 
 
--- a/lupinlink/quota/model.py
+++ b/lupinlink/quota/model.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 import datetime
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field, replace
 from ipaddress import IPv4Network, IPv6Network
 from typing import NamedTuple, Protocol
@@ -39,6 +39,8 @@
     key_prefixes: tuple[str, ...] = ()
     networks: tuple[Network, ...] = ()
     second_try: bool | None = None
+    # Where each name stands, by kind and name.
+    places: Mapping[tuple[str, str], Place] = field(default_factory=dict, compare=False, hash=False)
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/lupinlink/quota/reach.py
@@ -0,0 +1,129 @@
+"""Which requests can come to a quota, and whether those before it leave it any. Pure.
+
+Requests are taken apart by the names that the quotas tell from one another; of each such kind it is asked
+whether one earlier quota takes all of it. Prefixes and ranges are not put together: that two halves of a
+range cover the whole is not seen, and nothing reachable is ever called unreachable.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from itertools import product
+
+from lupinlink.quota.model import Match, Network
+from lupinlink.settings import Settings
+
+MOST_KINDS = 20_000  # taken apart; beyond it only one earlier quota that takes all of a later one is seen
+ANYTHING = "\x00"  # a name that no quota mentions
+
+
+@dataclass(frozen=True, slots=True)
+class Known:
+    """What the settings say that a policy may name."""
+
+    classes: tuple[str, ...]
+    tenants: tuple[str, ...]
+    zones: tuple[str, ...]
+    most_retry_after_ms: float  # 0: refusals carry no Retry-After
+    marks_second_tries: bool
+
+    @classmethod
+    def of(cls, settings: Settings) -> Known:
+        """Those of a process's settings."""
+        return cls(
+            tuple(one.name for one in settings.classes),
+            tuple(one.name for one in settings.tenants if one.name),
+            settings.zones,
+            settings.max_retry_after_ms,
+            settings.clients_mark_retries,
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class Region:
+    """The requests that a quota and all those round it match; None in a field: all of them."""
+
+    names: tuple[frozenset[str] | None, frozenset[str] | None, frozenset[str] | None] = (None, None, None)
+    second_try: bool | None = None
+    prefixes: tuple[str, ...] | None = None
+    networks: tuple[Network, ...] | None = None
+
+
+def narrowed(region: Region, match: Match) -> Region | None:
+    """The part of a region that matches; None: there is none."""
+    said = (match.classes, match.tenants, match.zones)
+    names = [_both(had, frozenset(new) if new else None) for had, new in zip(region.names, said, strict=True)]
+    second_try = region.second_try if match.second_try is None else match.second_try
+    if any(one is not None and not one for one in names) or region.second_try not in (None, second_try):
+        return None
+    prefixes, networks = region.prefixes, region.networks
+    if match.key_prefixes:
+        had = ("",) if prefixes is None else prefixes
+        pairs = [(a, b) for a in had for b in match.key_prefixes]
+        prefixes = tuple({max(a, b, key=len): 0 for a, b in pairs if a.startswith(b) or b.startswith(a)})
+    if match.networks:
+        ranges = [(a, b) for a in networks or match.networks for b in match.networks]
+        networks = tuple({small: 0 for a, b in ranges if (small := _smaller(a, b)) is not None})
+    if prefixes == () or networks == ():
+        return None
+    return Region((names[0], names[1], names[2]), second_try, prefixes, networks)
+
+
+def _both(a: frozenset[str] | None, b: frozenset[str] | None) -> frozenset[str] | None:
+    return b if a is None else a if b is None else a & b
+
+
+def within(a: Network, b: Network) -> bool:
+    """Whether all of ``a`` is in ``b``."""
+    return a.version == b.version and a.prefixlen >= b.prefixlen and a.network_address in b
+
+
+def _smaller(a: Network, b: Network) -> Network | None:
+    return a if within(a, b) else b if within(b, a) else None
+
+
+def taken(region: Region, earlier: Sequence[Region], known: Known) -> bool:
+    """Whether every request of a region is one of an earlier region."""
+    if any(_covers(one, region) for one in earlier):
+        return True
+    complete = (known.classes, (), known.zones)  # a tenant need not be one of those known
+    fields: list[Sequence[str | None]] = []
+    for i, names in enumerate(region.names):
+        told = [one.names[i] for one in earlier if one.names[i] is not None]
+        mentioned = {name for some in told if some is not None for name in some}
+        if names is not None:
+            fields.append(sorted(names))
+        elif mentioned:
+            fields.append(sorted(mentioned.union(complete[i] or (ANYTHING,))))
+        else:
+            fields.append((None,))
+    tries = (True, False) if region.second_try is None else (region.second_try,)
+    prefixes: list[tuple[str, ...] | None] = [(one,) for one in region.prefixes or ()] or [None]
+    networks: list[tuple[Network, ...] | None] = [(one,) for one in region.networks or ()] or [None]
+    kinds = product(product(*fields), tries, prefixes, networks)
+    for number, ((cls, tenant, zone), second, prefix, network) in enumerate(kinds):
+        kind = Region((_one(cls), _one(tenant), _one(zone)), second, prefix, network)
+        if number >= MOST_KINDS or not any(_covers(one, kind) for one in earlier):
+            return False
+    return True
+
+
+def _one(name: str | None) -> frozenset[str] | None:
+    return None if name is None else frozenset((name,))
+
+
+def _covers(wide: Region, region: Region) -> bool:
+    """Whether all of a region is in another."""
+    for had, new in zip(wide.names, region.names, strict=True):
+        if had is not None and (new is None or not new <= had):
+            return False
+    if wide.second_try is not None and wide.second_try != region.second_try:
+        return False
+    if wide.prefixes is not None and not all(p.startswith(wide.prefixes) for p in region.prefixes or ("",)):
+        return False
+    if wide.networks is None:
+        return True
+    return region.networks is not None and all(
+        any(within(a, b) for b in wide.networks) for a in region.networks
+    )
--- a/lupinlink/quota/schedules.py
+++ b/lupinlink/quota/schedules.py
@@ -50,7 +50,7 @@
 @cache
 def _by_date() -> tuple[int, ...]:
     """For each date that Easter can have, one year in which it has it."""
-    dates = {(easter(year).month, easter(year).day): year for year in range(2300, 1999, -1)}
+    dates = {(easter(year).month, easter(year).day): year for year in range(2400, 1999, -1)}
     return tuple(dates.values())
 
 
