--- a/lupinlink/migration/asked.py
+++ b/lupinlink/migration/asked.py
@@ -42,7 +42,14 @@
 def start(
     listeners: Mapping[str, Listener], name: str, target: str, pools: Iterable[str] | None = None
 ) -> Listener:
-    """A migration that is planned. Fails: what ``rules.check_start`` says."""
+    """A migration that is planned; one that is on its way there already stays as it is.
+
+    Fails: what ``rules.check_start`` says.
+    """
+    there = listeners.get(name)
+    if there is not None and there.open is not None and there.open.target == target:
+        if there.open.state not in (State.HALTED, State.RETURNING):
+            return there
     listener = check_start(listeners, name, target, pools)
     last = listener.migration
     migration = Migration(
--- a/lupinlink/migration/estimate.py
+++ b/lupinlink/migration/estimate.py
@@ -4,10 +4,10 @@
 rate is leavings over connection-seconds watched (total time on test: Epstein and Sobel, "Life Testing",
 Journal of the American Statistical Association 48, 1953), with a relative error of one over the root of the
 leavings. The last of ``n`` such leaves after ``H(n) / r`` on average, ``H`` the harmonic number, with a
-variance of the sum of ``1 / (k r)**2`` (the largest of n exponentials: Feller, "An Introduction to Probability
-Theory and Its Applications" II, chapter I.6). Long bodies whose length is told end no sooner than their bytes
-have gone. Whatever is left at ``long_ms`` is ended then, which bounds it all. Steps that are still to come
-take as long as those before: their mean, with its variance.
+variance of the sum of ``1 / (k r)**2`` (the largest of n exponentials: Feller, "An Introduction to
+Probability Theory and Its Applications" II, chapter I.6). Long bodies whose length is told end no sooner than
+their bytes have gone. Whatever is left at ``long_ms`` is ended then, which bounds it all. Steps that are
+still to come take as long as those before: their mean, with its variance.
 """
 
 from __future__ import annotations
--- a/lupinlink/migration/follower.py
+++ b/lupinlink/migration/follower.py
@@ -63,7 +63,7 @@
         self.listeners = {
             one.name: Listener(name=one.name, owner=one.home, epoch=0) for one in settings.listeners
         }
-        self._known = False  # the records were read
+        self._known_at: float | None = None  # when the records were first read
         self._memory: Memory | None = None
         if memory:
             try:
@@ -77,19 +77,18 @@
         self._emptied = False
         self._ended = self._beat = 0
 
-    def told(self, records: Mapping[str, Listener]) -> list[Listener]:
+    def told(self, records: Mapping[str, Listener], now: float) -> list[Listener]:
         """Take what the service holds; gives those records that this proxy knows to be older than the truth.
 
         After a restore to an older state what the fleet obeys stands in its processes alone: such a record is
         to be put back as known here, one epoch higher than both.
         """
-        self._known = True
-        floor = self._memory.seen if self._memory is not None else {}
+        self._known_at = now if self._known_at is None else self._known_at
         older = []
         for name in {*records, *self.listeners}:
             mine, theirs = self.listeners.get(name), records.get(name)
             if mine is None or (theirs is not None and theirs.epoch >= mine.epoch):
-                if theirs is not None and theirs.epoch >= floor.get(name, 0):
+                if theirs is not None:
                     self.listeners[name] = theirs
             elif mine.epoch > 0:
                 older.append(mine)
@@ -99,16 +98,22 @@
         """Whether it may serve user agents, as far as migrations go."""
         if not self.pool:
             return True
-        if self._memory is not None and not self._fresh():
+        if self._memory is not None and not self._fresh(now):
             return self._memory.serves
-        if not self._known and now - self._began < self._settings.know_ms:
+        if self._known_at is None and now - self._began < self._settings.know_ms:
             return False  # a proxy on standby must not serve for the moment until it knows
         return any(listener.serves(self.name, self.pool) for listener in self.listeners.values())
 
-    def _fresh(self) -> bool:
-        """Whether the records are at least as new as what the process before this one obeyed."""
+    def _fresh(self, now: float) -> bool:
+        """Whether the records are as new as what the process before this one obeyed.
+
+        Of a restored service they are not, until somebody who knows better puts them back; if nobody does
+        within ``fresh_ms``, they are all there is.
+        """
         assert self._memory is not None
-        return self._known and all(
+        if self._known_at is None:
+            return False
+        return now - self._known_at >= self._settings.fresh_ms or all(
             (one := self.listeners.get(name)) is not None and one.epoch >= epoch
             for name, epoch in self._memory.seen.items()
         )
@@ -145,13 +150,22 @@
         """So many were ended by the rules."""
         self._ended += connections
 
+    def ordered(self) -> int:
+        """The epoch of the last order that this proxy was given in an open migration; 0: none."""
+        orders = [one.open.orders.get(self.name) for one in self.listeners.values() if one.open is not None]
+        return max((order.epoch for order in orders if order is not None), default=0)
+
+    def standby(self, now: float) -> bool:
+        """Whether no listener wants this proxy and it has been empty since."""
+        return bool(self.pool) and self._emptied and not self.serves(now)
+
     def migrates(self) -> bool:
         """Whether an open migration has to do with this proxy's pool."""
         return any(one.open is not None and self.pool in one.pools() for one in self.listeners.values())
 
     def memory(self, now: float) -> bytes:
         """For the next process of this name; empty while nothing is known."""
-        if not self._known:
+        if self._known_at is None:
             return b""
         seen = {name: one.epoch for name, one in self.listeners.items() if one.epoch}
         return msgspec.json.encode(Memory(seen, self.serves(now)))
--- a/lupinlink/migration/progress.py
+++ b/lupinlink/migration/progress.py
@@ -7,14 +7,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from enum import StrEnum
 
 from msgspec import Struct, json
 
 from lupinlink.migration import estimate
 from lupinlink.migration.estimate import Estimate
-from lupinlink.migration.model import Report, State
+from lupinlink.migration.model import ENDED, Report, State
 from lupinlink.migration.settings import MigrationSettings
 from lupinlink.migration.sight import Sight
 
@@ -71,7 +71,7 @@
         return self.moved / count if count > 0 else 0.0
 
 
-read_progress = json.Decoder(Progress).decode
+read_progress: Callable[[bytes], Progress] = json.Decoder(Progress).decode
 
 
 def stuck(report: Report, settings: MigrationSettings) -> str:
@@ -137,11 +137,13 @@
     return rows
 
 
-def summed(sight: Sight, lead: str, waits: str, steps_ms: Sequence[float] = (), beat: int = 0) -> Progress:
-    """All of it. ``steps_ms``: how long the steps so far have taken."""
+def summed(
+    sight: Sight, lead: str, waits: str, soak_ms: float, steps_ms: Sequence[float] = (), beat: int = 0
+) -> Progress:
+    """All of it. ``soak_ms``: of each step's gate; ``steps_ms``: how long the steps so far have taken."""
     migration = sight.migration
-    forward = migration.state is not State.RETURNING
-    going = migration.sources if forward else migration.targets
+    back = migration.state in (State.RETURNING, State.RETURNED)
+    going = migration.targets if back else migration.sources
     total = moved = ended = died = left = 0
     for name in going:
         seen, began = sight.members.get(name), migration.began.get(name)
@@ -159,7 +161,11 @@
         left += live
         ended += seen.report.ended
         moved += max(0, began.live - live - seen.report.ended)
-    end = _end(sight, going, steps_ms) if migration.state not in (State.PLANNED, State.HALTED) else None
+    end = (
+        _end(sight, going, soak_ms, steps_ms)
+        if migration.state not in (State.PLANNED, State.HALTED, *ENDED)
+        else None
+    )
     return Progress(
         epoch=sight.listener.epoch, lead=lead, beat=beat, waits=waits,
         total=total, moved=moved, ended=ended, died=died, left=left,
@@ -170,18 +176,17 @@
     )  # fmt: skip
 
 
-def _end(sight: Sight, going: Sequence[str], steps_ms: Sequence[float]) -> Estimate:
+def _end(sight: Sight, going: Sequence[str], soak_ms: float, steps_ms: Sequence[float]) -> Estimate:
     migration, settings = sight.migration, sight.settings
     forward = migration.state is not State.RETURNING
     coming = sight.there(migration.targets if forward else migration.sources)
     inside = sum(sight.order(name).serves for name in coming)
     to_come = estimate.steps_left(len(coming), inside, migration.step, settings.first_step, settings.growth)
-    expected = 2.0 * (settings.report_ms + settings.look_ms) + (settings.soak_ms if forward else 0.0)
+    expected = 2.0 * (settings.report_ms + settings.look_ms) + (soak_ms if forward else 0.0)
     reports = [
         seen.report
         for name in going
         if (seen := sight.members.get(name)) is not None and not sight.order(name).serves
     ]
-    # Whoever goes in the last step has not begun to leave: as long as those before needed, at least a sweep.
     drain = estimate.tail(reports, settings.long_ms)
     return estimate.together(estimate.steps(to_come, steps_ms, expected), drain)
--- a/lupinlink/migration/settings.py
+++ b/lupinlink/migration/settings.py
@@ -21,31 +21,26 @@
 
 
 class MigrationSettings(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
-    """Off unless the fleet file has the table. Names ending in ``_ms`` are milliseconds."""
+    """Off unless the fleet file has the table. Names ending in ``_ms`` are milliseconds.
+
+    What a step's gate asks for, and how many may be out at once, is said in the ``[release]`` table.
+    """
 
     listeners: tuple[ListenerSettings, ...] = ()
     first_step: Annotated[int, Meta(ge=1, le=1000)] = 1  # proxies of the target in the first step
     growth: Annotated[float, Meta(ge=1.0, le=10.0)] = 2.0  # of each step over the one before
-    soak_ms: Annotated[float, Meta(ge=0.0, le=3.6e6)] = (
-        5000.0  # a step serves so long before its gate is read
-    )
-    gate_ms: Annotated[float, Meta(ge=0.0, le=3.6e6)] = 300000.0  # then a gate that cannot be read halts
-    step_ms: Annotated[float, Meta(ge=1000.0, le=3.6e6)] = (
-        30000.0  # what has not done its step by then is told
-    )
+    step_ms: Annotated[float, Meta(ge=1000.0, le=3.6e6)] = 30000.0  # then who obeys not is not counted on
     prepare_ms: Annotated[float, Meta(ge=1000.0, le=3.6e6)] = 60000.0  # so long may a target take to be ready
     # Longer than any body that keeps the rules takes (32 MB at 32 kB a second), so that none is cut by it.
     long_ms: Annotated[float, Meta(ge=1000.0, le=8.64e7)] = 1.2e6
     idle_ms: Annotated[float, Meta(ge=0.0, le=3.6e6)] = 4000.0  # kept longer at rest in a drain: stuck
-    silent_ms: Annotated[float, Meta(ge=0.0, le=3.6e6)] = (
-        20000.0  # nothing of a body moves for so long: stuck
-    )
+    silent_ms: Annotated[float, Meta(ge=0.0, le=3.6e6)] = 20000.0  # nothing of it moves for so long: stuck
     fill: Share = 0.8  # of a pool's capacity in connections, at most
     known_share: Share = 0.9  # of the servers the source knows, that a target must know
-    warm_share: Annotated[float, Meta(ge=0.0, le=1.0)] = 0.5  # of a target's servers that have keys in memory
+    warm_share: Annotated[float, Meta(ge=0.0, le=1.0)] = 0.5  # of a target's servers, that must be warm
     trouble_share: Share = 0.25  # of a pool's proxies lost: it is in trouble
     trouble_ms: Annotated[float, Meta(ge=0.0, le=3.6e6)] = 10000.0  # it halts for trouble that lasts so long
-    look_ms: Annotated[float, Meta(ge=200.0, le=60000.0)] = 1000.0  # how often the lead looks at a migration
+    look_ms: Annotated[float, Meta(ge=200.0, le=60000.0)] = 2000.0  # how often the lead looks at a migration
     report_ms: Annotated[float, Meta(ge=500.0, le=60000.0)] = 2000.0  # how often its proxies report
     rest_ms: Annotated[float, Meta(ge=1000.0, le=600000.0)] = 20000.0  # how often, while nothing migrates
     fresh_ms: Annotated[float, Meta(ge=1000.0, le=600000.0)] = 7000.0  # a report counts for so long
--- a/lupinlink/migration/sight.py
+++ b/lupinlink/migration/sight.py
@@ -8,18 +8,12 @@
 
 from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, field
-from enum import Enum
 
 from lupinlink.migration.model import Listener, Migration, Order, Report
 from lupinlink.migration.settings import MigrationSettings
+from lupinlink.release.gates import Judgment, Verdict
 
-
-class Gate(Enum):
-    """What the release's gates say of a step."""
-
-    PASSED = "passed"
-    FAILED = "failed"
-    UNREAD = "unread"  # not to be read now: not passed, and no reason to halt
+UNREAD = Judgment(Verdict.UNREAD, "nobody has looked at the gate yet")
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,8 +34,7 @@
     stood_ms: float = 0.0  # since the lead saw the record stand as it does
     trouble_ms: float = 0.0  # since it first saw the trouble that it sees now; 0: there is none
     permitted: frozenset[str] = frozenset()  # these hold a permit to be out for this migration
-    gate: Gate = Gate.PASSED
-    gate_why: str = ""
+    judgment: Judgment = UNREAD  # of the gate after the present step
     held: Mapping[str, str] = field(default_factory=dict)  # by name, what else has taken a proxy out
 
     @property
@@ -130,7 +123,7 @@
         return [name for name in pool if name not in self.migration.without]
 
     def lost(self, pool: Collection[str]) -> float:
-        """The share of a pool's proxies that are not well, 0 to 1, of those an operator has not called off."""
+        """The share of a pool's proxies that are not well, 0 to 1; those called off do not count."""
         pool = self.there(pool)
         return 1.0 - sum(self.well(name) for name in pool) / len(pool) if pool else 1.0
 
--- a/lupinlink/migration/states.py
+++ b/lupinlink/migration/states.py
@@ -16,7 +16,8 @@
 from lupinlink.migration import rules
 from lupinlink.migration.model import ENDED, Began, Listener, Migration, Order, State
 from lupinlink.migration.sight import Sight
-from lupinlink.migration.steps import Move, named, next_move
+from lupinlink.migration.steps import Move, next_move
+from lupinlink.release.gates import named
 
 
 @dataclass(frozen=True, slots=True)
@@ -142,7 +143,9 @@
     if not move.add and not move.drop:
         return Change(sight.listener, move.why, move.take)
     step = sight.migration.step + bool(move.add)
-    return Change(written(sight.listener, step=step, **_orders(sight, move.add, move.drop)), move.why)
+    return Change(
+        written(sight.listener, step=step, **_orders(sight, move.add, move.drop)), move.why, move.take
+    )
 
 
 def _kept(sight: Sight, back: tuple[str, ...]) -> Change:
--- a/lupinlink/migration/steps.py
+++ b/lupinlink/migration/steps.py
@@ -11,9 +11,8 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from lupinlink.migration.sight import Gate, Sight
-
-NAMED = 5  # so many proxies are named in a text
+from lupinlink.migration.sight import Sight
+from lupinlink.release.gates import Verdict, named
 
 
 @dataclass(frozen=True, slots=True)
@@ -28,12 +27,6 @@
     done: bool = False  # nobody is left who should go
 
 
-def named(names: Sequence[str]) -> str:
-    """The first few, and how many more."""
-    more = f" and {len(names) - NAMED} more" if len(names) > NAMED else ""
-    return ", ".join(sorted(names)[:NAMED]) + more
-
-
 def next_move(sight: Sight, coming: Sequence[str], going: Sequence[str], gated: bool) -> Move:
     """The next step from ``going`` to ``coming``; ``gated``: new ones soak and the gate must pass first."""
     serving, counted = sight.migration.serving(), set(sight.counted())
@@ -41,7 +34,7 @@
     late = sight.stood_ms >= sight.settings.step_ms
     if (missing := [name for name in inside if name not in counted]) and not late:
         return Move(why=f"{named(missing)} to serve")
-    if gated and inside and (held := _held_up(sight, [name for name in inside if name in counted])):
+    if gated and inside and (held := _held_up(sight)):
         return held
     left = [name for name in going if name in serving]
     outside = [name for name in coming if name not in serving and sight.well(name)]
@@ -49,7 +42,8 @@
     if leavers:
         allowed = [name for name in leavers if name in sight.permitted or not sight.well(name)]
         if allowed:
-            return Move(drop=tuple(allowed), why=f"{named(allowed)} to stop")
+            take = tuple(name for name in leavers if name not in allowed)
+            return Move(drop=tuple(allowed), take=take, why=f"{named(allowed)} to stop")
         return Move(take=tuple(leavers), why=f"permits for {named(leavers)}")
     if outside:
         # Growing steps: what is wrong with the target is met where it costs least (canarying).
@@ -61,19 +55,12 @@
     return Move(done=True)
 
 
-def _held_up(sight: Sight, inside: Sequence[str]) -> Move | None:
+def _held_up(sight: Sight) -> Move | None:
     """Whether those who came in last must still show themselves."""
-    reports = [report for name in inside if (report := sight.fresh(name)) is not None]
-    if any(report.role_ms < sight.settings.soak_ms for report in reports):
-        return Move(why=f"step {sight.migration.step} soaks {sight.settings.soak_ms / 1000.0:g} s")
-    if sight.migration.accepted >= sight.migration.step or sight.gate is Gate.PASSED:
+    if sight.migration.accepted >= sight.migration.step or sight.judgment.verdict is Verdict.PASSED:
         return None
-    if sight.gate is Gate.FAILED:
-        return Move(halt=f"the gate failed: {sight.gate_why}")
-    # A gate that cannot be read is not passed.
-    if sight.stood_ms >= sight.settings.gate_ms:
-        return Move(halt=f"the gate could not be read: {sight.gate_why}")
-    return Move(why=f"the gate: {sight.gate_why}")
+    why = f"gate of step {sight.migration.step}: {sight.judgment.why}"
+    return Move(halt=why) if sight.judgment.verdict is Verdict.FAILED else Move(why=why)
 
 
 def _leavers(sight: Sight, inside: int, coming: Sequence[str], going: Sequence[str], more: bool) -> list[str]:
