--- a/lupinlink/migration/agent.py
+++ b/lupinlink/migration/agent.py
@@ -50,16 +50,18 @@
         self,
         base: Base,
         me: Member,
-        host: Host,
+        host: Callable[[], Host],
         lead: Leads,
         settings: MigrationSettings,
         release: ReleaseSettings,
     ) -> None:
+        """``host`` is asked for at the start, when the process has one."""
+        self._host = host
         agreement, clock, draw, prefix, run = base
         self._base, self._settings, self._lead = base, settings, lead
-        self._follower = Follower(me.name, me.pool, run, settings, clock.now(), host.recall())
+        self._follower = Follower(me.name, me.pool, run, settings, clock.now())
         self._records = Records(agreement, clock, draw, self._follower, prefix, self._changed)
-        self._reporter = Reporter(agreement, clock, draw, self._follower, host, settings, prefix)
+        self._reporter = Reporter(agreement, clock, draw, self._follower, settings, prefix)
         self._orders = Orders(clock, draw, self._records)
         self._conductor = Conductor(
             agreement, clock, draw, self._records, lead, settings, release, prefix, me.name
@@ -70,8 +72,10 @@
         self._reading = False
 
     def start(self) -> None:
+        host = self._host()
+        self._follower.recall(host.recall(), self._base.clock.now())
         self._records.start()
-        self._reporter.start()
+        self._reporter.start(host)
         self._conductor.start()
 
     def stop(self) -> None:
@@ -112,7 +116,8 @@
         if self._lead.leads:
             told = {name: Told(word, 0.0) for name, word in self._conductor.progress.items()}
         else:
-            told = {name: Told(word, now - since) for name, (word, since) in self._read.items()}
+            ages = {name: (word, now - since) for name, (word, since) in self._read.items()}
+            told = {name: Told(word, age) for name, (word, age) in ages.items() if age <= ASKED_MS}
         silent = self._records.silent or ("" if self._records.heard_at is not None else "not heard of yet")
         text = page(self._records.listeners, told, self._settings, silent, self._orders.lines())
         return Answer(200, text)
--- a/lupinlink/migration/asked.py
+++ b/lupinlink/migration/asked.py
@@ -25,6 +25,7 @@
 from lupinlink.migration.states import written
 
 BEFORE = (State.PLANNED, State.PREPARING)
+FORWARD = (*BEFORE, State.SHIFTING, State.DRAINING)
 
 
 def meant(listeners: Mapping[str, Listener], name: str) -> Listener:
@@ -47,9 +48,9 @@
     Fails: what ``rules.check_start`` says.
     """
     there = listeners.get(name)
-    if there is not None and there.open is not None and there.open.target == target:
-        if there.open.state not in (State.HALTED, State.RETURNING):
-            return there
+    way = there.open if there is not None else None
+    if there is not None and way is not None and way.target == target and way.state in FORWARD:
+        return there
     listener = check_start(listeners, name, target, pools)
     last = listener.migration
     migration = Migration(
--- a/lupinlink/migration/follower.py
+++ b/lupinlink/migration/follower.py
@@ -54,10 +54,8 @@
 class Follower:
     """Takes the records as they come, and what the proxy holds."""
 
-    def __init__(
-        self, name: str, pool: str, run: str, settings: MigrationSettings, now: float, memory: bytes = b""
-    ) -> None:
-        """``run``: drawn for this process. ``memory``: what one before it remembered; empty: nothing."""
+    def __init__(self, name: str, pool: str, run: str, settings: MigrationSettings, now: float) -> None:
+        """``run``: drawn for this process."""
         self.name, self.pool, self.run = name, pool, run
         self._settings, self._began = settings, now
         self.listeners = {
@@ -65,11 +63,6 @@
         }
         self._known_at: float | None = None  # when the records were first read
         self._memory: Memory | None = None
-        if memory:
-            try:
-                self._memory = msgspec.json.decode(memory, type=Memory)
-            except msgspec.DecodeError:
-                self._memory = None  # of another program: as if there was none
         self._role: bool | None = None
         self._role_at = now
         self._live, self._bytes = Fall(), Fall()
@@ -77,6 +70,14 @@
         self._emptied = False
         self._ended = self._beat = 0
 
+    def recall(self, memory: bytes, now: float) -> None:
+        """The process starts now; what one before it remembered, or nothing."""
+        self._began = now
+        try:
+            self._memory = msgspec.json.decode(memory, type=Memory) if memory else None
+        except msgspec.DecodeError:
+            self._memory = None  # of another program: as if there was none
+
     def told(self, records: Mapping[str, Listener], now: float) -> list[Listener]:
         """Take what the service holds; gives those records that this proxy knows to be older than the truth.
 
--- a/lupinlink/migration/gate.py
+++ b/lupinlink/migration/gate.py
@@ -16,7 +16,7 @@
 
     def __init__(self, settings: GateSettings) -> None:
         self._settings = settings
-        self._key: tuple[int, int] | None = None  # the migration and its step
+        self._key: tuple[int, int, int] | None = None  # the migration, its step, its last order
         self._soak: Soak | None = None
         self._passed = False
 
@@ -28,7 +28,8 @@
         if migration.state is not State.SHIFTING:
             self._soak, self._key = None, None
             return UNREAD
-        key = migration.number, migration.step
+        last = max((order.epoch for order in migration.orders.values()), default=0)
+        key = migration.number, migration.step, last
         if key != self._key:
             self._key, self._soak, self._passed = key, None, False
         if self._passed:
--- a/lupinlink/migration/leading.py
+++ b/lupinlink/migration/leading.py
@@ -27,7 +27,7 @@
 from lupinlink.migration.track import Track
 from lupinlink.release.known import known, members
 from lupinlink.release.presence import Presence
-from lupinlink.release.records import PERMITS
+from lupinlink.release.records import MEMBERS, PERMITS
 from lupinlink.release.settings import ReleaseSettings
 
 log = logging.getLogger(__name__)
@@ -140,7 +140,7 @@
         return {name: report for name, (_, report) in reports.items()}
 
     async def _permits(self, reports: Mapping[str, Report]) -> Allowed:
-        people: View = await self._agreement.read(self._prefix + "members/")
+        people: View = await self._agreement.read(self._prefix + MEMBERS)
         release: View = await self._agreement.read(self._prefix + "release/")
         now = self._clock.now()
         self._presence.look(members(people, self._prefix), people.asked_ms)
--- a/lupinlink/migration/reporter.py
+++ b/lupinlink/migration/reporter.py
@@ -32,16 +32,16 @@
         clock: Clock,
         draw: Callable[[], float],
         follower: Follower,
-        host: Host,
         settings: MigrationSettings,
         prefix: str,
     ) -> None:
         self._agreement, self._clock, self._draw = agreement, clock, draw
-        self._follower, self._host, self._settings = follower, host, settings
+        self._follower, self._settings = follower, settings
+        self._host: Host | None = None
         self._key = prefix + REPORTS + follower.name
         self._backoff = Backoff(SOON_MS, MOST_AGAIN_MS, draw)
         self._call = 0
-        self._running = self._asking = False
+        self._asking = False
         self._role: bool | None = None
         self._memory = b""
         self._revision: int | None = None
@@ -49,8 +49,8 @@
         self._due = 0.0
         self._told: tuple[bool, int] = (False, 0)  # role and order as last reported
 
-    def start(self) -> None:
-        self._running = True
+    def start(self, host: Host) -> None:
+        self._host = host
         now = self._clock.now()
         self._due = now + self._draw() * SOON_MS  # a fleet that starts together does not report together
         self.obey()
@@ -58,14 +58,15 @@
 
     def stop(self) -> None:
         """Report no more; a process that ends on purpose is not waited for later."""
-        self._running = False
+        self._host = None
         self._clock.drop(self._call)
         if self._revision is not None:
             self._agreement.commit([Delete(self._key, self._revision)]).addErrback(lambda failure: None)
 
     def obey(self) -> None:
         """Serve or stop, as the highest epoch seen has it."""
-        if not self._running:
+        host = self._host
+        if host is None:
             return
         now = self._clock.now()
         serves = self._follower.serves(now)
@@ -73,11 +74,11 @@
             self._role = serves
             if self._follower.pool:
                 log.info("listener", extra={"kv": {"serves": serves, "epochs": self._epochs()}})
-                self._host.in_service() if serves else self._host.drain()
+                host.in_service() if serves else host.drain()
         memory = self._follower.memory(now)
         if memory and memory != self._memory:
             self._memory = memory
-            self._host.remember(memory)
+            host.remember(memory)
         if self._told != (serves, self._follower.ordered()):
             self._due = min(self._due, max(now, self._sent + SOON_MS) + self._draw() * SPREAD * SOON_MS)
 
@@ -85,25 +86,27 @@
         return ",".join(f"{name}:{one.epoch}" for name, one in sorted(self._follower.listeners.items()))
 
     def _tick(self) -> None:
-        now = self._clock.now()
+        now, host = self._clock.now(), self._host
+        if host is None:
+            return
         self._call = self._clock.at(now + SAMPLE_MS, self._tick)
         self.obey()  # what waits for the clock: a start that knows nothing yet
         migrates = self._follower.migrates()
         if migrates:
             self._due = min(self._due, self._sent + self._settings.report_ms * (1.0 + SPREAD))
         due = now >= self._due and not self._asking
-        if (migrates or due) and self._follower.look(self._host.figures(), now):
-            ended = self._host.end_last()
+        if (migrates or due) and self._follower.look(host.figures(), now):
+            ended = host.end_last()
             self._follower.ended(ended)
             log.warning("ended the last by the rules", extra={"kv": {"connections": ended}})
         if due and self._follower.pool:
-            self._send(now)
+            self._send(host.ready, now)
 
-    def _send(self, now: float) -> None:
+    def _send(self, ready: bool, now: float) -> None:
         every = self._settings.report_ms if self._follower.migrates() else self._settings.rest_ms
         self._asking, self._sent = True, now
         self._due = now + every * (1.0 - SPREAD * self._draw())
-        report = self._follower.report(self._host.ready, now)
+        report = self._follower.report(ready, now)
         self._told = report.serves, self._follower.ordered()
         self._agreement.commit([Put(self._key, packed(report), None)]).addCallbacks(self._done, self._failed)
 
--- a/lupinlink/migration/steps.py
+++ b/lupinlink/migration/steps.py
@@ -1,8 +1,9 @@
 """What the next step of a shift is: who comes in, who goes, or what is waited for. Pure; both directions.
 
-A step brings proxies in, waits until they surely serve, lets them soak, reads the gate, and only then has as
-large a share of the others go. Nobody goes while those who surely serve would be fewer than the least without
-him, or a pool would pass its capacity.
+A step brings proxies in, waits until they surely serve, has as large a share of the others go, and ends when
+the gate has passed with what then comes to the new ones: kept connections stay where they are, so before
+somebody has gone the new ones may have nothing to show. Nobody goes while those who surely serve would be
+fewer than the least without him, or a pool would pass its capacity.
 """
 
 from __future__ import annotations
@@ -34,8 +35,6 @@
     late = sight.stood_ms >= sight.settings.step_ms
     if (missing := [name for name in inside if name not in counted]) and not late:
         return Move(why=f"{named(missing)} to serve")
-    if gated and inside and (held := _held_up(sight)):
-        return held
     left = [name for name in going if name in serving]
     outside = [name for name in coming if name not in serving and sight.well(name)]
     leavers = _leavers(sight, len(counted & set(inside)), coming, going, bool(outside))
@@ -45,6 +44,8 @@
             take = tuple(name for name in leavers if name not in allowed)
             return Move(drop=tuple(allowed), take=take, why=f"{named(allowed)} to stop")
         return Move(take=tuple(leavers), why=f"permits for {named(leavers)}")
+    if gated and inside and (held := _held_up(sight)):
+        return held
     if outside:
         # Growing steps: what is wrong with the target is met where it costs least (canarying).
         size = sight.settings.first_step * sight.settings.growth**sight.migration.step
--- a/lupinlink/migration/tables.py
+++ b/lupinlink/migration/tables.py
@@ -72,10 +72,8 @@
     progress = told.progress
     died = f", {progress.died} died with their proxy (not counted)" if progress.died else ""
     ended = f", {progress.ended} ended by the rules" if progress.ended else ""
-    count = progress.total - progress.died
-    lines = [
-        f"moved {progress.moved} of {count} connections ({progress.done:.0%}), {progress.left} left{ended}{died}"
-    ]
+    share = f"{progress.moved} of {progress.total - progress.died} connections ({progress.done:.0%})"
+    lines = [f"moved {share}, {progress.left} left{ended}{died}"]
     if state not in ENDED:
         if progress.waits:
             lines.insert(0, f"waits for: {progress.waits}")
@@ -93,9 +91,8 @@
     if migration is None:
         return [*lines, "  it has not migrated; next: start"]
     why = f": {migration.why}" if migration.why else ""
-    lines.append(
-        f"  migration {migration.number}, {migration.source} to {migration.target}: {migration.state.value}{why}"
-    )
+    way = f"{migration.source} to {migration.target}"
+    lines.append(f"  migration {migration.number}, {way}: {migration.state.value}{why}")
     lines.append(f"  next: {' or '.join(next_words(listener))}")
     if migration.without:
         lines.append(f"  off by an operator's word: {', '.join(migration.without)}")
