--- a/tests/test_rude.py
+++ b/tests/test_rude.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import os
+import signal
 import socket
 import threading
 import time
@@ -138,33 +140,39 @@
 
 class BehindAnAnswer(Stage):
     def test_a_connection_that_has_ended_or_brought_more_since_is_not_used_again(self) -> None:
-        # The proxy has not read them yet when the next request comes: these bytes would be its answer.
+        # The proxy has not read them yet when the next request comes: these bytes would be its answer. So it
+        # stands still until both are there.
         server = self.peer(ApplicationServer())
         talk = server.talk
         for more in (b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstale", b""):
             with self.subTest(more=more[:8]):
-                ready, go = threading.Event(), threading.Event()
+                go, sent = threading.Event(), threading.Event()
 
                 def late(
-                    connection: socket.socket, more: bytes = more, ready: Any = ready, go: Any = go
+                    connection: socket.socket, more: bytes = more, go: Any = go, sent: Any = sent
                 ) -> None:
                     talk_once = connection.makefile("rb")
                     while talk_once.readline().strip():
                         pass
                     connection.sendall(OK)
-                    ready.set()
                     go.wait(WAIT)
                     connection.sendall(more)
                     if not more:
                         connection.shutdown(socket.SHUT_WR)
                     server.talk = talk
+                    sent.set()
 
                 server.talk = late
                 self.start(row("s-1", server))
                 client = self.client()
                 self.assertEqual(self.ask(client).read(), b"ok")
-                ready.wait(WAIT)
+                self.process.send_signal(signal.SIGSTOP)
+                os.waitpid(self.process.pid, os.WUNTRACED)
+                self.send(client, path="/scan/1", ms=2000)  # first, so that it is met first
                 go.set()
-                for _ in range(5):
+                self.assertTrue(sent.wait(WAIT))
+                self.process.send_signal(signal.SIGCONT)
+                self.assertEqual(client.getresponse().read(), b"ok")
+                for _ in range(4):
                     self.assertEqual(self.ask(client, path="/scan/1").read(), b"ok")
                 self.stop()
