--- a/lupinlink/config/fleet.py
+++ b/lupinlink/config/fleet.py
@@ -46,7 +46,7 @@
         return host, int(port)
 
     def check(self) -> None:
-        """What no bound of one key tells. Raises FleetFileError."""
+        """What no bound of one key tells. Raises FleetFileError, its text beginning with the key."""
         if not 0 < self.place[1] <= 65535:
             raise FleetFileError(f"address: port {self.place[1]}; allowed: 1 to 65535")
         if self.call_ms > self.lease_s * 1000.0 / 3.0:
@@ -107,6 +107,8 @@
         key, what, allowed = explain(kind, str(exc))
         place = f"{table}.{key}" if key else table
         raise FleetFileError(f"{name}: {place}: {what}; allowed: {allowed}") from exc
+    except FleetFileError as exc:
+        raise FleetFileError(f"{name}: {table}.{exc}") from exc
     except (LupinError, ValueError) as exc:
         kept = type(exc) if isinstance(exc, LupinError) else FleetFileError
         raise kept(f"{name}: {table}: {exc}") from exc
--- a/lupinlink/coordination/lead.py
+++ b/lupinlink/coordination/lead.py
@@ -153,8 +153,8 @@
     def _lead(self, fence: int, record: Record | None, lease: Lease | None) -> None:
         assert record is not None and lease is not None
         self._unplan()
-        if fence < self._seen.highest:
-            # A restore, or somebody who met a higher one: under this none would obey.
+        if fence < self._seen.highest or (self._lease is None and fence <= self.fence):
+            # A restore: under a lower fence none would obey, and its own last lead was told to be over.
             mark = Mark(self._seen.next(fence), self._name)
             self._commit([Held(self._key, lease.name), Put(self._key, write_mark(mark), record.revision)])
         elif self._lease is not lease or fence != self.fence:
--- a/tests/agreements.py
+++ b/tests/agreements.py
@@ -6,7 +6,9 @@
 import random
 import subprocess
 import sys
+import urllib.error
 import urllib.request
+from collections.abc import Callable
 from contextlib import suppress
 from itertools import count
 from typing import Any
@@ -106,6 +108,25 @@
         with urllib.request.urlopen(asked, timeout=10) as answer:
             return json.load(answer)
 
+    @property
+    def port(self) -> int:
+        return self._ports["port"]
+
+    def until(self, prefix: str, holds: Callable[[dict[str, Any]], bool]) -> dict[str, Any]:
+        """The records below a prefix as the service shows them, by key, once they are so."""
+        index = 0
+        for _ in range(200):
+            url = f"http://127.0.0.1:{self.port}/v1/kv/{prefix}?recurse&wait=2s&index={index}"
+            try:
+                with urllib.request.urlopen(url, timeout=10) as answer:
+                    index, rows = int(answer.headers["X-Consul-Index"]), json.load(answer)
+            except urllib.error.HTTPError as none:  # 404: there are none
+                index, rows = int(none.headers["X-Consul-Index"]), []
+            found = {row["Key"]: row for row in rows}
+            if holds(found):
+                return found
+        raise AssertionError(f"{prefix}: {found}")
+
     def _fault(self, kind: str, on: bool, **more: Any) -> None:
         (self._faults.add if on else self._faults.discard)(kind)
         self.call("fault", kind=kind, on=on, **more)
--- /dev/null
+++ b/tests/contract_suite.py
@@ -0,0 +1,110 @@
+"""What the tests of the contract of agreement share: they await, and run against both forms."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable, Coroutine
+from functools import wraps
+from typing import Any, TypeVar
+
+from twisted.internet import reactor
+from twisted.internet.defer import Deferred
+
+from lupinlink.coordination.contract import Agreement, Lease, Step, View
+from lupinlink.errors import LupinError
+
+E = TypeVar("E", bound=LupinError)
+TTL_MS = 300.0
+
+
+def plays(test: Callable[[Any], Coroutine[Any, Any, None]]) -> Callable[[Any], Deferred[None]]:
+    """A test that awaits."""
+
+    @wraps(test)
+    def played(self: Any) -> Deferred[None]:
+        return Deferred.fromCoroutine(test(self))
+
+    return played
+
+
+class Told:
+    """What a watch has told; ``until`` waits for a View."""
+
+    def __init__(self, agreement: Agreement, prefix: str) -> None:
+        self.views: list[View] = []
+        self.errors: list[LupinError] = []
+        self._waits: list[tuple[Callable[[], bool], Deferred[None]]] = []
+        self.watch = agreement.watch(prefix, self._seen, self._silent)
+
+    def _seen(self, view: View) -> None:
+        self.views.append(view)
+        self._look()
+
+    def _silent(self, error: LupinError) -> None:
+        self.errors.append(error)
+        self._look()
+
+    def _look(self) -> None:
+        for wait in [wait for wait in self._waits if wait[0]()]:
+            self._waits.remove(wait)
+            wait[1].callback(None)
+
+    def until(self, holds: Callable[[], bool]) -> Deferred[None]:
+        fired: Deferred[None] = Deferred()
+        self._waits.append((holds, fired))
+        self._look()
+        return fired.addTimeout(8.0, reactor)
+
+    def more(self) -> Deferred[None]:
+        seen = len(self.views)
+        return self.until(lambda: len(self.views) > seen)
+
+    @property
+    def values(self) -> dict[str, bytes]:
+        return {key: record.value for key, record in self.views[-1].records.items()} if self.views else {}
+
+
+class Contract:
+    """Two clients of one service; a subclass names the form."""
+
+    form: Callable[[], Any]
+
+    def setUp(self: Any) -> None:
+        self.service = self.form()
+        self.a, self.b = self.service.client(), self.service.client()
+        self.leases: list[Lease] = []
+        self.addCleanup(self._clean)
+
+    def _clean(self: Any) -> None:
+        self.service.close()
+        net: Any = reactor
+        for call in net.getDelayedCalls():
+            call.cancel()
+        net.removeAll()  # connections that never came up
+
+    async def fails(self: Any, kind: type[E], *steps: Step, by: Agreement | None = None) -> E:
+        try:
+            await (by or self.a).commit(steps)
+        except kind as error:
+            return error
+        raise AssertionError(f"{steps} was done")
+
+    async def value(self: Any, key: str) -> bytes | None:
+        record = (await self.b.read(key)).records.get(key)
+        return record.value if record is not None else None
+
+    def told(self: Any, agreement: Agreement, prefix: str) -> Told:
+        told = Told(agreement, prefix)
+        self.addCleanup(told.watch.stop)
+        return told
+
+    async def lease(self: Any, agreement: Agreement, lost: Callable[[LupinError], object] = id) -> Lease:
+        lease: Lease = await agreement.lease(TTL_MS, lost)
+        self.addCleanup(lambda: lease.end())
+        return lease
+
+    async def failing(self: Any, kind: type[LupinError], call: Awaitable[object]) -> None:
+        try:
+            await call
+        except kind:
+            return
+        raise AssertionError("it was answered")
--- /dev/null
+++ b/tests/test_agreement_parts.py
@@ -0,0 +1,204 @@
+"""The pure parts below the agreement: waits, pace, history, the ledger's promises, Consul's answers."""
+
+from __future__ import annotations
+
+import json
+import random
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from lupinlink.coordination import consul_form as form
+from lupinlink.coordination.backoff import Backoff
+from lupinlink.coordination.contract import ABSENT, Delete, Drop, Guarded, Held, Put, Record, Step, Take, View
+from lupinlink.coordination.errors import (
+    BusyError,
+    ConflictError,
+    DeniedError,
+    LeaseLostError,
+    TooMuchError,
+    UncertainError,
+    UnreachableError,
+)  # fmt: skip
+from lupinlink.coordination.history import follow
+from lupinlink.coordination.ledger import Ledger
+from lupinlink.coordination.pace import Pace
+
+DELAY_MS, TTL_MS = 1000.0, 5000.0
+KEYS = st.sampled_from(["a", "b"])
+
+
+class LedgerMachine(RuleBasedStateMachine):
+    """What the published pages promise of leases and locks, over any order of calls."""
+
+    @initialize(late=st.floats(1.0, 2.0))
+    def begin(self, late: float) -> None:
+        self.ledger, self.now = Ledger(DELAY_MS, late), 0.0
+        self.names: list[str] = []
+        self.renewed: dict[str, float] = {}
+        self.let_go: dict[str, float] = {}
+        self.index = 0
+
+    @rule(ms=st.floats(0.0, 4000.0))
+    def time(self, ms: float) -> None:
+        held = {key: record.lease for key, record in self.ledger.records.items() if record.lease}
+        self.now += ms
+        self.ledger.expire(self.now)
+        for key, lease in held.items():
+            if self.ledger.records[key].lease != lease:
+                assert self.now >= self.renewed[lease] + TTL_MS  # a lower bound
+                self.let_go[key] = self.now
+
+    @rule()
+    def open(self) -> None:
+        name = self.ledger.open(TTL_MS, self.now)
+        assert name not in self.names
+        self.names.append(name)
+        self.renewed[name] = self.now
+
+    @rule(number=st.integers(0, 9))
+    def renew(self, number: int) -> None:
+        for name in self.names[number : number + 1]:
+            try:
+                self.ledger.renew(name, self.now)
+                self.renewed[name] = self.now
+            except LeaseLostError:
+                assert name not in self.ledger.grants
+
+    @rule(key=KEYS, number=st.integers(0, 9), value=st.binary(max_size=1))
+    def take(self, key: str, number: int, value: bytes) -> None:
+        for name in self.names[number : number + 1]:
+            before = self.ledger.records.get(key)
+            try:
+                after = self.ledger.commit([Take(key, value, name)], self.now)[key]
+            except ConflictError:
+                continue
+            assert before is None or before.lease in ("", name)
+            assert after.lease == name in self.ledger.grants
+            if before is None or before.lease != name:
+                assert self.now >= self.let_go.get(key, -DELAY_MS) + DELAY_MS
+                assert after.taken == (before.taken if before else 0) + 1
+
+    @rule(key=KEYS, number=st.integers(0, 9))
+    def drop(self, key: str, number: int) -> None:
+        for name in self.names[number : number + 1]:
+            try:
+                assert self.ledger.commit([Drop(key, b"", name)], self.now)[key].lease == ""
+            except ConflictError:
+                assert key not in self.ledger.records or self.ledger.records[key].lease != name
+
+    @rule(key=KEYS, behind=st.integers(0, 2), value=st.binary(max_size=1))
+    def put(self, key: str, behind: int, value: bytes) -> None:
+        before = self.ledger.records.get(key)
+        revision = (before.revision if before else ABSENT) - behind
+        try:
+            after = self.ledger.commit([Put(key, value, revision)], self.now)[key]
+            assert behind == 0
+            assert before is None or before.value == value or after.revision > before.revision
+        except ConflictError:
+            assert behind > 0
+
+    @invariant()
+    def the_index_never_falls_and_only_leases_hold(self) -> None:
+        if hasattr(self, "ledger"):
+            assert self.ledger.index >= self.index
+            self.index = self.ledger.index
+            assert {r.lease for r in self.ledger.records.values()} <= {"", *self.ledger.grants}
+            assert all(record.revision <= self.index for record in self.ledger.records.values())
+
+
+LedgerMachine.TestCase.settings = settings(
+    max_examples=30, stateful_step_count=30, deadline=None, derandomize=True
+)
+LedgerTest = LedgerMachine.TestCase
+
+
+class Waits(unittest.TestCase):
+    @settings(derandomize=True, deadline=None, max_examples=40)
+    @given(st.floats(1.0, 1e4), st.floats(1.0, 1e5), st.integers(0, 9))
+    def test_a_wait_lies_between_its_bounds_and_begins_anew(self, base: float, cap: float, seed: int) -> None:
+        backoff = Backoff(base, cap, random.Random(seed).random)
+        waits = [backoff.next_ms() for _ in range(20)]
+        self.assertTrue(all(base <= wait <= max(base, cap) for wait in waits))
+        backoff.reset()
+        self.assertLessEqual(backoff.next_ms(), 3 * base)
+
+    def test_two_hundred_that_failed_together_come_back_apart(self) -> None:
+        waits = [Backoff(500.0, 10000.0, random.Random(i).random) for i in range(200)]
+        at = sorted(sum(one.next_ms() for _ in range(6)) for one in waits)
+        most = max(sum(start <= t < start + 1000.0 for t in at) for start in at)
+        self.assertLess(most, 30)  # in any second
+
+    @settings(derandomize=True, deadline=None, max_examples=40)
+    @given(st.lists(st.floats(0.0, 3000.0), min_size=1, max_size=60))
+    def test_questions_keep_their_pace(self, gaps: list[float]) -> None:
+        pace, now, asked = Pace(1000.0, 3), 0.0, []
+        for gap in gaps:
+            now += gap
+            asked.append(now + pace.wait_ms(now))
+        self.assertEqual(asked, sorted(asked))
+        for i, at in enumerate(asked[3:]):
+            self.assertGreaterEqual(at - asked[i], 1000.0 - 1e-6)  # three at once at most, one a second on
+
+    def test_history_goes_back_only_for_what_went_back(self) -> None:
+        def view(index: int, **revisions: int) -> View:
+            return View("", {key: Record(key, b"", at) for key, at in revisions.items()}, index)
+
+        swept = follow(view(30, a=10), view(10, a=10))
+        self.assertEqual(swept.index, 30)  # the trace of a deleted record went, nothing else
+        for before, after in (
+            (view(20, a=10, b=20), view(10, a=10)),  # b is gone with its history
+            (view(20, a=20), view(40, a=10, b=40)),  # the index went on, a is older
+        ):
+            self.assertLess(follow(before, after).index, before.index)
+        gone = follow(view(20, a=10, b=20), view(25, a=10))
+        self.assertEqual(gone.index, 25)  # b was deleted
+
+
+class ConsulForm(unittest.TestCase):
+    def test_steps_are_the_published_operations(self) -> None:
+        steps: list[Step] = [
+            Put("a", b"v", None), Put("a", b"v", ABSENT), Put("a", b"v", 7), Guarded("a", ABSENT),
+            Guarded("a", 7), Held("a", "s"), Take("a", b"v", "s"), Drop("a", b"v", "s"), Delete("a", None),
+            Delete("a", ABSENT), Delete("a", 7),
+        ]  # fmt: skip
+        value = {"Key": "p/a", "Value": "dg=="}
+        self.assertEqual(
+            [one["KV"] for one in json.loads(form.operations("p/", steps))],
+            [
+                {"Verb": "set", **value}, {"Verb": "cas", **value, "Index": 0},
+                {"Verb": "cas", **value, "Index": 7}, {"Verb": "check-not-exists", "Key": "p/a"},
+                {"Verb": "check-index", "Key": "p/a", "Index": 7},
+                {"Verb": "check-session", "Key": "p/a", "Session": "s"},
+                {"Verb": "lock", **value, "Session": "s"}, {"Verb": "unlock", **value, "Session": "s"},
+                {"Verb": "delete", "Key": "p/a"}, {"Verb": "check-not-exists", "Key": "p/a"},
+                {"Verb": "check-index", "Key": "p/a", "Index": 7}, {"Verb": "delete", "Key": "p/a"},
+            ],
+        )  # fmt: skip
+
+    def test_a_session_lives_by_its_time_alone(self) -> None:
+        self.assertEqual(
+            json.loads(form.session("n1", 10000.0, 500.0)),
+            {"Name": "n1", "TTL": "10s", "LockDelay": "0.5s", "Behavior": "release", "NodeChecks": []},
+        )
+        self.assertEqual([form.renewed(b'[{"TTL":"%s"}]' % t) for t in (b"15s", b"300ms", b"1m", b"")],
+                         [15000.0, 300.0, 0.0, 0.0])  # fmt: skip
+
+    def test_what_an_answer_leaves_open(self) -> None:
+        for status, text, write, read in (
+            (409, '{"Errors":[{"OpIndex":0,"What":"stale"}]}', ConflictError, ConflictError),
+            (409, "not JSON", ConflictError, ConflictError),
+            (429, "", BusyError, BusyError),
+            (503, "", BusyError, BusyError),
+            (403, "Permission denied", DeniedError, DeniedError),
+            (413, "too large", TooMuchError, TooMuchError),
+            (400, "", TooMuchError, TooMuchError),
+            (500, "No cluster leader", UnreachableError, UnreachableError),
+            (500, "rpc error: leadership lost while committing log", UncertainError, UnreachableError),
+            (502, "", UncertainError, UnreachableError),
+        ):
+            with self.subTest(status=status, text=text):
+                self.assertIs(type(form.refusal(status, text.encode(), writes=True)), write)
+                self.assertIs(type(form.refusal(status, text.encode(), writes=False)), read)
