--- a/lupinlink/commands/check.py
+++ b/lupinlink/commands/check.py
@@ -1,26 +1,28 @@
 """Read a proxy's configuration, say what is wrong with it or what it holds, and exit.
 
 Usage:
-  lupinlink check [--config=FILE]
+  lupinlink check [--config=FILE] [--policy=FILE]
   lupinlink check (-h | --help)
 
 Options:
   --config=FILE  The configuration; else LB_CONFIG names it.
+  --policy=FILE  A policy of quotas, held against that configuration's settings (needs lupinlink[fleet]).
   -h --help      Show this text.
 
 LB_NAME, LB_LISTEN, LB_DISCOVERY and LB_MGMT go before what the configuration says.
 
-Exit: 0 it is good; 1 its list of servers is bad; 2 it is bad.
+Exit: 0 it is good; 1 its list of servers, or the policy, is bad; 2 it is bad.
 """
 
 from __future__ import annotations
 
 import os
+import sys
 
 from docopt import docopt
 
 from lupinlink.commands.told import told_off
-from lupinlink.settings import load_config
+from lupinlink.settings import Settings, load_config
 
 
 def main(argv: list[str]) -> int:
@@ -33,7 +35,32 @@
         _, _, rows = read_list(config.known or {"rev": 0, "all": True, "targets": []}, config.settings)
     except ValueError as exc:
         return told_off(exc)
+    if args["--policy"] and not _policy_is_good(args["--policy"], config.settings):
+        return 1
     host, port = config.listen
     classes = len(config.settings.classes)
     print(f"{config.name}: listens on {host}:{port}, {classes} classes, {len(rows)} known")
     return 0
+
+
+def _policy_is_good(file: str, settings: Settings) -> bool:
+    """Say what is wrong with a policy, a line each, or what it holds."""
+    try:
+        from lupinlink.quota.loading import look, read_text
+    except ImportError as exc:
+        print(f"lupinlink: {exc}; a policy needs lupinlink[fleet]", file=sys.stderr)
+        return False
+    from lupinlink.quota.errors import PolicyFileError
+    from lupinlink.quota.reach import Known
+
+    try:
+        policy, findings = look(read_text(file), Known.of(settings))
+    except PolicyFileError as exc:
+        print(f"lupinlink: {exc.line()}", file=sys.stderr)
+        return False
+    for finding in findings:
+        print(finding.finding(file), file=sys.stderr)
+    if policy is not None:
+        cases = len(policy.expects)
+        print(f"{file}: policy {policy.version}, {len(policy.limits)} quotas, {cases} expected cases hold")
+    return policy is not None
--- a/tests/quota_reference.py
+++ b/tests/quota_reference.py
@@ -60,6 +60,7 @@
         burst=float(burst),
         parent=outer.path if outer else "",
         guaranteed_per_s=guaranteed if guaranteed <= rate else 0.0,
+        borrows=not guaranteed or guaranteed > rate or draw(st.booleans()),
         worth=draw(st.sampled_from((1.0, 1.0, 3.0, 0.5))) if outer else 1.0,
         by=by,
         by_bits=16 if by == "address" else 0,
@@ -179,6 +180,8 @@
         worth = part.worth if part else 1.0
         if part and level.kept.get(part.path, 0) >= 1:
             return level.tokens >= 1
+        if part and not part.borrows:
+            return False
         worths = sorted({1.0, *(one.worth for one in self.parts(limit))}, reverse=True)
         room = max(Fraction(0), level.burst - sum(level.most.values()) - 1)
         free = room / 2 * worths.index(worth) / max(1, len(worths) - 1)
--- /dev/null
+++ b/tests/test_quota_language.py
@@ -0,0 +1,196 @@
+"""The language: what is written is read and printed back, and each fault is told with its code and place."""
+
+from __future__ import annotations
+
+import datetime
+import json
+from pathlib import Path
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from lupinlink.commands.check import main
+from lupinlink.quota.errors import BadPolicyError, PolicyFileError
+from lupinlink.quota.language.printing import printed
+from lupinlink.quota.language.reading import read
+from lupinlink.quota.loading import load, load_file, look
+from lupinlink.quota.model import Asked, Expect, Policy, Schedule
+from lupinlink.quota.reach import Known
+from lupinlink.quota.schedules import easter, holding, holds, together
+from tests.quota_reference import CLASSES, TENANTS, ZONES, asks, policies
+from tests.stage import SETTINGS
+
+KNOWN = Known(CLASSES, TENANTS, ZONES, 2000.0, True)
+EXAMPLE = Path(__file__).resolve().parent.parent / "deploy" / "quota.policy"
+
+FEASTS = st.sampled_from(("easter", "christmas"))
+schedules = st.lists(
+    st.one_of(
+        st.builds(Schedule, st.sampled_from("xy"), FEASTS, st.integers(1, 366)),
+        st.builds(Schedule, st.sampled_from("xy"), first=st.just((12, 20)), last=st.just((1, 6))),
+    ),
+    max_size=2,
+    unique_by=lambda schedule: schedule.name,
+)
+expects = st.builds(
+    Expect,
+    asks.filter(lambda one: one.address != "none"),
+    st.just(3),
+    st.sampled_from((0, 2)),
+    st.sampled_from(("", "t0")),
+    st.sampled_from((None, (), ("t0", "t0/q0"))),
+    st.sampled_from((None, datetime.date(2026, 12, 1))),
+)
+
+
+@settings(max_examples=60, deadline=None, derandomize=True)
+@given(policies(), schedules, st.lists(expects, max_size=2), st.text('ab"\\ #{é', min_size=1))
+def test_what_is_printed_reads_as_the_same(
+    policy: Policy, dates: list[Schedule], cases: list[Expect], version: str
+) -> None:
+    whole = Policy(version, policy.limits, tuple(dates), tuple(cases))
+    assert read(printed(whole)) == (whole, [])
+    assert printed(read(printed(whole))[0]) == printed(whole)
+
+
+def test_the_example_is_good_and_prints_back() -> None:
+    known = Known(("look", "order"), ("acme",), ZONES, 2000.0, True)
+    policy = load_file(str(EXAMPLE), known)
+    assert load(printed(policy), known, "printed") == policy
+
+
+def test_seasons_units_and_what_is_left_out() -> None:
+    policy, findings = read("""policy "p" schedule s: 1 week before easter
+        quota f { rate 600/min during s { rate 1200/min }
+            quota g { guaranteed 60/min }
+            quota h { rate 2/s by address /24 most 9 } }""")
+    assert findings == []
+    usual, season = policy.at(frozenset()), policy.at(frozenset("s"))
+    assert [(one.rate_per_s, one.burst, one.guaranteed_per_s) for one in usual] == [
+        (10.0, 10.0, 0.0), (10.0, 10.0, 1.0), (2.0, 2.0, 0.0)]  # fmt: skip
+    assert [(one.rate_per_s, one.burst) for one in season] == [(20.0, 20.0), (20.0, 20.0), (2.0, 2.0)]
+    assert (policy.limits[2].by_bits, policy.limits[2].by_bits6) == (24, 64)
+
+
+FAULTS = {  # text after the first line: code, line, column, and a word of what is said
+    "quota f { rat 3/s }": ("LL301", 2, 11, "'rat' cannot stand here"),
+    "quota f { rate 3/s": ("LL301", 2, 19, "the text ends here"),
+    "quota f { rate 3/m }": ("LL301", 2, 17, "/s, /min or /h"),
+    'quota f { rate 3/s match key "k }': ("LL301", 2, 30, "a text in"),
+    "quota f { rate 3/s\n match class look, lok }": ("LL302", 3, 20, "no class 'lok'; they have look, scan"),
+    "quota f { rate 3/s match tenant nobody }": ("LL302", 2, 33, "no tenant 'nobody'"),
+    "quota f { rate 3/s match zone c }": ("LL302", 2, 31, "no zone 'c'"),
+    "quota f { rate 3/s during x { rate 2/s } }": ("LL302", 2, 20, "no schedule x"),
+    "quota f { rate 3/s }\nexpect class look: refused by g": ("LL302", 3, 1, "no quota g"),
+    "quota f { rate 3/s quota a { match class look }\n quota b { match class look zone a } }":
+        ("LL301", 3, 29, "'zone' cannot stand here"),
+    "quota f { rate 3/s quota a { match class look }\n quota b { match class look match zone a } }":
+        ("LL303", 3, 2, "taken by f/a"),
+    "quota f { rate 3/s quota a { match class look } quota b { match class scan }\n quota c { } }":
+        ("LL303", 3, 2, "taken by those before it"),
+    "quota f { rate 3/s match key u quota a { match key v } }":
+        ("LL303", 2, 32, "no request that comes to f"),
+    "quota f { rate 3/s quota a { match address 10.0.0.0/8 }\n quota b { match address 10.1.0.0/16 } }":
+        ("LL303", 3, 2, "taken by f/a"),
+    "quota f { rate 3/s quota a { rate 4/s } }": ("LL304", 2, 20, "rate 4/s, f round it 3/s"),
+    "quota f { rate 3/s quota a { burst 4 } }": ("LL304", 2, 20, "burst 4"),
+    "schedule s: 1 day before easter quota f {rate 3/s during s {rate 1/s}\n quota a {rate 2/s burst 1}}":
+        ("LL304", 3, 2, "during s"),
+    "quota f { rate 3/s by key }": ("LL305", 2, 20, "no bound"),
+    "quota f { rate 3/s by tenant quota a { rate 2/s by class } }": ("LL305", 2, 49, "inside another"),
+    "quota f { rate 3 }": ("LL306", 2, 11, "needs a unit"),
+    "quota f { rate 3/s burst 9/s }": ("LL306", 2, 20, "is a number of requests"),
+    "quota f { rate 60/min burst 9 quota a { rate 60/min guaranteed 1/s } }":
+        ("LL306", 2, 53, "before it stands /min"),
+    "quota f { rate 9/s quota a { guaranteed 5/s match class look } quota b { guaranteed 5/s } }":
+        ("LL307", 2, 1, "guaranteed 10/s, it has 9/s"),
+    "quota f { rate 9/s burst 2 quota a { guaranteed 1/s match class look } quota b { guaranteed 1/s } }":
+        ("LL307", 2, 1, "need a burst of 3"),
+    "quota f { rate 3/s match class look retry-after no }": ("LL308", 2, 1, "refuses look without"),
+    "quota q { rate 1/s " * 9 + "}" * 9: ("LL309", 2, 153, "at most 8 deep"),
+    "quota f { burst 3 }": ("LL309", 2, 1, "has no rate"),
+    "quota f { rate 3/s rate 4/s }": ("LL309", 2, 20, "second time"),
+    "quota f { rate 3/s } quota f { rate 3/s }": ("LL309", 2, 22, "a quota f already"),
+    "quota f { rate 3/s match address 10.0.0.1/8 }": ("LL309", 2, 34, "has host bits set"),
+    "quota f { rate 3/s guaranteed 1/s }": ("LL309", 2, 20, "there is none round f"),
+    "quota f { rate 3/s quota a { borrows no } }": ("LL309", 2, 20, "never let anything in"),
+    "quota f { rate 3/s burst 0 }": ("LL309", 2, 20, "must be 1"),
+    "quota f { rate 3/s by key most 0 }": ("LL309", 2, 32, "whole number from 1"),
+    "schedule s: from 12-01 to 13-01": ("LL309", 2, 27, "no day 13-01"),
+    "quota f { rate 3/s }\nexpect 4 of class look: admitted": ("LL310", 3, 1, "admitted 3, refused by f"),
+    "quota f { rate 3/s }\nexpect class look: admitted charged nothing": ("LL310", 3, 1, "is charged f"),
+}  # fmt: skip
+
+
+@pytest.mark.parametrize("text", FAULTS)
+def test_each_fault_has_its_code_and_place(text: str) -> None:
+    code, line, column, word = FAULTS[text]
+    policy, found = look('policy "p"\n' + text, KNOWN)
+    assert policy is None
+    assert [(one.code, one.place.line, one.place.column) for one in found] == [(code, line, column)]
+    assert word in found[0].finding("f.policy").splitlines()[0]
+    assert found[0].finding("f.policy").startswith(f"f.policy:{line}:{column}: {code} ")
+
+
+def test_what_the_settings_do_not_have_is_found() -> None:
+    bare = Known(CLASSES, TENANTS, ZONES, 0.0, False)
+    text = 'policy "p"\nquota f { rate 3/s quota a { match second-try } }\nquota s { rate 3/s shadow }'
+    with pytest.raises(BadPolicyError) as caught:
+        load(text, bare, "f.policy")
+    assert [one.code for one in caught.value.findings] == ["LL308", "LL303"]
+    assert str(caught.value).startswith("f.policy:2:1: LL308 ")
+    assert str(caught.value).endswith("(and 1 more)")
+    assert look(text.replace("3/s quota a { match second-try }", "3/s retry-after no"), bare)[1] == []
+    with pytest.raises(PolicyFileError):
+        load_file(str(EXAMPLE) + ".gone", KNOWN)
+
+
+def test_what_is_left_by_those_before_is_reached() -> None:
+    for parts in (
+        "quota a { match class look } quota b { match zone a } quota c { }",
+        "quota a { match class look match key u } quota b { match class look } quota c { match class scan }",
+        "quota a { match address 10.0.0.0/9, 10.128.0.0/9 } quota b { match address 10.0.0.0/8 }",
+        "quota a { match tenant acme, bolt } quota b { }",
+        "quota a { match second-try } quota b { match first-try match class look } quota c { }",
+    ):
+        assert look(f'policy "p" quota f {{ rate 3/s {parts} }}', KNOWN)[1] == []
+
+
+def test_easter_and_the_weeks_before_feasts() -> None:
+    dates = {1818: "03-22", 1961: "04-02", 1983: "04-03", 2000: "04-23", 2024: "03-31", 2026: "04-05",
+             2038: "04-25", 2285: "03-22"}  # fmt: skip
+    assert {year: easter(year).strftime("%m-%d") for year in dates} == dates
+    fortnight, advent = Schedule("e", "easter", 14), Schedule("a", "christmas", 28)
+    turn = Schedule("t", first=(12, 20), last=(1, 6))
+    days = [datetime.date(2026, 1, 1) + datetime.timedelta(days=i) for i in range(365)]
+    held = {one.name: [day for day in days if holds(one, day)] for one in (fortnight, advent, turn)}
+    assert (held["e"][0], held["e"][-1]) == (datetime.date(2026, 3, 22), datetime.date(2026, 4, 4))
+    assert (held["a"][0], held["a"][-1]) == (datetime.date(2026, 11, 27), datetime.date(2026, 12, 24))
+    assert len(held["t"]) == 6 + 12
+    assert holds(Schedule("long", "easter", 200), datetime.date(2026, 12, 1))  # that of the year after
+    assert together((fortnight, advent, turn)) == {
+        frozenset(names) for names in ("", "e", "a", "t", "at")}  # fmt: skip
+    assert holding((fortnight, advent, turn), datetime.date(2026, 12, 24)) == frozenset("at")
+
+
+def test_asked_fields_of_an_expected_case() -> None:
+    case = 'expect 2 of class look tenant acme key "a b" address ::1 second-try: admitted'
+    policy, findings = read(f'policy "p" {case}')
+    assert findings == []
+    assert policy.expects[0].asked == Asked("look", "acme", "", "a b", "::1", True)
+
+
+def test_check_says_what_is_wrong_with_a_policy(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    config, policy = tmp_path / "config.json", tmp_path / "f.policy"
+    asked = {"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "settings": SETTINGS}
+    config.write_text(json.dumps(asked))
+    words = ["check", f"--config={config}", f"--policy={policy}"]
+    assert main(words) == 1
+    assert "LL311" in capsys.readouterr().err
+    policy.write_text('policy "p"\nquota f { rate 3/s match class lok }')
+    assert main(words) == 1
+    assert capsys.readouterr().err.startswith(f"{policy}:2:32: LL302 ")
+    policy.write_text('policy "p"\nquota f { rate 3/s match class look }\nexpect class look: admitted')
+    assert main(words) == 0
+    assert "policy p, 1 quotas, 1 expected cases hold" in capsys.readouterr().out
