--- a/lupinlink/commands/lab.py
+++ b/lupinlink/commands/lab.py
@@ -16,7 +16,7 @@
   lupinlink lab operate KIND [--times=N] [--rate=N] [--crowd=N] [--sockets=N] [--memory=MB] [--seed=N]
                         [--json]
   lupinlink lab fleet SCENARIO [--seed=N] [--out=DIR] [--proxies=N] [--servers=N] [--program=DIR] [--logs=DIR]
-                      [--set=KEY=VALUE]... [--json]
+                      [--fault=NAMES] [--set=KEY=VALUE]... [--json]
   lupinlink lab herd [--proxies=N] [--calls=N] [--seed=N] [--json]
   lupinlink lab server [--port=PORT] [--work=MS] [--cores=N] [--seed=N]
   lupinlink lab (-h | --help)
@@ -46,6 +46,7 @@
   --servers=N        Short for --set=farm.servers=N.
   --program=DIR      A checkout that is built: its run, as its deploy file says. Without: this very program.
   --logs=DIR         Keep the proxies' logs there.
+  --fault=NAMES      Further faults by name, with commas between: docs/operators/fleet-rig.md lists them.
   --set=KEY=VALUE    Put a value in place of the scenario's: load.rate=300, faults.jump.size=3.
   --vary=KEY=A:B:STEP  From A to B in steps.
   --scenarios=NAMES  With commas between; else a set of troubled ones.
@@ -123,9 +124,11 @@
                 whole_number(args["--seed"], "--seed"), args["--json"],
             )  # fmt: skip
         if args["fleet"]:
-            return desk.fleet(
+            from lupinlink.lab import fleet_desk
+
+            return fleet_desk.fleet(
                 args["SCENARIO"], args["--program"], whole_number(args["--seed"], "--seed"), args["--out"],
-                args["--logs"], pairs(shorts(args)), args["--json"],
+                args["--logs"], pairs(shorts(args)), args["--fault"] or "", args["--json"],
             )  # fmt: skip
         if args["herd"]:
             return desk.herd(
--- a/lupinlink/lab/fleet/agreement_faults.py
+++ b/lupinlink/lab/fleet/agreement_faults.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import Any
 
 from lupinlink.lab.fleet.bank import Bank
 from lupinlink.lab.fleet.ground import Ground
@@ -11,6 +12,7 @@
 from lupinlink.lab.model.fault_kinds import Fault
 
 LOOK_S = 0.1  # between two looks at what is agreed
+WRITES = ["txn", "kv_put", "kv_delete"]  # of records: a session's own calls keep their answers
 PLAIN = {  # kinds that one fault of the stand-in plays
     "agreement_gone": "gone", "agreement_hangs": "hang", "agreement_leaderless": "no_leader",
     "agreement_busy": "too_many", "agreement_slow": "slow", "agreement_cut": "cut",
@@ -72,9 +74,10 @@
         elif fault.kind == "agreement_restored":
             await service.restore()
         else:
-            kind, more = PLAIN[fault.kind], {"ms": fault.ms} if fault.ms else {}
-            if fault.count is not None:
-                more["count"] = fault.count
+            kind = PLAIN[fault.kind]
+            more: dict[str, Any] = {"ms": fault.ms} if fault.ms else {}
+            if fault.kind == "agreement_loses_answers":
+                more |= {"count": fault.count, "calls": WRITES}
             whom = proxies if fault.kind == "agreement_cut" else None
             await service.fault(kind, True, whom, **more)
             await asyncio.sleep(fault.for_s)
--- a/lupinlink/lab/fleet/consul_faults.py
+++ b/lupinlink/lab/fleet/consul_faults.py
@@ -21,6 +21,7 @@
     clients: tuple[str, ...] | None = None
     ms: Annotated[float, Meta(ge=0.0, le=600_000.0)] = 0.0  # slow: how much later
     count: Annotated[int, Meta(ge=1)] | None = None  # lose_answers: of so many writes; None: of all
+    calls: tuple[str, ...] | None = None  # lose_answers: of these kinds of calls; None: of all writes
 
 
 class Faults:
@@ -51,11 +52,13 @@
         """Whether a client hears nothing at all."""
         return any(self.meets(kind, client) for kind in SILENT)  # type: ignore[arg-type]
 
-    def loses(self, client: str) -> bool:
-        """Whether the answer to the write that is done just now is lost; counted."""
+    def loses(self, client: str, kind: str) -> bool:
+        """Whether the answer to the write of that kind that is done just now is lost; counted."""
         found = self.meets("lose_answers", client)
         if found is None or (found.count is not None and self._lost >= found.count):
             return False
+        if found.calls is not None and kind not in found.calls:
+            return False
         self._lost += 1
         return True
 
