--- a/lupinlink/release/course.py
+++ b/lupinlink/release/course.py
@@ -1,8 +1,8 @@
 """One decision of the lead: from what is known and seen to the records to write. Pure.
 
 All that a decision writes goes into one commit: guarded on the lead's lease, on the halt and the order as
-they were read, and on every record's own revision. So a bound is checked on the very state that is changed, and of
-two leads, or of a grant and a halt that cross, the service lets one through.
+they were read, and on every record's own revision. So a bound is checked on the very state that is changed,
+and of two leads, or of a grant and a halt that cross, the service lets one through.
 """
 
 from __future__ import annotations
--- a/lupinlink/release/halts.py
+++ b/lupinlink/release/halts.py
@@ -69,20 +69,22 @@
 
     def saw(self, halt: Halt, order: Order | None) -> None:
         """Take what stands in a view that is newer than all before."""
-        if halt.number >= self._halt.number:
-            self._halt = halt
+        if halt.stands or halt.number >= self._halt.number:
+            # Numbers go back with a restore; a halt that was asked for after it must not be forgotten.
+            number = max(halt.number, self._halt.number)
+            self._halt = Halt(number, halt.stands, halt.by, halt.why)
         if order is not None and (self._back is None or order.number >= self._back.number):
             self._back = order if order.back else None
 
     def missing(self, halt: Halt, order: Order | None) -> tuple[Halt | None, Order | None]:
         """What must be written again over what stands in a view after a restore."""
-        lost = self._halt.stands and halt.number < self._halt.number and not halt.stands
+        lost = self._halt.stands and not halt.stands and halt.number <= self._halt.number
         back = self._back
         forgot = (
             back is not None and order is not None and not order.back and order.number < back.number
             and order.id == back.id
         )  # fmt: skip
         return (
-            Halt(self._halt.number, True, self._halt.by, self._halt.why) if lost else None,
+            Halt(self._halt.number + 1, True, self._halt.by, self._halt.why) if lost else None,
             back if forgot else None,
         )
--- /dev/null
+++ b/tests/release_world.py
@@ -0,0 +1,277 @@
+"""A fleet without sockets or clocks of its own: processes, two leads, and the service's ledger, step by step."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass, field
+
+from lupinlink.coordination.contract import Guarded, Held, Put, Step, Take, View
+from lupinlink.coordination.errors import ConflictError, LeaseLostError
+from lupinlink.coordination.history import restored
+from lupinlink.coordination.ledger import Ledger
+from lupinlink.release.course import Course, Decision
+from lupinlink.release.halts import Memory, halted
+from lupinlink.release.known import Facts, Known, known, members
+from lupinlink.release.presence import Presence
+from lupinlink.release.records import (
+    HALT,
+    MEMBERS,
+    ORDER,
+    PERMITS,
+    PLAN,
+    RELEASE,
+    Figures,
+    Halt,
+    Order,
+    Report,
+    encoded,
+)
+from lupinlink.release.settings import BoundSettings, GateSettings, ReleaseSettings
+
+SETTINGS = ReleaseSettings(
+    proxies=BoundSettings(share=0.34, zone_share=0.5),
+    gates=GateSettings(soak_ms=4000.0, soak_most_ms=60_000.0, least_samples=1),
+    back_ms=60_000.0,
+    permit_ms=20_000.0,
+    lost_most=2,
+)  # fmt: skip
+LEAD = "release/lead"
+SEEN_AFTER_MS = SETTINGS.silent_ms + 6000.0  # a death is known to a lead that looks by then
+
+
+@dataclass
+class Process:
+    """One proxy: the name stays, the process changes."""
+
+    name: str
+    zone: str
+    version: str = "1"
+    life: int = 1
+    alive: bool = True
+    frozen: bool = False
+    broken: bool = False  # the new version does not become ready
+    drained: bool = False
+    ask: str = ""
+    begun: int = 0
+    acts: str = ""
+    starts: str = ""  # what to start in its place
+    beat: int = 0
+    revision: int = 0  # of its report
+    served: int = 0
+    seen: tuple[Known, int] | None = None  # a look at the permits that it has not acted on yet
+
+    @property
+    def nonce(self) -> str:
+        return f"{self.name}-{self.life}"
+
+    @property
+    def ready(self) -> bool:
+        return self.alive and not (self.broken and self.version == "2")
+
+    @property
+    def serves(self) -> bool:
+        return self.ready and not self.frozen and not self.drained
+
+    def report(self) -> Report:
+        self.beat += 1
+        return Report(
+            self.name, self.zone, self.version, self.life, self.nonce, self.beat, ready=self.ready,
+            serving=self.ready and not self.drained, ask=self.ask, begun=self.begun, acts=self.acts,
+            figures=Figures(self.served, self.served), use=0.1,
+        )  # fmt: skip
+
+
+@dataclass
+class Leader:
+    """A process that may lead: what it remembers, and a decision that it has not committed yet."""
+
+    name: str
+    presence: Presence
+    lease: str
+    fence: int = 0
+    course: Course | None = None
+    before: View | None = None
+    pending: tuple[Decision, Known] | None = None
+
+
+@dataclass
+class World:
+    """All of it. Every change of the records is a commit to the ledger."""
+
+    now: float = 0.0
+    ledger: Ledger = field(default_factory=lambda: Ledger(0.0))
+    processes: dict[str, Process] = field(default_factory=dict)
+    memory: Memory = field(default_factory=Memory)
+    begins: Counter[tuple[str, bool, str]] = field(default_factory=Counter)  # plan, way back, name
+    fences: int = 0
+    out_since: dict[str, float] = field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        self.processes = {f"p{i}": Process(f"p{i}", "ab"[i % 2]) for i in range(6)}
+        self.leads = [self._leader(f"lead{i}") for i in range(2)]
+        self.saved = self.ledger.save()
+        for process in self.processes.values():
+            self.tell(process)
+
+    def _leader(self, name: str) -> Leader:
+        return Leader(name, Presence(SETTINGS, self.now), self.ledger.open(1e12, self.now))
+
+    def known(self) -> Known:
+        records, index = self.ledger.read(RELEASE, self.now)
+        return known(View(RELEASE, records, index, self.now), "")
+
+    def commit(self, *steps: Step) -> bool:
+        try:
+            self.ledger.commit(list(steps), self.now)
+        except (ConflictError, LeaseLostError):
+            return False
+        if any(step.key in (HALT, ORDER) for step in steps):
+            told = self.known()
+            self.memory.saw(told.halt, told.order)
+        return True
+
+    def tell(self, process: Process) -> None:
+        """A heartbeat."""
+        if process.alive and not process.frozen:
+            report = process.report()
+            self.commit(Put(MEMBERS + process.name, encoded(report), None))
+
+    def tick(self, ms: float) -> None:
+        self.now += ms
+        for process in self.processes.values():
+            process.served += 50 * process.serves
+            self.tell(process)
+            self.out_since = {n: at for n, at in self.out_since.items() if not self.processes[n].serves}
+            if not process.serves:
+                self.out_since.setdefault(process.name, self.now)
+
+    def look(self, leader: Leader) -> None:
+        """Read all and decide; whether it leads still is for the commit to tell."""
+        if leader.course is None:
+            return
+        records, index = self.ledger.read(MEMBERS, self.now)
+        view = View(MEMBERS, records, index, self.now)
+        went_back = leader.before is not None and restored(leader.before, view)
+        leader.before = view
+        told, state = members(view, ""), self.known()
+        deaf = leader.presence.look(told, self.now, went_back)
+        presence = leader.presence
+        proxies = presence.proxies(self.now)
+        facts = Facts(
+            self.now, proxies, {}, presence.proxies_need(proxies, self.now), 0.0, frozenset(),
+            presence.turn(self.now), max((r.turn for r in presence.reports.values()), default=0),
+            presence.settled(self.now), presence.settles_in(self.now), deaf,
+            {name: revision for name, (revision, _) in told.items()},
+        )  # fmt: skip
+        leader.pending = leader.course.step(state, facts), state
+
+    def settle(self, leader: Leader) -> bool:
+        """Commit what was decided; True: it was done."""
+        if leader.pending is None:
+            return False
+        (decision, state), leader.pending = leader.pending, None
+        if not decision.puts:
+            return False
+        puts = [Put(key, encoded(record), state.revision(key)) for key, record in decision.puts.items()]
+        guards = [Guarded(key, revision) for key, revision in decision.guards.items()]
+        return self.commit(Held(LEAD, leader.lease), *guards, *puts)
+
+    def take_lead(self, leader: Leader) -> None:
+        """The service ends the other's lease, who may not know it, and this one takes the record."""
+        for lease in list(self.ledger.grants):
+            self.ledger.end(lease, self.now)
+        leader.lease = self.ledger.open(1e12, self.now)
+        self.fences += 1
+        if self.commit(Take(LEAD, b"%d" % self.fences, leader.lease)):
+            leader.fence = self.fences
+            leader.course = Course(SETTINGS, leader.name, leader.fence)
+
+    def see(self, process: Process) -> None:
+        """The process reads the permits."""
+        if process.alive and not process.frozen:
+            process.seen = self.known(), process.life
+
+    def act(self, process: Process) -> None:
+        """It acts on what it has read, now or long ago."""
+        if process.seen is None or process.frozen or not process.alive:
+            return
+        (state, life), process.seen = process.seen, None
+        permit = state.permits.proxies.held.get(process.name)
+        if permit is None or permit.nonce != process.nonce or life != process.life or process.begun:
+            return
+        if not permit.plan and not process.ask:
+            return
+        process.begun, process.acts = permit.number, permit.plan
+        report = encoded(process.report())
+        guard = Guarded(PERMITS, state.revision(PERMITS))
+        if not self.commit(guard, Put(MEMBERS + process.name, report, None)):
+            process.begun, process.acts = 0, ""
+            return
+        # A service that was restored may have this revision with another content: what stands there now?
+        if self.known().permits.proxies.held.get(process.name) != permit:
+            process.begun, process.acts = 0, ""
+            self.tell(process)
+            return
+        process.drained, process.starts = True, permit.version
+        if permit.plan:
+            plan = self.known().plan
+            back = plan is not None and plan.id == permit.plan and plan.back
+            self.begins[permit.plan, back, process.name] += 1
+
+    def wanted(self, process: Process) -> str:
+        """What starts a process asks which version it is to be."""
+        state = self.known()
+        permit = state.permits.proxies.held.get(process.name)
+        if permit is not None and permit.version:
+            return permit.version
+        return process.version
+
+    def end(self, process: Process) -> None:
+        process.alive, process.frozen, process.seen = False, False, None
+
+    def start(self, process: Process) -> None:
+        """Another process of that name."""
+        process.version, process.starts = self.wanted(process), ""
+        process.life, process.alive, process.drained = process.life + 1, True, False
+        process.begun, process.acts, process.ask, process.beat = 0, "", "", 0
+        self.tell(process)
+        if process.serves:
+            self.out_since.pop(process.name, None)
+
+    def halt(self) -> None:
+        state = self.known()
+        self.commit(Put(HALT, encoded(halted(state.halt, "op", "asked")), state.revision(HALT)))
+
+    def go_on(self, accept: bool = False) -> None:
+        state = self.known()
+        if state.halt.stands:
+            lifted = Halt(state.halt.number + 1, False, "op", "go on", accept)
+            self.commit(Put(HALT, encoded(lifted), state.revision(HALT)))
+
+    def order(self) -> None:
+        state = self.known()
+        if state.plan is not None or state.halt.stands:
+            return
+        number = (state.order.number if state.order else 0) + 1
+        self.commit(Put(ORDER, encoded(Order(number, "r1", "2")), state.revision(ORDER)))
+
+    def back(self) -> None:
+        state = self.known()
+        if state.plan is None or state.order is None or state.order.back:
+            return
+        order = Order(state.order.number + 1, state.order.id, state.order.version, back=True)
+        lifted = Halt(state.halt.number + 1, False, "op", "back")
+        self.commit(
+            Put(ORDER, encoded(order), state.revision(ORDER)), Put(HALT, encoded(lifted), state.revision(HALT)),
+            Guarded(PLAN, state.revision(PLAN)),
+        )  # fmt: skip
+
+    def restore(self) -> None:
+        """The service goes back; whoever remembers a halt, or the way back, says it again."""
+        self.ledger.restore(self.saved, self.now)
+        state = self.known()
+        halt, order = self.memory.missing(state.halt, state.order)
+        if halt is not None:
+            self.commit(Put(HALT, encoded(halt), state.revision(HALT)))
+        if order is not None:
+            self.commit(Put(ORDER, encoded(order), state.revision(ORDER)))
