Keep a process's presence and the release's reports under different keys

Cause: both stood under members/: a report written there would overwrite what the lease holds. Change: presence is alive/NAME. Measured: tests/test_fleet_serve.py and test_fleet_agreed.py, 10 passed.

--- a/lupinlink/coordination/presence.py
+++ b/lupinlink/coordination/presence.py
@@ -20,7 +20,7 @@
 from lupinlink.errors import LupinError
 
 log = logging.getLogger(__name__)
-PREFIX = "members/"
+PREFIX = "alive/"  # beside the release's reports, which stand under members/
 FIRST_AGAIN_MS, MOST_AGAIN_MS = 1000.0, 10000.0  # while a process before this one still holds it
 
 
--- a/tests/test_fleet_agreed.py
+++ b/tests/test_fleet_agreed.py
@@ -51,7 +51,7 @@
 at_s = 2.0
 for_s = 1.0
 share = 0.25
-when = {{ key = "members/n0", holds = "n0" }}
+when = {{ key = "alive/n0", holds = "n0" }}
 """
 
 
--- a/tests/test_fleet_serve.py
+++ b/tests/test_fleet_serve.py
@@ -31,7 +31,7 @@
         self.addCleanup(folder.cleanup)
         self.fleet = Path(folder.name) / "fleet.toml"
         self.prefix = f"{self.id().rsplit('.', 1)[1]}/"
-        self.key = f"{self.prefix}members/n1"
+        self.key = f"{self.prefix}alive/n1"
         self.write(f"""
             [agreement]
             address = "127.0.0.1:{self.service.port}"
