--- a/lupinlink/net/parts.py
+++ b/lupinlink/net/parts.py
@@ -16,7 +16,7 @@
 from lupinlink.settings import Config
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(eq=False, repr=False)
 class Parts:
     """From the clock up to user agents; each knows only those before it."""
 
