--- a/lupinlink/coordination/client.py
+++ b/lupinlink/coordination/client.py
@@ -19,30 +19,37 @@
 
 
 class Counted:
-    """A ``Wire`` that counts calls by kind."""
+    """A ``Wire`` that counts calls by kind, and lets the pace know of those that do not wait for it."""
 
-    def __init__(self, wire: Wire) -> None:
-        self._wire = wire
+    def __init__(self, wire: Wire, pace: Pace) -> None:
+        self._wire, self._pace = wire, pace
         self.calls: Counter[str] = Counter()
 
+    def _at_once(self, kind: str) -> None:
+        self.calls[kind] += 1
+        self._pace.spend()
+
     def read(self, prefix: str, index: int, wait_ms: float) -> Deferred[Found]:
-        self.calls["watch" if index else "read"] += 1
+        if wait_ms:
+            self.calls["ask"] += 1
+        else:
+            self._at_once("read")
         return self._wire.read(prefix, index, wait_ms)
 
     def commit(self, steps: Sequence[Step]) -> Deferred[dict[str, Record]]:
-        self.calls["commit"] += 1
+        self._at_once("commit")
         return self._wire.commit(steps)
 
     def open(self, ttl_ms: float) -> Deferred[str]:
-        self.calls["open"] += 1
+        self._at_once("open")
         return self._wire.open(ttl_ms)
 
     def renew(self, lease: str) -> Deferred[float]:
-        self.calls["renew"] += 1
+        self._at_once("renew")
         return self._wire.renew(lease)
 
     def close(self, lease: str) -> Deferred[None]:
-        self.calls["close"] += 1
+        self._at_once("close")
         return self._wire.close(lease)
 
 
@@ -53,9 +60,9 @@
         self, wire: Wire, clock: Clock, draw: Callable[[], float], pacing: Pacing | None = None
     ) -> None:
         """``draw``: from [0, 1), of this process alone: it spreads its calls in time."""
-        self._wire = Counted(wire)
         self._clock, self._draw, self._pacing = clock, draw, pacing or Pacing()
         self._pace = Pace(self._pacing.ask_ms, BURST)
+        self._wire = Counted(wire, self._pace)
 
     @property
     def calls(self) -> int:
@@ -64,7 +71,7 @@
 
     @property
     def calls_by_kind(self) -> dict[str, int]:
-        """The same by kind: read, watch, commit, open, renew, close."""
+        """The same by kind: read, ask (a standing question), commit, open, renew, close."""
         return dict(self._wire.calls)
 
     def read(self, prefix: str) -> Deferred[View]:
--- a/lupinlink/coordination/watching.py
+++ b/lupinlink/coordination/watching.py
@@ -61,8 +61,8 @@
         if self._stopped:
             return
         self._backoff.reset()
-        # The published rule for blocking queries: an index that went back starts them anew.
-        self._index = found.index if found.index >= self._index else 0
+        # Danger: the highest index so far would be the wrong one; after a restore nothing comes up to it.
+        self._index = found.index
         self._told = follow(self._told, View(self._prefix, found.records, found.index, asked_ms))
         self._again(self._draw() * SPREAD_MS)
         self._tell(self._seen, self._told)
