--- a/lupinlink/lab/fleet/agreeing.py
+++ b/lupinlink/lab/fleet/agreeing.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
@@ -11,6 +12,7 @@
 from lupinlink.lab.fleet.fleet_file import FleetFiles
 from lupinlink.lab.fleet.ground import Ground
 from lupinlink.lab.fleet.operators import Operators
+from lupinlink.lab.fleet.platform import Platform
 from lupinlink.lab.fleet.seen import Seen
 from lupinlink.lab.fleet.service import AgreementService
 from lupinlink.lab.model.agreement import Agreement
@@ -43,13 +45,15 @@
 
         bank.wanted = wanted
 
-    def plan(self, bank: Bank, befalling: Befalling) -> None:
+    def plan(self, bank: Bank, befalling: Befalling, tell: Callable[..., None]) -> None:
         """The play begins: plan what operators do and what befalls the service."""
         self.seen.begin(set(bank.up))
         befalling.agreement = faults = AgreementFaults(self._ground, bank, self._service)
         faults.plan()
         self._operators = operators = Operators(self._ground, bank, self.seen.called)
         operators.plan()
+        if self._spec.restarts_servers:
+            self._ground.spawn(Platform(self._ground, self._service, tell).work())
 
     async def sums(self, seconds: list[FleetSecond]) -> dict[str, Any]:
         """The figures under ``agreed``."""
--- a/lupinlink/lab/fleet/helper.py
+++ b/lupinlink/lab/fleet/helper.py
@@ -119,6 +119,10 @@
             self._clock.at(self._start_ms, self._start)
         elif what == "fault":
             self._fault(*figures)
+        elif what == "drain":
+            self._world.farm.drain(*figures)
+        elif what == "restart":
+            self._world.farm.restart(*figures)
         elif self._front is not None and what == "up":
             self._front.put(*figures)
         elif self._front is not None and what == "leaving":
--- a/lupinlink/lab/fleet/rig.py
+++ b/lupinlink/lab/fleet/rig.py
@@ -129,7 +129,7 @@
         def begin() -> None:
             world.script.begun.append(befell)
             if self._agreeing is not None:
-                self._agreeing.plan(bank, befalling)
+                self._agreeing.plan(bank, befalling, self._helpers.tell)
             world.script.start()
             self._notes.second(discovery, bank)
             bank.sample()
--- a/lupinlink/lab/fleet/service.py
+++ b/lupinlink/lab/fleet/service.py
@@ -98,11 +98,11 @@
                 return addresses.whose(clients[row["Session"]])
         return None
 
-    async def permits(self) -> dict[str, Any]:
-        """What the permits' record says of proxies: by name, the permit that each holds."""
+    async def permits(self, what: str = "proxies") -> dict[str, Any]:
+        """What the permits' record says of proxies or servers: by name, the permit that each holds."""
         for row in (await self._records())["records"]:
             if row["Key"].endswith(self.spec.permits):
-                held: dict[str, Any] = json.loads(_text(row)).get("proxies", {}).get("held", {})
+                held: dict[str, Any] = json.loads(_text(row)).get(what, {}).get("held", {})
                 return held
         return {}
 
--- a/lupinlink/lab/model/agreement.py
+++ b/lupinlink/lab/model/agreement.py
@@ -22,6 +22,7 @@
     version: str = "1"  # that all proxies start with
     lead: str = "lead"  # the lead's record has a key that ends so
     permits: str = "release/permits"  # and the permits' one
+    restarts_servers: bool = False  # a platform starts those servers anew that are out by permit
     pools: dict[str, Positive] = field(default_factory=dict)  # shares of the proxies; the first one serves
     ttl_floor_s: Annotated[float, Meta(ge=0.1, le=86400.0)] = 10.0  # of sessions
     notice_s: Amount = 30.0  # so long may the fleet take to notice who is hurt
--- a/tests/test_agreed.py
+++ b/tests/test_agreed.py
@@ -69,6 +69,8 @@
             row = {name: ServerSecond(1.0, 0.5, 4, 0, 0, 10, True) for name in "abcde"}
             if 2 <= at < 7:
                 row["a"] = ServerSecond(0.0, 0.0, 4, 0, 0, 0, True)
+            if at in (7, 8):
+                row["a"] = ServerSecond(0.0, 0.0, 0, 0, 0, 0, False)  # started anew
             if at >= 3:
                 row["b"] = ServerSecond(0.0, 0.0, 0, 0, 0, 0, False)
             if at == 5:
