--- a/lupinlink/lab/fleet/agreement_faults.py
+++ b/lupinlink/lab/fleet/agreement_faults.py
@@ -62,13 +62,15 @@
                 return
             await asyncio.sleep(LOOK_S)
 
-    def play(self, fault: Fault, proxies: list[int]) -> None:
+    def play(self, name: str, fault: Fault, proxies: list[int]) -> None:
         """A fault of the service begins; ``proxies``: those that are cut off."""
-        self._ground.spawn(self._play(fault, proxies))
+        self._ground.spawn(self._play(name, fault, proxies))
 
-    async def _play(self, fault: Fault, proxies: list[int]) -> None:
+    async def _play(self, name: str, fault: Fault, proxies: list[int]) -> None:
         service = self._service
-        await self._moment(fault)
+        if fault.when is not None:
+            await self._moment(fault)
+            self._ground.late(name, [f"n{i}" for i in proxies])
         if fault.kind == "agreement_restarted":
             await service.restart(fault.for_s * 1000.0)
         elif fault.kind == "agreement_restored":
--- a/lupinlink/lab/fleet/befalling.py
+++ b/lupinlink/lab/fleet/befalling.py
@@ -30,7 +30,7 @@
         named = fault.kind.startswith("proxies_") or fault.kind == "agreement_cut"
         proxies = [int(target[1:]) for target in targets] if named else []
         if self.agreement is not None and fault.kind.startswith("agreement_"):
-            self.agreement.play(fault, proxies)
+            self.agreement.play(name, fault, proxies)
         elif self.agreement is not None and (fault.whom or fault.when):
             self.agreement.aim(fault, proxies, lambda met: self._strike(name, fault, met))
         elif fault.kind in ("proxies_killed", "proxies_stopped"):
@@ -59,10 +59,8 @@
             else:
                 bank.pause(i)
                 clock.at(end, partial(bank.go_on, i))
-        for happened in self._ground.world.script.happened:
-            if happened.name == name and (fault.whom or fault.when):
-                happened.start_ms, happened.end_ms = clock.now(), end
-                happened.targets = [f"n{i}" for i in proxies]
+        if fault.whom or fault.when:
+            self._ground.late(name, [f"n{i}" for i in proxies])
 
     def _cut(self, fault: Fault) -> None:
         discovery, zone = self._discovery, self._ground.zone(fault.zone)
--- a/lupinlink/lab/fleet/ground.py
+++ b/lupinlink/lab/fleet/ground.py
@@ -83,6 +83,14 @@
                 return
             await asyncio.sleep(0.02)
 
+    def late(self, name: str, targets: list[str]) -> None:
+        """A fault that waited for its moment begins only now."""
+        for happened in self.world.script.happened:
+            if happened.name == name:
+                length = happened.end_ms - happened.start_ms
+                happened.start_ms = self.clock.now()
+                happened.end_ms, happened.targets = happened.start_ms + length, targets
+
     async def pass_time(self, seconds: float) -> None:
         """Let so much time pass, or less if the play is ended."""
         until = time.monotonic() + seconds
--- a/lupinlink/lab/fleet/operators.py
+++ b/lupinlink/lab/fleet/operators.py
@@ -37,6 +37,7 @@
     async def _make(self, name: str, call: Call) -> None:
         method, _, path = call.call.partition(" ")
         until = time.monotonic() + call.until_s
+        to, status, text = None, 0, "the play was over"
         async with aiohttp.ClientSession(timeout=ANSWER) as session:
             while not self._ground.closing:
                 to = self._choose(call)
