--- a/lupinlink/migration/model.py
+++ b/lupinlink/migration/model.py
@@ -60,7 +60,7 @@
     step: int = 0  # so often were proxies brought in since it last took this direction
     prepared: bool = False
     accepted: int = -1  # the last step whose gate an operator has accepted unread
-    without: tuple[str, ...] = ()  # an operator's word: these are off, and are not waited for
+    without: tuple[str, ...] = ()  # an operator's word: these are off: while silent they are not waited for
     began: dict[str, Began] = {}  # by the name of each proxy that was told to take no more
 
     def serving(self) -> set[str]:
--- a/lupinlink/migration/progress.py
+++ b/lupinlink/migration/progress.py
@@ -94,10 +94,8 @@
 
 
 def _role(sight: Sight, name: str, told: bool) -> Role:
-    if name in sight.migration.without:
-        return Role.DIED
     if sight.fresh(name) is None:
-        return Role.SILENT
+        return Role.DIED if name in sight.migration.without else Role.SILENT
     if sight.order(name).serves:
         return Role.SERVES if sight.serves(name) else Role.TO_SERVE
     if not told:
@@ -119,7 +117,7 @@
             if seen is None:
                 rows.append(Row(name, pool, role, None))
                 continue
-            figures, leaves = seen.report.figures, role in (Role.DRAINS, Role.TO_STOP)
+            figures = seen.report.figures
             rows.append(
                 Row(
                     name,
@@ -131,7 +129,7 @@
                     figures.bytes_to_go,
                     figures.oldest_ms,
                     seen.report.leaving_s,
-                    stuck(seen.report, sight.settings) if leaves else "",
+                    stuck(seen.report, sight.settings) if role is Role.DRAINS else "",
                 )  # fmt: skip
             )
     return rows
@@ -154,7 +152,8 @@
             total, left = total + stays, left + stays
             continue
         total += max(began.live, live)
-        if name in migration.without or seen is None or seen.report.run != began.run:
+        off = name in migration.without and sight.fresh(name) is None
+        if off or seen is None or seen.report.run != began.run:
             died += began.live
             left += live
             continue
--- a/lupinlink/migration/rules.py
+++ b/lupinlink/migration/rules.py
@@ -86,7 +86,7 @@
     found = {}
     for name in sight.migration.targets:
         report = sight.fresh(name)
-        if name in sight.migration.without:
+        if report is None and name in sight.migration.without:
             continue
         if report is None:
             found[name] = "silent"
@@ -154,7 +154,11 @@
     if not migration.prepared or sight.fits(hoped):
         return ()
     first = set(where_most_is_served(sight))
-    gone = [n for n, order in migration.orders.items() if not order.serves and order.epoch and sight.well(n)]
+    gone = [
+        name
+        for name, order in migration.orders.items()
+        if not order.serves and (order.epoch or name in migration.sources) and sight.well(name)
+    ]
     back: list[str] = []
     for name in sorted(gone, key=lambda n: (n not in first, n)):
         back.append(name)
--- a/lupinlink/migration/sight.py
+++ b/lupinlink/migration/sight.py
@@ -77,17 +77,17 @@
 
     def stopped(self, name: str) -> bool:
         """Whether it surely takes nobody any more: by its own word, or by an operator's that it is off."""
-        if name in self.migration.without:
-            return True
+        if self.fresh(name) is None:
+            return name in self.migration.without
         report = self._obeyed(name)
         return report is not None and not self.order(name).serves and not report.serves
 
     def empty(self, name: str) -> bool:
         """Whether it surely holds nobody any more."""
-        if name in self.migration.without:
-            return True
         report = self.fresh(name)
-        return self.stopped(name) and report is not None and not report.figures.live
+        if report is None:
+            return name in self.migration.without
+        return self.stopped(name) and not report.figures.live
 
     def counted(self) -> list[str]:
         """All that may be counted on to serve, by name."""
@@ -119,8 +119,8 @@
         return True
 
     def there(self, pool: Iterable[str]) -> list[str]:
-        """A pool's proxies without those that are off."""
-        return [name for name in pool if name not in self.migration.without]
+        """A pool's proxies without those that are off; one that came back is off no more."""
+        return [name for name in pool if name not in self.migration.without or self.well(name)]
 
     def lost(self, pool: Collection[str]) -> float:
         """The share of a pool's proxies that are not well, 0 to 1; those called off do not count."""
--- a/lupinlink/migration/states.py
+++ b/lupinlink/migration/states.py
@@ -58,6 +58,8 @@
 def _looked(sight: Sight, migration: Migration) -> Change:
     if migration.state is State.PLANNED:
         return _planned(sight)
+    if joined := _joined(sight):
+        return joined
     if migration.state is State.PREPARING:
         return _preparing(sight)
     if back := rules.wanted_back(sight):
@@ -94,6 +96,30 @@
     return Change(listener)
 
 
+def _joined(sight: Sight) -> Change | None:
+    """Proxies of either pool that came later belong to it too. Before anything has moved one of the source
+    serves like the others; later it is there to come back to, and one of the target to come in."""
+    migration = sight.migration
+    pools: dict[str, list[str]] = {migration.source: [], migration.target: []}
+    for name in sorted(sight.members):
+        report = sight.fresh(name)
+        if report is not None and report.pool in pools and name not in migration.orders:
+            pools[report.pool].append(name)
+    sources, targets = pools[migration.source], pools[migration.target]
+    if not sources and not targets:
+        return None
+    still = migration.state is State.PREPARING
+    orders = {name: Order(still) for name in sources} | {name: Order(False) for name in targets}
+    why = f"{named([*sources, *targets])} joined"
+    listener = written(
+        sight.listener,
+        sources=(*migration.sources, *sources),
+        targets=(*migration.targets, *targets),
+        orders={**migration.orders, **orders},
+    )
+    return Change(listener, why)
+
+
 def _preparing(sight: Sight) -> Change:
     late = sight.stood_ms >= sight.settings.prepare_ms
     unready = rules.unready(sight)
