Wire migrations into the fleet's shell, and keep who wants a proxy out apart

Need: the migrations' agent has no place in serve yet; an operator, a release and a migration may each want the same proxy out, and none may take it back for the others.

With a release the door's two calls may be its own.

--- a/lupinlink/net/application_servers/dialling.py
+++ b/lupinlink/net/application_servers/dialling.py
@@ -22,7 +22,7 @@
     noisy = False
 
     def __init__(self, servers: Servers, pool: Pool, proxy_pass: Pass) -> None:
-        self._servers, self._pool = servers, pool
+        self._servers, self.pool = servers, pool
         self._pass: Pass | None = proxy_pass
         self._timer: Timer | None = None
         self._connector: Connector | None = None
@@ -30,21 +30,21 @@
 
     def start(self, reactor: Reactor) -> None:
         self._timer = self._servers.clock.after(self._servers.settings.dial_timeout_ms, self._too_slow)
-        pool = self._pool
+        pool = self.pool
         # Twisted's own time-out is off: the wheel has it.
         connector = reactor.connectTCP(pool.host, pool.port, self, timeout=None)
         if self._timer is not None:
             self._connector = connector
 
     def buildProtocol(self, addr: object) -> Connection:
-        connection = Connection(self._servers, self._pool, self)
+        connection = Connection(self._servers, self.pool, self)
         self._servers.connections.remove(self.handle)
         connection.handle = self._servers.connections.add(connection)
         return connection
 
     def made(self, connection: Rested) -> None:
         """It is up."""
-        self._pool.dialled()
+        self.pool.dialled()
         proxy_pass = self._settle()
         if proxy_pass is None:
             connection.drop()
@@ -56,7 +56,7 @@
         proxy_pass = self._settle()
         if proxy_pass is not None:
             self._servers.counters["dials_failed"] += 1
-            self._pool.dialled(reason.getErrorMessage())
+            self.pool.dialled(reason.getErrorMessage())
             proxy_pass.end(PassEnd(Status.UNREACHABLE))
 
     def abandon(self) -> None:
@@ -71,7 +71,7 @@
         self.abandon()
         if proxy_pass is not None:
             self._servers.counters["dials_too_slow"] += 1
-            self._pool.dialled("too slow")
+            self.pool.dialled("too slow")
             proxy_pass.end(PassEnd(Status.UNREACHABLE))
 
     def _settle(self) -> Pass | None:
--- a/lupinlink/net/application_servers/pools.py
+++ b/lupinlink/net/application_servers/pools.py
@@ -150,6 +150,12 @@
         return {"server_connections_now": len(self.connections), "server_connections_idle": idle,
                 "pools": len(self._pools)}  # fmt: skip
 
+    def busy(self) -> set[str]:
+        """Application servers with a request from here, or a connection that is on its way up for one."""
+        resting = {id(one) for pool in self._pools.values() for one in pool.idle}
+        pools = (getattr(one, "pool", None) for one in self.connections if id(one) not in resting)
+        return {pool.name for pool in pools if isinstance(pool, Pool)}
+
     def reached(self, server: str) -> bool:
         """Whether the last connection to it came up; True before the first."""
         pool = self._pools.get(server)
--- a/lupinlink/net/fleet.py
+++ b/lupinlink/net/fleet.py
@@ -19,6 +19,7 @@
 from lupinlink.config.fleet import AgreementSettings, FleetFile
 from lupinlink.coordination.client import Client
 from lupinlink.coordination.contract import Agreement
+from lupinlink.coordination.lead import Lead
 from lupinlink.coordination.memory import MemoryService
 from lupinlink.coordination.pace import Pacing
 from lupinlink.coordination.part import Answer, Ask, DoorCalls, Member, Part
@@ -28,6 +29,7 @@
 from lupinlink.errors import LupinError
 from lupinlink.net.seam import Host, Refusal
 from lupinlink.net.wheel import Clockwork
+from lupinlink.net.wishes import Wishes
 
 if TYPE_CHECKING:
     from lupinlink.net.terms import Call
@@ -67,8 +69,12 @@
     member: Member
     settings: AgreementSettings
     folder: str  # of the fleet file
+    tables: Mapping[str, Any] = field(default_factory=dict)  # the parts' settings, by table
     made: dict[str, Part] = field(default_factory=dict)  # the parts before this one, by table
+    run: str = ""  # drawn for this process
     _host: Host | None = None
+    _lead: Lead | None = None
+    _wishes: Wishes | None = None
 
     @property
     def host(self) -> Host:
@@ -76,9 +82,33 @@
         assert self._host is not None, "the service has not started"
         return self._host
 
-    def lead_words(self) -> dict[str, Any]:
-        """What ``Lead`` is to be told beside its own."""
-        return {"lock_delay_ms": self.settings.lock_delay_s * 1000.0}
+    @property
+    def wishes(self) -> Wishes:
+        """Who wants this proxy out of service; a part takes it out and back through this alone."""
+        if self._wishes is None:
+            self._wishes = Wishes(self.host.drain, self.host.in_service)
+        return self._wishes
+
+    def lead(self) -> Lead:
+        """The one lead that all parts share: whoever has it advances all that is planned."""
+        if self._lead is None:
+            self._lead = Lead(
+                self.agreement, self.clock, self.tenure, "lead", self.member.name, self.draw,
+                lambda fence: log.info("leads", extra={"kv": {"fence": fence}}),
+                lambda error: log.warning("leads no more", extra={"kv": {"why": error.line()}}),
+                lock_delay_ms=self.settings.lock_delay_s * 1000.0,
+            )  # fmt: skip
+        return self._lead
+
+    def begin(self, host: Host) -> None:
+        """The service has started."""
+        self._host = host
+        if self._lead is not None:
+            self._lead.start()
+
+    def stop(self) -> None:
+        if self._lead is not None:
+            self._lead.stop()
 
 
 class Fleet:
@@ -100,7 +130,7 @@
         self._kit = Kit(
             self._client, clock, self._tenure, draw,
             Member(config.name, member.zone or own_zone, member.version or version, member.pool),
-            agreement, file.folder,
+            agreement, file.folder, file.parts, run=f"{config.name}-{draw():.16f}",
         )  # fmt: skip
         self._presence = Presence(self._client, clock, self._tenure, self._kit.member, draw)
         for table, settings in file.parts.items():
@@ -128,7 +158,7 @@
 
     def started(self, host: Host) -> None:
         """The reactor runs."""
-        self._kit._host = host
+        self._kit.begin(host)
         self._tenure.listen(lambda lease: None, self._lost)
         self._tenure.start()
         self._presence.start()
@@ -144,6 +174,7 @@
                 part.stop()
             except Exception:
                 log.exception("a part failed to stop")
+        self._kit.stop()
         self._presence.stop()
         self._tenure.stop()
 
--- /dev/null
+++ b/lupinlink/net/fleet_migration.py
@@ -0,0 +1,58 @@
+"""Wires migrations into the fleet's shell: their view of this proxy, and the lead they share."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from lupinlink.migration.agent import Base, Migrations
+from lupinlink.migration.model import Figures
+from lupinlink.release.settings import ReleaseSettings
+
+if TYPE_CHECKING:
+    from lupinlink.migration.settings import MigrationSettings
+    from lupinlink.net.fleet import Kit
+WHO = "migration"
+
+
+class MigrationHost:
+    """``lupinlink.migration.host.Host`` over the service."""
+
+    def __init__(self, kit: Kit) -> None:
+        self._kit, self._host = kit, kit.host
+
+    @property
+    def ready(self) -> bool:
+        return self._host.ready and not self._host.ends_soon
+
+    def figures(self) -> Figures:
+        """What it holds now; a server is warm once it is older than the settings' cold time."""
+        here, now, cold_ms = self._host.gauges(), self._kit.clock.now(), self._host.settings.cold_ms
+        warm = [one for one in self._host.servers() if one.state == "ready"]
+        warm = [one for one in warm if one.started_ms <= 0.0 or now - one.started_ms >= cold_ms]
+        return Figures(
+            live=here.connections, idle=here.idle, closing=here.closing, requests=here.requests,
+            oldest_ms=here.oldest_ms, bytes_to_go=here.bytes_to_go, untold=here.untold, unread=here.unread,
+            capacity=here.capacity, servers=here.servers_ready, warm=min(len(warm), here.servers_ready),
+        )  # fmt: skip
+
+    def drain(self) -> None:
+        self._kit.wishes.want(WHO, out=True)
+
+    def in_service(self) -> None:
+        self._kit.wishes.want(WHO, out=False)
+
+    def end_last(self) -> int:
+        return self._host.end_last()
+
+    def remember(self, text: bytes) -> None:
+        """Nothing survives a process on this platform: its folder is emptied at each start."""
+
+    def recall(self) -> bytes:
+        return b""
+
+
+def make(kit: Kit, settings: MigrationSettings) -> Migrations:
+    """The part; gates and bounds are those of the release's table, or its defaults where there is none."""
+    release = kit.tables.get("release") or ReleaseSettings()
+    base = Base(kit.agreement, kit.clock, kit.draw, "", kit.run)
+    return Migrations(base, kit.member, lambda: MigrationHost(kit), kit.lead(), settings, release)
--- a/lupinlink/net/hosting.py
+++ b/lupinlink/net/hosting.py
@@ -3,17 +3,18 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from typing import NamedTuple
 from urllib.parse import parse_qsl
 
 from lupinlink.coordination.part import Ask, DoorCall
+from lupinlink.interface import NEVER_RAN, Status
 from lupinlink.net.lifecycle import Stand
 from lupinlink.net.lists import STATES
 from lupinlink.net.management import Call as ManagementCall
 from lupinlink.net.management import WrongAskError
 from lupinlink.net.parts import Parts
-from lupinlink.net.seam import FleetSide, Gauges, Listed
+from lupinlink.net.seam import FleetSide, Gauges, Listed, Outcomes
 from lupinlink.net.terms import Call
 from lupinlink.net.user_agents import Phase
 from lupinlink.settings import Config
@@ -21,6 +22,8 @@
 log = logging.getLogger(__name__)
 REPORT_MS = 10000.0  # so long does a server's report of its use count
 MOST_FIELDS = 32  # of a call's query
+# With a release who wants out asks for a permit first, so the service's own two calls are the fleet's then.
+REPLACEABLE = frozenset({"/control/out-of-service", "/control/in-service"})
 DoorCallTable = dict[str, dict[str, ManagementCall]]
 
 
@@ -50,6 +53,25 @@
         return {name: use for name, (use, _) in self._last.items()}
 
 
+class Tally:
+    """How passes ended, by application server."""
+
+    def __init__(self) -> None:
+        self._by: dict[str, Outcomes] = {}
+
+    def ended(self, server: str, status: Status) -> None:
+        """One pass."""
+        was = self._by.get(server, Outcomes())
+        ok, away, off = status == Status.OK, status in NEVER_RAN, status == Status.CANCELLED
+        failed = not (ok or away or off)
+        self._by[server] = Outcomes(was[0] + 1, was[1] + ok, was[2] + away, was[3] + failed)
+
+    def of(self, listed: Iterable[str]) -> dict[str, Outcomes]:
+        """Of these; the others are forgotten."""
+        self._by = {name: self._by[name] for name in listed if name in self._by}
+        return dict(self._by)
+
+
 def asked(call: DoorCall) -> ManagementCall:
     """A fleet's call as the door makes it: reads the query; what cannot be read is told in one line."""
 
@@ -84,17 +106,17 @@
         self._proxy, self._agents, self._farm, self._servers = (
             parts.proxy, parts.agents, parts.farm, parts.servers,
         )  # fmt: skip
-        self._reports = Reports()
+        self._reports, self._tally = Reports(), Tally()
         self._started = self._stopped = False
         self._proxy.admits = self._admits
         self._proxy.settled = fleet.settled
-        self._proxy.reported = self._reported
+        self._proxy.reported, self._proxy.passed = self._reported, self._tally.ended
 
     def calls(self, own: DoorCallTable) -> DoorCallTable:
         """The door's calls: the service's ``own`` and the fleet's."""
         table = dict(own)
         for path, methods in self._fleet.calls().items():
-            if path in own:
+            if path in own and path not in REPLACEABLE:
                 raise ValueError(f"{path} is a call of the service itself")
             table[path] = {method: asked(call) for method, call in methods.items()}
         return table
@@ -151,6 +173,13 @@
         """As SIGTERM."""
         self._acts.end()
 
+    def end_last(self) -> int:
+        """Every request gets its answer; what is at rest is closed."""
+        here = len(self._agents.connections)
+        self._proxy.end_all()
+        self._agents.close_idle(unasked=True)
+        return here
+
     def gauges(self) -> Gauges:
         """What is here now."""
         phases, now = self._agents.phases, self.clock.now()
@@ -174,6 +203,7 @@
             servers_ready=self._farm.ready,
             use=sum(uses) / len(uses) if uses else None,
             counters=dict(self._counters),
+            capacity=self._agents.connections.capacity,
         )
 
     def servers(self) -> list[Listed]:
@@ -182,13 +212,22 @@
         for item in self._farm.snapshot()["targets"]:
             name, state = str(item["uid"]), STATES.get(item["state"])
             ready = "ready" if state is not None and state.name == "READY" else "draining"
-            found.append(Listed(name, str(item.get("az") or ""), ready, self._servers.reached(name)))
+            began = float(item.get("boot_ms") or 0.0)
+            found.append(Listed(name, str(item.get("az") or ""), ready, self._servers.reached(name), began))
         return found
 
     def use(self) -> Mapping[str, float]:
         """Reported use by server."""
         return self._reports.use(self.clock.now())
 
+    def outcomes(self) -> Mapping[str, Outcomes]:
+        """How passes ended, by server."""
+        return self._tally.of([one.name for one in self.servers()])
+
+    def busy(self) -> set[str]:
+        """Servers with a request from here."""
+        return self._servers.busy()
+
     def withhold(self, names: frozenset[str]) -> None:
         """These are out of use, and no others."""
         self._farm.withhold(names)
--- a/lupinlink/net/proxy.py
+++ b/lupinlink/net/proxy.py
@@ -51,8 +51,9 @@
         self._servers, self._watch = servers, watch
         self._events: deque[api.Event] = deque()
         self._busy = False
-        # A fleet file's: told of the load reports that servers send along.
+        # A fleet file's: told of the load reports that servers send along, and how each pass ended.
         self.reported: Callable[[str, Mapping[str, float]], None] | None = None
+        self.passed: Callable[[str, Status], None] | None = None
         self._carry: dict[type, Callable[..., None]] = {
             api.Send: self._send,
             api.Cancel: self._cancel,
@@ -125,6 +126,8 @@
         self.counters[f"passes_{end.status.name.lower()}"] += 1
         if self.reported is not None and end.report:
             self.reported(server, end.report)
+        if self.passed is not None:
+            self.passed(server, end.status)
         taken = self._requests.get(handle)
         if taken is None:
             return
--- a/lupinlink/net/seam.py
+++ b/lupinlink/net/seam.py
@@ -33,6 +33,16 @@
     zone: str  # as discovery wrote it; empty: it did not
     state: str  # ready, or draining; as discovery told it, withheld or not
     reached: bool  # whether the last connection to it came up; True before the first
+    started_ms: float = 0.0  # when it started, as discovery wrote it; 0: long ago
+
+
+class Outcomes(NamedTuple):
+    """How the passes to one application server ended, since this process started."""
+
+    ended: int = 0
+    served: int = 0
+    turned_away: int = 0  # they surely never ran
+    failed: int = 0  # all others, but for those that were called off here
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,6 +61,7 @@
     servers_ready: int  # application servers that take work
     use: float | None  # mean use (1.0: all cores busy) that those last reported; None: none has lately
     counters: Mapping[str, int] = field(default_factory=dict)  # since this process's start
+    capacity: int = 0  # connections of user agents that may be here
 
 
 class Host(Protocol):
@@ -102,6 +113,10 @@
         """End this process as SIGTERM does."""
         ...
 
+    def end_last(self) -> int:
+        """Give what is open its answer now and close what is at rest; how many connections were here."""
+        ...
+
     def gauges(self) -> Gauges:
         """What is here now. Costs a look at each long answer and body; to be asked a few times a second."""
         ...
@@ -117,6 +132,14 @@
         """
         ...
 
+    def outcomes(self) -> Mapping[str, Outcomes]:
+        """How passes ended, by application server; those that have left the list are forgotten."""
+        ...
+
+    def busy(self) -> set[str]:
+        """Application servers that have a request from here."""
+        ...
+
     def withhold(self, names: frozenset[str]) -> None:
         """Take these application servers, and no others, out of use here.
 
--- a/tests/test_release_rules.py
+++ b/tests/test_release_rules.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import math
-import unittest
 
 from hypothesis import HealthCheck, settings
 from hypothesis import strategies as st
--- a/tests/test_seam.py
+++ b/tests/test_seam.py
@@ -144,9 +144,12 @@
         self.assertEqual(
             (now["name"], now["stand"], now["ready"], now["ends_soon"]), ("n1", "in service", True, False)
         )
-        self.assertEqual(now["servers"], [["s-1", "a", "ready", True], ["s-2", "b", "draining", True]])
+        self.assertEqual(
+            now["servers"], [["s-1", "a", "ready", True, 0.0], ["s-2", "b", "draining", True, 0.0]]
+        )
         self.assertEqual((now["use"], now["uses"], now["servers_ready"]), (0.75, {"s-1": 0.75}, 1))
         self.assertEqual((now["connections"], now["busy"], now["oldest_ms"]), (1, 0, 0.0))
+        self.assertEqual((now["outcomes"], now["held"]), ({"s-1": [1, 1, 0, 0]}, []))
         # Long answers of which a part is here: what is still to go is known, and how old the oldest is.
         head = b"HTTP/1.1 200 OK\r\nContent-Length: 9000000\r\n\r\n"
         server.answer = lambda headers: head + b"x" * 20000
@@ -154,6 +157,7 @@
         sending = self.connect(b"POST /scan/1 HTTP/1.1\r\nX-Trace-Id: b\r\nIdempotency-Key: k\r\n"
                                b"Content-Length: 5000\r\n\r\n" + b"x" * 2000)  # fmt: skip
         now = self.told_when(busy=2, idle=1, requests=0)
+        self.assertEqual(now["held"], ["s-1"])
         self.assertTrue(8980000 <= now["bytes_to_go"] <= 9003000, now)
         self.assertTrue(0.0 < now["oldest_ms"] < WAIT * 1000.0, now)
         self.assertEqual((now["untold"], now["unread"]), (0, 0))
