--- a/lupinlink/lab/fleet/agreeing.py
+++ b/lupinlink/lab/fleet/agreeing.py
@@ -41,7 +41,9 @@
 
         async def wanted(proxy: int) -> None:
             permit = (await self._service.permits()).get(f"n{proxy}", {})
-            files.versions[proxy] = permit.get("version") or files.versions[proxy]
+            version = permit.get("version") or files.versions[proxy]
+            if version not in self._spec.missing:
+                files.versions[proxy] = version
 
         bank.wanted = wanted
 
--- a/lupinlink/lab/model/agreement.py
+++ b/lupinlink/lab/model/agreement.py
@@ -20,6 +20,7 @@
     file: str  # the fleet file, TOML
     policy: str = ""  # of quotas: written beside it as quota.policy
     version: str = "1"  # that all proxies start with
+    missing: tuple[str, ...] = ()  # versions that cannot be had: the one before is started in their place
     lead: str = "lead"  # the lead's record has a key that ends so
     permits: str = "release/permits"  # and the permits' one
     restarts_servers: bool = False  # a platform starts those servers anew that are out by permit
