--- a/lupinlink/release/course.py
+++ b/lupinlink/release/course.py
@@ -44,6 +44,10 @@
     guards: dict[str, int] = field(default_factory=dict)  # key to revision
     urgent: bool = False  # else only texts have changed, which may wait
 
+    def encoded(self) -> dict[str, bytes]:
+        """The records' bytes, by key."""
+        return {key: encoded(record) for key, record in self.puts.items()}
+
 
 class Course:
     """One term of one lead. What it remembers is only for how long things have lasted: a new lead counts
@@ -62,7 +66,7 @@
         if permits.fence > self._fence or (plan is not None and plan.fence > self._fence):
             return Decision()  # another leads by now
         turn = max(permits.turn, facts.turn_most) + 1
-        plan = made(plan, order, halt, facts, self._settings)
+        plan = made(plan, order, halt, facts, self._settings, self._name)
         decision = Decision()
         if plan is not None:
             population = of_release(plan, facts)
@@ -83,9 +87,9 @@
             if halt.stands and not plan.ended:
                 plan.note = f"halted by {halt.by}: {halt.why}"
         self._told(permits, facts)
+        permits.fence, permits.lead = self._fence, self._name
         decision.urgent = bool(decision.puts) or _without_texts(permits, plan) != texts
         permits.turn = turn if decision.urgent else permits.turn
-        permits.fence, permits.lead = self._fence, self._name
         if encoded(permits) != before_permits:
             decision.puts[PERMITS] = permits
         if plan is not None:
@@ -171,7 +175,7 @@
     for name in [*waiting, *sorted(set(asked) - set(waiting))]:
         if name in outs.held and not outs.held[name].plan:
             continue
-        reason = grants.give(name, asked[name]) if settled else "until everybody was heard"
+        reason = grants.give(name, asked[name], asked=True) if settled else "until everybody was heard"
         if reason:
             outs.waiting[name] = reason
 
@@ -181,7 +185,7 @@
 
 
 def _without_texts(permits: Permits, plan: Plan | None) -> bytes:
-    """What must not wait: everything but words, and who leads."""
+    """What must not wait: everything but words."""
     told = [
         (sorted(outs.held), [p.version for _, p in sorted(outs.held.items())], sorted(outs.without),
          sorted(outs.waiting), outs.allowed, outs.members)
@@ -190,5 +194,7 @@
     placed = []
     if plan is not None:
         placed = [(name, p.state.value, p.wave, p.trips) for name, p in sorted(plan.members.items())]
-    head = (plan.id, plan.number, plan.stand.value, plan.wave, plan.heeded) if plan is not None else ()
+    head: tuple[object, ...] = (permits.fence, permits.lead)
+    if plan is not None:
+        head += (plan.id, plan.number, plan.stand.value, plan.wave, plan.heeded)
     return repr((told, permits.watched, head, placed)).encode()
--- a/lupinlink/release/permits.py
+++ b/lupinlink/release/permits.py
@@ -45,7 +45,8 @@
 
 def bound(settings: BoundSettings, population: Population, need: float) -> Bound:
     """How many of these may be out. ``need``: members that the present traffic would keep busy."""
-    members = len(population)
+    bearing = [one for one in population.values() if not one.spare]
+    members = len(bearing)
     total = _least(settings.number, settings.share, members, " in all")
     spare = max(0, members - math.ceil(need / settings.bears - 1e-9))
     if spare < total.number:
@@ -53,7 +54,7 @@
             spare, f"the load needs {members - spare} of {members} at {settings.bears:.0%} use at most"
         )
     counts: dict[str, int] = {}
-    for one in population.values():
+    for one in bearing:
         counts[one.zone] = counts.get(one.zone, 0) + 1
     zones = {
         zone: _least(settings.zone_number, settings.zone_share, count, f" in zone {zone}")
@@ -64,7 +65,11 @@
 
 def out(population: Population, held: Mapping[str, Permit]) -> dict[str, str]:
     """Who is out, each once, with its zone."""
-    away = {name: permit.zone for name, permit in held.items()}
+    away = {
+        name: permit.zone
+        for name, permit in held.items()
+        if name not in population or not population[name].spare
+    }
     away |= {name: one.zone for name, one in population.items() if not one.serving}
     return away
 
@@ -97,15 +102,17 @@
         self.limits, self._population, self._outs, self._turn = limits, population, outs, turn
         self.away = out(population, outs.held)
 
-    def give(self, name: str, why: str, version: str = "", plan: str = "") -> str:
-        """Give a permit, or the reason why not."""
+    def give(self, name: str, why: str, version: str = "", plan: str = "", asked: bool = False) -> str:
+        """Give a permit, or the reason why not. Without ``plan`` or ``asked`` it is another part's, which
+        takes it back itself."""
         one = self._population.get(name)
         if one is None:
             return "not known to the fleet"
         if name in self._outs.held:
             return f"out already: {self._outs.held[name].why}"
-        reason = refusal(self.limits, self.away, name, one.zone)
+        reason = "" if one.spare else refusal(self.limits, self.away, name, one.zone)
         if not reason:
-            self._outs.held[name] = Permit(self._turn, one.zone, one.nonce, why, version, plan)
-            self.away[name] = one.zone
+            self._outs.held[name] = Permit(self._turn, one.zone, one.nonce, why, version, plan, asked)
+            if not one.spare:
+                self.away[name] = one.zone
         return reason
--- a/lupinlink/release/presence.py
+++ b/lupinlink/release/presence.py
@@ -51,6 +51,7 @@
     use: float = 0.0
     turn: int = 0
     figures: Figures = field(default_factory=Figures)
+    spare: bool = False  # it counts neither as out nor as one of those that bear the load
 
 
 Population = dict[str, Seen]
@@ -121,12 +122,12 @@
                 why = "silent: killed, stopped, or cut off from the agreement service"
             elif not report.ready:
                 why = "not ready: starting, stopping, or without a server"
-            elif not report.serving:
+            elif not report.serving and not report.standby:
                 why = "drained"
             seen[name] = Seen(
                 name, report.zone, report.version, report.nonce, not why, why, heard, report.life,
                 report.begun, report.acts, report.left, report.ask, report.pool, report.use, report.turn,
-                report.figures,
+                report.figures, report.standby and report.ready and heard,
             )  # fmt: skip
         return seen
 
--- a/lupinlink/release/records.py
+++ b/lupinlink/release/records.py
@@ -1,6 +1,6 @@
 """The records through which the fleet agrees who is out: their fields, and how they stand in the service.
 
-Below the fleet's prefix: ``members/NAME`` (written by that proxy alone), ``release/permits`` and
+Below the fleet's prefix: ``reports/NAME`` (written by that proxy alone), ``release/permits`` and
 ``release/plan`` (by the lead alone, under its lease, by compare-and-set), ``release/order``,
 ``release/halt`` and ``release/wanted`` (by any process for an operator, by compare-and-set). JSON by msgspec;
 fields that a later program added are passed over. No record holds a time: clocks are not shared.
@@ -16,9 +16,9 @@
 
 from lupinlink.release.errors import RecordError
 
-MEMBERS, PERMITS, PLAN = "members/", "release/permits", "release/plan"
+MEMBERS, PERMITS, PLAN = "reports/", "release/permits", "release/plan"
 ORDER, HALT, WANTED = "release/order", "release/halt", "release/wanted"
-RELEASE = "release/"
+RELEASE, LEAD = "release/", "release/lead"
 
 
 class Figures(Struct, omit_defaults=True):
@@ -46,6 +46,7 @@
     pool: str = ""
     ready: bool = False  # it can serve
     serving: bool = False  # it takes user agents: ready and not drained
+    standby: bool = False  # it serves nobody because nobody wants it to: neither out nor in use
     ask: str = ""  # why it wants to be out, in words; empty: it does not
     begun: int = 0  # the number of the permit that it acts on; 0: none
     acts: str = ""  # the release that this permit is of; empty: of none
@@ -68,7 +69,8 @@
     nonce: str  # the process that may act on it; no other of that name does
     why: str  # for an operator
     version: str = ""  # what to start in its place; empty: nothing is to end
-    plan: str = ""  # the release that it is of; empty: somebody asked for it
+    plan: str = ""  # the release that it is of
+    asked: bool = False  # the member, or an operator, asked for it; neither: another part's, who ends it
 
 
 class Outs(Struct, omit_defaults=True):
--- a/lupinlink/release/returns.py
+++ b/lupinlink/release/returns.py
@@ -34,6 +34,8 @@
                 del self._outs.held[name]  # forgotten by an operator
             elif self._placed(name, permit):
                 self._of_plan(name, permit, one, late(name), halted)
+            elif not permit.plan and not permit.asked:
+                continue  # another part's
             elif one.nonce != permit.nonce:
                 if one.serving or permit.plan:
                     del self._outs.held[name]
@@ -67,7 +69,7 @@
     def servers(self, wanted: Mapping[str, str]) -> None:
         """Servers begin nothing themselves: a permit that is no longer wanted ends at once."""
         for name, permit in list(self._outs.held.items()):
-            unwanted = name not in self._population or permit.plan or name not in wanted
+            unwanted = name not in self._population or permit.plan or (permit.asked and name not in wanted)
             if unwanted and not self._placed(name, permit):
                 del self._outs.held[name]
 
--- a/lupinlink/release/roll.py
+++ b/lupinlink/release/roll.py
@@ -24,7 +24,7 @@
 
 
 def made(
-    plan: Plan | None, order: Order | None, halt: Halt, facts: Facts, settings: ReleaseSettings
+    plan: Plan | None, order: Order | None, halt: Halt, facts: Facts, settings: ReleaseSettings, lead: str
 ) -> Plan | None:
     """The release that is to be carried on: the one there is, or a new one for a newer order.
 
@@ -38,7 +38,7 @@
     population = facts.proxies if order.kind == "proxies" else facts.servers
     chosen = {name: one for name, one in population.items() if _chosen(order, one)}
     zones = {name: one.zone for name, one in chosen.items() if not _there(order, one)}
-    waves = dealt(zones, settings.wave_growth, settings.wave_most)
+    waves = dealt(zones, settings.wave_growth, settings.wave_most, lead)
     return Plan(
         order.id, order.number, order.version, order.kind, order.restart,
         waves=max(waves.values(), default=-1) + 1, heeded=halt.number,
--- a/lupinlink/release/waves.py
+++ b/lupinlink/release/waves.py
@@ -11,14 +11,16 @@
 from itertools import zip_longest
 
 
-def order(zones: Mapping[str, str]) -> list[str]:
+def order(zones: Mapping[str, str], last: str = "") -> list[str]:
     """The members (name to zone), one of each zone in turn: a wave never lies in one zone alone, and the
-    bounds of all zones are used at once."""
+    bounds of all zones are used at once. ``last``: who goes last, such as the lead: each new lead must hear
+    everybody first."""
     by_zone: dict[str, list[str]] = {}
     for name in sorted(zones, key=lambda name: (len(name), name)):
         by_zone.setdefault(zones[name], []).append(name)
     rounds = zip_longest(*(by_zone[zone] for zone in sorted(by_zone)))
-    return [name for one in rounds for name in one if name is not None]
+    ordered = [name for one in rounds for name in one if name is not None and name != last]
+    return ordered + [last] * (last in zones)
 
 
 def waves(members: int, growth: float, most: int) -> list[int]:
@@ -32,9 +34,9 @@
     return sizes
 
 
-def dealt(zones: Mapping[str, str], growth: float, most: int) -> dict[str, int]:
+def dealt(zones: Mapping[str, str], growth: float, most: int, last: str = "") -> dict[str, int]:
     """Each member's wave, from 0."""
-    names = iter(order(zones))
+    names = iter(order(zones, last))
     return {
         next(names): wave for wave, size in enumerate(waves(len(zones), growth, most)) for _ in range(size)
     }
--- a/tests/release_world.py
+++ b/tests/release_world.py
@@ -1,4 +1,4 @@
-"""A fleet without sockets or clocks of its own: processes, two leads, and the service's ledger, step by step."""
+"""A fleet without sockets or clocks: processes, two leads, and the service's ledger, step by step."""
 
 from __future__ import annotations
 
@@ -262,7 +262,8 @@
         order = Order(state.order.number + 1, state.order.id, state.order.version, back=True)
         lifted = Halt(state.halt.number + 1, False, "op", "back")
         self.commit(
-            Put(ORDER, encoded(order), state.revision(ORDER)), Put(HALT, encoded(lifted), state.revision(HALT)),
+            Put(ORDER, encoded(order), state.revision(ORDER)),
+            Put(HALT, encoded(lifted), state.revision(HALT)),
             Guarded(PLAN, state.revision(PLAN)),
         )  # fmt: skip
 
