--- a/lupinlink/migration/leading.py
+++ b/lupinlink/migration/leading.py
@@ -166,8 +166,13 @@
             forward = migration.state is not State.RETURNING
             trouble_ms = track.trouble_ms(bool(migration.prepared and rules.trouble(sight, forward)), now)
             judgment = track.gate.look(sight, allowed.population, now, sight.held)
-            change = looked(replace(sight, trouble_ms=trouble_ms, judgment=judgment))
+            sight = replace(sight, trouble_ms=trouble_ms, judgment=judgment)
+            change = looked(sight)
         dealt = deal(allowed, self._release.proxies, self._prefix, name, change.take, change.give)
+        if dealt.granted:
+            # Permit and order go in one commit: whoever may go is told so at once.
+            permitted = (sight.permitted - set(change.give)) | dealt.granted
+            change = looked(replace(sight, permitted=permitted))
         steps = list(dealt.steps)
         if change.listener is not listener:
             steps.append(self._records.put(change.listener))
--- a/lupinlink/migration/permits.py
+++ b/lupinlink/migration/permits.py
@@ -54,6 +54,7 @@
     """One decision on permits: what is written, and why not more."""
 
     steps: list[Step] = field(default_factory=list)
+    granted: frozenset[str] = frozenset()
     refused: dict[str, str] = field(default_factory=dict)
 
 
@@ -90,7 +91,9 @@
         reason = grants.give(name, WHY + listener) if allowed.settled else "until everybody was heard"
         if reason:
             dealt.refused[name] = reason
-        changed = changed or not reason
+        else:
+            dealt.granted |= {name}
+    changed = changed or bool(dealt.granted)
     if changed:
         permits.turn = turn
         key = prefix + PERMITS
