--- a/lupinlink/net/fleet.py
+++ b/lupinlink/net/fleet.py
@@ -74,6 +74,7 @@
     run: str = ""  # drawn for this process
     _host: Host | None = None
     _lead: Lead | None = None
+    _led: bool = False  # by a part that starts and stops it itself
     _wishes: Wishes | None = None
 
     @property
@@ -100,14 +101,19 @@
             )  # fmt: skip
         return self._lead
 
+    def lead_by(self, lead: Lead) -> None:
+        """A part brings the lead, and starts and stops it."""
+        self._lead, self._led = lead, True
+
     def begin(self, host: Host) -> None:
         """The service has started."""
         self._host = host
-        if self._lead is not None:
+        if self._lead is not None and not self._led:
             self._lead.start()
 
     def stop(self) -> None:
-        if self._lead is not None:
+        """The service ends."""
+        if self._lead is not None and not self._led:
             self._lead.stop()
 
 
