--- a/lupinlink/coordination/keeping.py
+++ b/lupinlink/coordination/keeping.py
@@ -74,7 +74,8 @@
         self._lost(error)
 
     def _look(self) -> None:
-        if self.name:
+        # After a SIGSTOP the answer to a renewal may have been read first.
+        if self.name and self._clock.now() >= self._until:
             self._lose("the lease was not renewed in time")
 
     def _renew(self) -> None:
@@ -84,9 +85,6 @@
     def _renewed(self, every_ms: float, asked_ms: float) -> None:
         if not self.name:
             return
-        if self._clock.now() >= self._until:
-            self._look()  # somebody was told already that it does not hold
-            return
         self._backoff.reset()
         self._every = max(self._ttl, every_ms)
         self._until = asked_ms + self._ttl * (1.0 - DRIFT)
--- a/lupinlink/coordination/pace.py
+++ b/lupinlink/coordination/pace.py
@@ -1,9 +1,9 @@
 """How often one process may put its standing questions, all of them together. Pure.
 
 A virtual-scheduling leaky bucket (the generic cell rate algorithm, ITU-T I.371): one call each ``gap_ms`` on
-average, ``burst`` at once after a rest. Records that change all the time are then looked at once a gap, not at
-each change, and questions that all failed together come back one by one. Renewals and commits do not wait, but
-the next question pays for up to ``MOST_OWED`` of them.
+average, ``burst`` at once after a rest. Records that change all the time are then looked at once a gap, not
+at each change, and questions that all failed together come back one by one. Renewals and commits do not wait,
+but the next question pays for up to ``MOST_OWED`` of them.
 """
 
 from __future__ import annotations
--- /dev/null
+++ b/tests/test_tenure.py
@@ -0,0 +1,137 @@
+"""A process's lease and what hangs on it: how long it is believed, its record, what is asked anew."""
+
+from __future__ import annotations
+
+import random
+import unittest
+from collections.abc import Callable
+
+from twisted.internet.defer import Deferred, succeed
+
+from lupinlink.coordination.errors import LeaseLostError
+from lupinlink.coordination.keeping import KeptLease
+from lupinlink.coordination.memory import MemoryService, MemoryWire
+from lupinlink.coordination.pace import Pace, Pacing
+from lupinlink.coordination.part import Member
+from lupinlink.coordination.presence import PREFIX, Presence, read_member
+from lupinlink.coordination.tenure import Tenure
+from lupinlink.coordination.watching import StandingQuestion
+from lupinlink.coordination.wire import Found
+from lupinlink.errors import LupinError
+from lupinlink.lab.model.clock import VirtualClock
+from tests.fleet_members import TTL_MS, StoppableClock
+
+MEMBER = Member("n1", "a", "v1", "old")
+draw: Callable[[], float] = random.Random(1).random
+
+
+class Belief(unittest.TestCase):
+    def setUp(self) -> None:
+        self.clock = VirtualClock()
+        self.lost: list[LupinError] = []
+
+    def lease(self, service: MemoryService, wire: MemoryWire, clock: StoppableClock) -> KeptLease:
+        name = service.ledger.open(TTL_MS, self.clock.now())
+        return KeptLease(wire, clock, draw, name, TTL_MS, self.clock.now(), self.lost.append)
+
+    def test_slow_answers_do_not_draw_it_out(self) -> None:
+        service = MemoryService(self.clock, delay_ms=1500.0)
+        wire = service.wire()
+        lease = self.lease(service, wire, StoppableClock(self.clock))
+        self.clock.run(20000.0)
+        self.assertTrue(lease.holds())
+        wire.cut, name = True, lease.name
+        while lease.holds():
+            self.assertIn(name, service.ledger.grants)
+            self.clock.run(self.clock.now() + 10.0)
+        self.assertEqual([type(error) for error in self.lost], [LeaseLostError])
+
+    def test_a_process_that_stood_still_does_not_believe_for_a_moment(self) -> None:
+        service = MemoryService(self.clock)
+        clock = StoppableClock(self.clock)
+        lease = self.lease(service, service.wire(clock), clock)
+        clock.stopped = True
+        self.clock.run(2 * TTL_MS)
+        self.assertFalse(lease.holds())  # before anything else is run
+        clock.go_on()
+        self.clock.run(3 * TTL_MS)
+        self.assertEqual((len(self.lost), lease.name), (1, ""))
+
+    def test_a_short_stop_is_no_loss(self) -> None:
+        service = MemoryService(self.clock, delay_ms=1500.0)
+        clock = StoppableClock(self.clock)
+        lease = self.lease(service, service.wire(clock), clock)
+        self.clock.run(3400.0)  # a renewal is on its way
+        clock.stopped = True
+        self.clock.run(TTL_MS)
+        clock.go_on()  # its answer is read first, the end of the belief before it comes after
+        self.assertTrue(lease.holds() and not self.lost)
+
+
+class Joined(unittest.TestCase):
+    def setUp(self) -> None:
+        self.clock = VirtualClock()
+        self.service = MemoryService(self.clock)
+
+    def process(self) -> tuple[Presence, Tenure, MemoryWire]:
+        client = self.service.client(draw)
+        tenure = Tenure(client, self.clock, TTL_MS, draw)
+        presence = Presence(client, self.clock, tenure, MEMBER, draw)
+        tenure.start()
+        presence.start()
+        self.run_for(2000.0)
+        wire = client._wire._wire
+        assert isinstance(wire, MemoryWire)
+        return presence, tenure, wire
+
+    def run_for(self, ms: float) -> None:
+        self.clock.run(self.clock.now() + ms)
+
+    def holder(self) -> str | None:
+        record = self.service.ledger.records.get(PREFIX + "n1")
+        return record.lease if record is not None else None
+
+    def test_a_successor_is_known_once_the_process_before_it_has_left(self) -> None:
+        old, _, _ = self.process()
+        new, tenure, _ = self.process()
+        self.assertEqual((old.known, new.known), (True, False))
+        old.stop()
+        self.run_for(15000.0)
+        assert tenure.lease is not None
+        self.assertEqual((new.known, self.holder()), (True, tenure.lease.name))
+        record = self.service.ledger.records[PREFIX + "n1"]
+        self.assertEqual((read_member(record.value), read_member(b"{")), (MEMBER, None))
+        new.stop()
+        self.run_for(10.0)
+        self.assertIsNone(self.holder())
+
+    def test_one_that_was_cut_off_is_let_go_and_comes_back(self) -> None:
+        presence, tenure, wire = self.process()
+        wire.cut = True
+        self.run_for(2 * TTL_MS)
+        self.assertEqual((presence.known, self.holder(), tenure.lease), (False, "", None))
+        self.assertGreater(tenure.failures, 0)
+        self.assertTrue(tenure.why.startswith("LL101 "))
+        wire.cut = False
+        self.run_for(25000.0)
+        self.assertTrue(presence.known and self.holder())
+
+
+class Asked(unittest.TestCase):
+    def test_after_a_restore_it_asks_from_where_the_service_is(self) -> None:
+        asked: list[int] = []
+
+        class Wire(MemoryWire):
+            def read(self, prefix: str, index: int, wait_ms: float) -> Deferred[Found]:
+                asked.append(index)
+                return succeed(Found({}, {0: 50, 50: 7}.get(index, index + 1)))
+
+        clock = VirtualClock()
+        wire = Wire(MemoryService(clock), clock)
+        watch = StandingQuestion(
+            wire, clock, Pace(10.0, 8), draw, "r", Pacing(), lambda view: None, lambda error: None
+        )
+        while len(asked) < 4:
+            clock.run(clock.now() + 10.0)
+        watch.stop()
+        self.assertEqual(asked[:4], [0, 50, 7, 8])
