--- a/lupinlink/release/agent.py
+++ b/lupinlink/release/agent.py
@@ -67,7 +67,7 @@
             self._report,
             settings.report_ms,
             draw,
-            self._answered,
+            self._hearing,
         )
         self.acting.report_by(self.reporter)
         self.steering = Steering(
@@ -88,7 +88,9 @@
         """Begin."""
         self.lead.start()
         self.reporter.start()
-        self._watch = self._agreement.watch(self._prefix + RELEASE, self._news, lambda error: None)
+        self._watch = self._agreement.watch(
+            self._prefix + RELEASE, self._news, lambda error: self._hearing.failed()
+        )
 
     def stop(self) -> None:
         """End; a permit that is held stays held until this name serves again."""
@@ -105,9 +107,6 @@
         """What the service's own calls to drain become with a fleet file: they ask for a permit first."""
         return self._door.drains()
 
-    def _answered(self) -> None:
-        self._hearing.heard(self._clock.now())
-
     def _report(self) -> Report:
         member, host = self._host.member, self._host
         self._served = self._served or host.serving() or host.standby()
@@ -122,7 +121,7 @@
         return report
 
     def _news(self, view: View) -> None:
-        self._answered()
+        self._hearing.heard(self._clock.now())
         before, went_back = self._view, self._view is not None and view.index < self._view.index
         self._view = view
         try:
--- a/lupinlink/release/course.py
+++ b/lupinlink/release/course.py
@@ -73,6 +73,7 @@
             joined(plan, order, population)
             if order is not None and order.back and order.number >= plan.number and not plan.back:
                 turn_back(plan, population)
+                self._since.clear()
             follow(plan, population, _outs(permits, plan).held, facts.quiet)
             self._times(plan, facts.now)
         self._ends(permits, plan, facts, halt.stands, decision)
--- a/lupinlink/release/door.py
+++ b/lupinlink/release/door.py
@@ -17,7 +17,7 @@
 from lupinlink.release.ordering import Make, Ordering
 from lupinlink.release.records import MEMBERS, RELEASE, Order
 
-SILENT_MS = 6000.0  # unheard for so long, nothing but a halt is promised here
+SILENT_MS = tables.UNHEARD_S * 1000.0  # unheard for so long, nothing but a halt is promised here
 FIELDS = {
     "start": {"version", "kind", "restart", "pool", "zone", "name", "by"},
     "halt": {"why", "by"},
--- a/lupinlink/release/follow.py
+++ b/lupinlink/release/follow.py
@@ -113,7 +113,12 @@
             placed.trips = 0 if placed.state is not State.PERMITTED else placed.trips
             continue
         untouched = placed.state is State.WAITING and placed.trips == 0
+        still_out = placed.state is State.FAILED and one is not None and not one.serving
         placed.trips = 0
+        if still_out:
+            placed.wave = 0
+            _move(placed, State.OUT, "was not back")
+            continue
         if one is not None:
             placed.nonce, placed.left = one.nonce, False
         if untouched or (one is not None and arrived(plan, name, one)):
--- a/lupinlink/release/hearing.py
+++ b/lupinlink/release/hearing.py
@@ -16,16 +16,22 @@
     def __init__(self, deaf_ms: float, now: float) -> None:
         self._deaf_ms, self._last = deaf_ms, now
         self._gap, self._ended = 0.0, 0.0
+        self._failing = False
+
+    def failed(self) -> None:
+        """A call was not answered, or with an error of the service."""
+        self._failing = True
 
     def heard(self, now: float) -> None:
         """The service has answered."""
+        self._failing = False
         gap, self._last = now - self._last, max(now, self._last)
         if gap > self._deaf_ms:
             self._gap, self._ended = gap, now
 
     def silent_ms(self, now: float) -> float:
-        """Since when nothing was heard."""
-        return max(0.0, now - self._last)
+        """For how long calls have failed; 0: none has since the last that was answered."""
+        return max(0.0, now - self._last) if self._failing else 0.0
 
     def led(self) -> None:
         """Another process led and wrote after the silence, or this one has told of it."""
--- a/lupinlink/release/reporter.py
+++ b/lupinlink/release/reporter.py
@@ -19,6 +19,7 @@
 from lupinlink.coordination.errors import ConflictError, UncertainError
 from lupinlink.errors import LupinError
 from lupinlink.release.errors import RecordError, SameNameError
+from lupinlink.release.hearing import Hearing
 from lupinlink.release.records import Report, decoded, encoded
 from lupinlink.release.spawn import spawn
 
@@ -48,12 +49,14 @@
         make: Callable[[], Report],
         every_ms: float,
         draw: Callable[[], float],
-        heard: Callable[[], None],
+        hearing: Hearing,
     ) -> None:
-        """``key``: of the record. ``make``: the report as of now, without ``life`` and ``beat``. ``heard``: told of each answer."""
+        """``key``: of the record. ``make``: the report as of now, without ``life`` and ``beat``.
+        ``hearing``: told of each answer and of each failure.
+        """
         self._agreement, self._clock, self._make, self._draw = agreement, clock, make, draw
         self._key, self._nonce = key, nonce
-        self._every_ms, self._heard = every_ms, heard
+        self._every_ms, self._hearing = every_ms, hearing
         self._backoff = Backoff(AGAIN_MS, MOST_AGAIN_MS, draw)
         self._lock = DeferredLock()
         self._stopped = False
@@ -102,6 +105,7 @@
         except (ConflictError, UncertainError):
             self._next_ms = self._clock.now()  # the record was read anew: at the next look
         except LupinError:
+            self._hearing.failed()
             self._next_ms = self._clock.now() + self._backoff.next_ms()
         else:
             self._backoff.reset()
@@ -132,7 +136,7 @@
         except (ConflictError, UncertainError):
             await self._read()
             raise
-        self._heard()
+        self._hearing.heard(self._clock.now())
         self._beat, self._told = report.beat, self._turned(report)
         self._standing = Standing(written[self._key].revision, report)
         return report
@@ -144,7 +148,7 @@
 
     async def _read(self) -> None:
         view = await self._agreement.read(self._key)
-        self._heard()
+        self._hearing.heard(self._clock.now())
         record: Record | None = view.records.get(self._key)
         other: Report | None = None
         if record is not None:
--- a/lupinlink/release/returns.py
+++ b/lupinlink/release/returns.py
@@ -30,6 +30,7 @@
         """``late``: whether a member has had its permit for too long without beginning."""
         for name, permit in list(self._outs.held.items()):
             one = self._population.get(name)
+            self._version(name, permit)
             if one is None:
                 del self._outs.held[name]  # forgotten by an operator
             elif self._placed(name, permit):
@@ -45,14 +46,20 @@
             elif permit.plan or not one.ask:
                 self._withdraw(name)
 
+    def _version(self, name: str, permit: Permit) -> None:
+        """What is to be started in place of one that is out: after an order to go back, another version."""
+        plan = self._plan
+        placed = plan.members.get(name) if plan is not None and plan.run_for(permit) else None
+        if plan is not None and placed is not None and placed.state is not State.PERMITTED:
+            permit.version = plan.wants(name)
+
     def _of_plan(self, name: str, permit: Permit, one: Seen, late: bool, halted: bool) -> None:
         assert self._plan is not None
-        placed, version = self._plan.members[name], self._plan.wants(name)
+        placed = self._plan.members[name]
         if placed.state is not State.PERMITTED:
-            permit.version = version  # after an order to go back, another than it was given with
             return
         if (
-            (halted or late or permit.version != version)
+            (halted or late or permit.version != self._plan.wants(name))
             and one.nonce == permit.nonce
             and self._withdraw(name)
         ):
--- a/lupinlink/release/tables.py
+++ b/lupinlink/release/tables.py
@@ -10,6 +10,7 @@
 from lupinlink.release.orders import under_way
 from lupinlink.release.records import Outs, Plan, Stand, State
 
+UNHEARD_S = 6.0  # a silence of the service that an operator must know of; reports are answered sooner
 ROWS = 40  # of members in one table; the rest are counted
 HEAD = "{:<16} {:<10} {:>4}  {:<9} {:<9} {}"
 
@@ -34,9 +35,10 @@
     lines = [HEAD.format("member", "state", "wave", "from", "to", "why").rstrip()]
     for name in names[:ROWS]:
         placed = plan.members[name]
+        had = plan.version if plan.back else placed.old
         lines.append(
             HEAD.format(
-                name, placed.state.value, max(placed.wave, 0) + 1, placed.old or "-", plan.wants(name) or "-",
+                name, placed.state.value, max(placed.wave, 0) + 1, had or "-", plan.wants(name) or "-",
                 placed.why,
             ).rstrip()
         )  # fmt: skip
@@ -81,10 +83,10 @@
 
 
 def state(known: Known, silent_s: float, orders: Sequence[str], lead: str) -> str:
-    """The whole of it. ``silent_s``: so long nothing was heard of the service; over 3 it is said."""
+    """The whole of it. ``silent_s``: so long nothing was heard of the service."""
     plan, halt = known.plan, known.halt
     lines: list[str] = []
-    if silent_s > 3.0:
+    if silent_s > UNHEARD_S:
         lines.append(f"the agreement service was not heard for {silent_s:.0f} s; what follows is as old")
     if plan is None:
         lines.append("release: none")
