--- a/tests/quota_reference.py
+++ b/tests/quota_reference.py
@@ -30,19 +30,18 @@
 
 
 def _some(values: tuple[Any, ...]) -> st.SearchStrategy[tuple[Any, ...]]:
-    return st.one_of(
-        st.just(()), st.just(()), st.lists(st.sampled_from(values), max_size=2, unique=True).map(tuple)
-    )
-
-
-matches = st.builds(
-    Match,
-    _some(CLASSES),
-    _some(TENANTS),
-    _some(ZONES),
-    _some(PREFIXES),
-    _some(NETWORKS),
-    st.sampled_from((None, None, None, True, False)),
+    return st.lists(st.sampled_from(values), min_size=1, max_size=2, unique=True).map(tuple)
+
+
+# Of a quota inside another mostly one condition, so that requests are shared out among several.
+matches = st.one_of(
+    st.builds(Match, classes=_some(CLASSES)),
+    st.builds(Match, tenants=_some(TENANTS), zones=_some(ZONES)),
+    st.builds(Match, key_prefixes=_some(PREFIXES)),
+    st.builds(Match, networks=_some(NETWORKS)),
+    st.builds(Match, key_prefixes=_some(PREFIXES), networks=_some(NETWORKS)),
+    st.builds(Match, second_try=st.booleans()),
+    st.just(Match()),
 )
 
 
@@ -50,10 +49,10 @@
 def limits(draw: st.DrawFn, outer: Limit | None, name: str, depth: int) -> list[Limit]:
     """A limit and all inside it."""
     rate, burst = draw(st.sampled_from((5, 20, 100))), draw(st.integers(6, 12))
-    by, guaranteed = draw(st.sampled_from(("", "", "key", "address", "tenant"))), 0.0
+    by, guaranteed = draw(st.sampled_from(("", "", "", "key", "address", "tenant"))), 0.0
     if outer is not None:
         rate, burst = min(rate, int(outer.rate_per_s)), min(burst, int(outer.burst))
-        guaranteed = draw(st.sampled_from((0.0, outer.rate_per_s / 5))) if not by else 0.0
+        guaranteed = draw(st.sampled_from((0.0, outer.rate_per_s / 10))) if not by else 0.0
     limit = Limit(
         path=f"{outer.path}/{name}" if outer else name,
         rate_per_s=float(rate),
@@ -61,18 +60,18 @@
         parent=outer.path if outer else "",
         guaranteed_per_s=guaranteed if guaranteed <= rate else 0.0,
         borrows=not guaranteed or guaranteed > rate or draw(st.booleans()),
-        worth=draw(st.sampled_from((1.0, 1.0, 3.0, 0.5))) if outer else 1.0,
+        worth=draw(st.sampled_from((1.0, 3.0, 0.5))) if outer else 1.0,
         by=by,
         by_bits=16 if by == "address" else 0,
         by_bits6=48 if by == "address" else 0,
         most_values=draw(st.integers(1, 3)) if by else outer.most_values if outer else 1,
         shadow=(outer.shadow if outer else False) or draw(st.integers(0, 9)) == 0,
         says_when=outer.says_when if outer else True,
-        match=draw(matches),
+        match=draw(matches if outer or draw(st.booleans()) else st.just(Match())),
         usual=Figures(float(rate), float(burst), guaranteed if guaranteed <= rate else 0.0),
     )
     found = [limit]
-    for i in range(draw(st.integers(0, 2)) if depth < 3 else 0):
+    for i in range(draw(st.sampled_from((0, 2, 3, 4))) if depth == 1 else draw(st.integers(0, 3 - depth))):
         found += draw(limits(limit, f"q{i}", depth + 1))
     return found
 
--- a/tests/test_quota_decision.py
+++ b/tests/test_quota_decision.py
@@ -18,7 +18,7 @@
 
 Steps = list[tuple[int, Asked, int]]
 steps = st.lists(
-    st.tuples(st.sampled_from((0, 0, 7, 60, 400, 9000)), asks, st.sampled_from((1, 1, 3, 9))), max_size=25
+    st.tuples(st.sampled_from((0, 0, 7, 60, 400, 9000)), asks, st.sampled_from((1, 4, 12))), max_size=25
 )
 SOON = 1e-6
 
@@ -200,6 +200,15 @@
     assert sum(purse.take([Charge(0)], 9000.0) is None for _ in range(40)) == 10
 
 
+def test_a_refusal_says_when_only_as_the_settings_and_the_limit_have_it() -> None:
+    text = "quota f { match class look rate 1/s } quota g { match class scan rate 1/s retry-after no }"
+    for most, told in ((0.0, 0.0), (500.0, 500.0), (1e9, 1000.0)):
+        compiled, purse = Compiled(policy_of(text).limits, most), LocalPurse(policy_of(text).limits)
+        said = {one: [compiled.decide(Asked(one), 0.0, purse) for _ in "12"][1] for one in ("look", "scan")}
+        assert (said["look"].refused_by, said["look"].retry_after_ms) == ("f", told)
+        assert (said["scan"].refused_by, said["scan"].retry_after_ms) == ("g", 0.0)
+
+
 def test_names_from_outside_fill_no_memory() -> None:
     compiled, purse = compiled_of(policy_of("quota f { rate 9/s by tenant quota a { match tenant acme } }"))
     for i in range(MOST_RECENT + 9):
--- a/tests/test_quota_language.py
+++ b/tests/test_quota_language.py
@@ -89,7 +89,7 @@
         ("LL303", 3, 2, "taken by f/a"),
     "quota f { rate 3/s quota a { match class look } quota b { match class scan }\n quota c { } }":
         ("LL303", 3, 2, "taken by those before it"),
-    "quota f { rate 3/s match key u quota a { match key v } }":
+    "quota f { rate 3/s match key u quota a { match key v quota b { } } }":
         ("LL303", 2, 32, "no request that comes to f"),
     "quota f { rate 3/s quota a { match address 10.0.0.0/8 }\n quota b { match address 10.1.0.0/16 } }":
         ("LL303", 3, 2, "taken by f/a"),
