--- a/tests/test_quota_language.py
+++ b/tests/test_quota_language.py
@@ -119,6 +119,8 @@
     "quota f { rate 3/s by key most 0 }": ("LL309", 2, 32, "whole number from 1"),
     "schedule s: from 12-01 to 13-01": ("LL309", 2, 27, "no day 13-01"),
     "quota f { rate 3/s }\nexpect 4 of class look: admitted": ("LL310", 3, 1, "admitted 3, refused by f"),
+    "quota f { rate 3/s } quota g { rate 9/s }\nexpect 4 of class look: admitted 3 refused by g":
+        ("LL310", 3, 1, "refused by f"),
     "quota f { rate 3/s }\nexpect class look: admitted charged nothing": ("LL310", 3, 1, "is charged f"),
 }  # fmt: skip
 
