--- a/lupinlink/lab/quota/fleet.py
+++ b/lupinlink/lab/quota/fleet.py
@@ -120,7 +120,9 @@
 
     def lead(self) -> Process | None:
         """Who deals."""
-        return next((p for p in self.processes if p.agent is not None and p.agent.lead.leads and p.serves), None)
+        return next(
+            (p for p in self.processes if p.agent is not None and p.agent.lead.leads and p.serves), None
+        )
 
     def _arrive(self) -> None:
         now = self.clock.now()
--- a/tests/fleet_side.py
+++ b/tests/fleet_side.py
@@ -56,7 +56,8 @@
         told = {
             **asdict(host.gauges()), "name": host.name, "stand": host.stand.value, "drained": host.drained,
             "ready": host.ready, "ends_soon": host.ends_soon, "uses": dict(host.use()),
-            "outcomes": host.outcomes(), "held": sorted(host.busy()), "servers": host.servers(), "asked": self._asked, "settled": self._settled,
+            "outcomes": host.outcomes(), "held": sorted(host.busy()),
+            "servers": host.servers(), "asked": self._asked, "settled": self._settled,
         }  # fmt: skip
         return Answer(200, json.dumps(told))
 
--- a/tests/test_release_rules.py
+++ b/tests/test_release_rules.py
@@ -9,7 +9,8 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
 from lupinlink.release.records import State
-from tests.release_world import SEEN_AFTER_MS, SETTINGS, Process, World
+from tests.release_cast import SEEN_AFTER_MS, SETTINGS, Process
+from tests.release_world import World
 
 NAMES = st.sampled_from([f"p{i}" for i in range(6)])
 LEADS = st.sampled_from([0, 1])
--- a/tests/test_wishes.py
+++ b/tests/test_wishes.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from itertools import pairwise
+
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -13,11 +15,16 @@
 @given(st.lists(st.tuples(WHO, st.booleans()), max_size=30))
 def test_it_serves_only_while_nobody_wants_it_out(asked: list[tuple[str, bool]]) -> None:
     turns: list[str] = []
-    wishes = Wishes(lambda: turns.append("out"), lambda: bool(turns.append("in")) or True)
+
+    def back() -> bool:
+        turns.append("in")
+        return True
+
+    wishes = Wishes(lambda: turns.append("out"), back)
     wanted: set[str] = set()
     for who, out in asked:
         (wanted.add if out else wanted.discard)(who)
         wishes.want(who, out)
         assert (turns[-1:] == ["out"]) == bool(wanted)
         assert wishes.only(who) == (wanted == {who})
-    assert all(one != other for one, other in zip(turns, turns[1:], strict=False))  # and is told once
+    assert all(one != other for one, other in pairwise(turns))  # and is told once
