--- a/tests/test_quota_decision.py
+++ b/tests/test_quota_decision.py
@@ -161,8 +161,8 @@
     st.lists(st.tuples(st.sampled_from((0, 9, 90, 700)), st.sampled_from("ghx"), st.booleans()), max_size=60)
 )
 def test_what_is_refunded_was_never_taken(asked: list[tuple[int, str, bool]]) -> None:
-    limits = policy_of("""quota f { rate 20/s burst 12 quota g { match class g guaranteed 10/s worth 2 }
-        quota h { match class h guaranteed 5/s } quota x { match class x rate 9/s } }""").limits
+    limits = policy_of("""quota f { rate 2/s burst 12 quota g { match class g guaranteed 1/s worth 2 }
+        quota h { match class h guaranteed 0.5/s } quota x { match class x } }""").limits
     one, other, now = LocalPurse(limits), LocalPurse(limits), 0.0
     for span, part, refunded in asked:
         now += span
@@ -209,6 +209,25 @@
         assert (said["scan"].refused_by, said["scan"].retry_after_ms) == ("g", 0.0)
 
 
+def test_the_first_part_that_fits_has_a_request_however_it_is_found() -> None:
+    quotas = (
+        "address 10.0.0.0/8",
+        "key k/1",
+        "key k",
+        "address 10.1.0.0/16",
+        "key m match address ::/0",
+        "key m",
+    )
+    text = " ".join(f"quota q{i} {{ match {said} }}" for i, said in enumerate(quotas))
+    compiled, _ = compiled_of(policy_of(f"quota f {{ rate 9/s {text} }}"))
+    for key, address, index in (
+        ("k/12", "10.1.2.3", 0), ("k/12", "::1", 1), ("k/2", "10.1.2.3", 0), ("k", "", 2), ("", "::ffff:10.1.2.3", 0),
+        ("m", "192.0.2.1", 5), ("m", "2001:db8::1%eth0", 4), ("m", "none", 5), ("x", "010.1.2.3", -1),
+    ):  # fmt: skip
+        charges, _ = compiled.bill(Asked("look", key=key, address=address))
+        assert [charge.limit for charge in charges[1:]] == ([index + 1] if index >= 0 else [])
+
+
 def test_names_from_outside_fill_no_memory() -> None:
     compiled, purse = compiled_of(policy_of("quota f { rate 9/s by tenant quota a { match tenant acme } }"))
     for i in range(MOST_RECENT + 9):
