--- a/lupinlink/lab/quota/fleet.py
+++ b/lupinlink/lab/quota/fleet.py
@@ -41,7 +41,7 @@
         if fleet.kind != "shared":
             share = 1 if fleet.kind == "whole" else len(fleet.weights)
             limits = [_divided(limit, share) for limit in fleet.policy.limits]
-            self.purses = [LocalPurse(limits, self.clock.now())]
+            self.purses = [LocalPurse(limits)]
             return
         self.tenure = Tenure(self.client, self.clock, LEASE_MS, rng.random)
         self.agent = QuotaAgent(
--- a/lupinlink/quota/sharing/agent.py
+++ b/lupinlink/quota/sharing/agent.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable, Sequence
 
 import msgspec
-from twisted.internet.defer import Deferred, succeed
+from twisted.internet.defer import Deferred
 from twisted.python.failure import Failure
 
 from lupinlink.clock import Clock
--- a/lupinlink/quota/sharing/leading.py
+++ b/lupinlink/quota/sharing/leading.py
@@ -68,7 +68,7 @@
             self._call = self._clock.at(self._clock.now() + wait_ms, self._look)
 
     def _failed(self, failure: Failure) -> None:
-        failure.trap(LupinError)
+        failure.trap(LupinError)  # type: ignore[no-untyped-call]
         self._again(ROUND_MS * (1.0 + self._draw()))
 
     def _seen(self, view: View) -> None:
@@ -132,7 +132,7 @@
 
 
 def _parts(steps: Sequence[Step], most: int) -> list[list[Step]]:
-    """Commits of so many steps and bytes at most; one that is empty where there is nothing: the guard alone."""
+    """Commits of so many steps and bytes at most; one empty one where there is nothing: the guard alone."""
     found: list[list[Step]] = [[]]
     size = 0
     for step in steps:
@@ -147,7 +147,7 @@
 
 def _unwritten(failure: Failure) -> None:
     # Nobody was answered, or only perhaps: the book counts it either way, and the next round deals anew.
-    failure.trap(LupinError)
+    failure.trap(LupinError)  # type: ignore[no-untyped-call]
     log.info("answers were not written", extra={"kv": {"why": str(failure.value)}})
 
 
--- a/lupinlink/quota/sharing/policies.py
+++ b/lupinlink/quota/sharing/policies.py
@@ -53,7 +53,7 @@
         """``text``: of this process's own file, in force until the record is known.
 
         ``build``: raises LupinError for a text that cannot be used. ``holding``: the schedules of today.
-        ``changed``: told of what is in force, the settled version first. ``told``: of what a person should know.
+        ``changed``: told of what is in force, the settled version first. ``told``: what a person should know.
         Raises what ``build`` raises, for its own text.
         """
         self._agreement, self._clock, self._gateway, self._terms = agreement, clock, gateway, terms
@@ -163,5 +163,5 @@
 
 def _unheard(failure: Failure) -> None:
     # Another process heals it, or the next view calls for it again.
-    failure.trap(LupinError)
+    failure.trap(LupinError)  # type: ignore[no-untyped-call]
     log.info("the policies' record was not healed", extra={"kv": {"why": str(failure.value)}})
--- a/lupinlink/quota/sharing/purse.py
+++ b/lupinlink/quota/sharing/purse.py
@@ -166,7 +166,7 @@
         self._since[limit] = now
 
     def apply(self, slices: Mapping[Charge, tuple[float, float, float]], ends: float, now: float) -> None:
-        """New slices in place of all before, until ``ends``: shares of rate and burst, and a gift of tokens."""
+        """New slices in place of all before, until ``ends``: shares of rate and burst, and a token gift."""
         for charge in slices:
             if charge not in self._buckets:
                 self._open(charge, now)
