Do not take a proxy that migrations keep out for one that was drained before

A target is drained by the migration before the release's first report, which took that for an operator's drain and asked for a permit. Change: the shell tells the release so.

--- a/lupinlink/net/fleet_release.py
+++ b/lupinlink/net/fleet_release.py
@@ -4,14 +4,14 @@
 
 import logging
 import time
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from typing import TYPE_CHECKING
 
 from lupinlink.coordination.part import DoorCalls, Member
 from lupinlink.net.lifecycle import Stand
 from lupinlink.release.agent import ReleaseAgent
 from lupinlink.release.presence import Listed
-from lupinlink.release.records import Figures
+from lupinlink.release.records import Figures, Report
 
 if TYPE_CHECKING:
     from lupinlink.net.fleet import Kit
@@ -100,6 +100,13 @@
 class Release(ReleaseAgent):
     """The part; the service's own two calls to drain ask for a permit first."""
 
+    kept_out: Callable[[], bool]  # whether migrations want this proxy out
+
+    def _report(self) -> Report:
+        # Danger: else it is taken for drained before this process, and asks for a permit for good.
+        self._served = self._served or self.kept_out()
+        return super()._report()
+
     def calls(self) -> DoorCalls:
         return {**super().calls(), **self.drains()}
 
@@ -109,5 +116,6 @@
     lock_delay_ms = kit.settings.lock_delay_s * 1000.0
     host = ReleaseHost(kit)
     made = Release(kit.agreement, kit.clock, kit.tenure, host, settings, kit.draw, "", lock_delay_ms, kit.run)
+    made.kept_out = lambda: kit.wishes.wants("migration")
     kit.lead_by(made.lead)
     return made
--- a/tests/test_quota_decision.py
+++ b/tests/test_quota_decision.py
@@ -221,7 +221,8 @@
     text = " ".join(f"quota q{i} {{ match {said} }}" for i, said in enumerate(quotas))
     compiled, _ = compiled_of(policy_of(f"quota f {{ rate 9/s {text} }}"))
     for key, address, index in (
-        ("k/12", "10.1.2.3", 0), ("k/12", "::1", 1), ("k/2", "10.1.2.3", 0), ("k", "", 2), ("", "::ffff:10.1.2.3", 0),
+        ("k/12", "10.1.2.3", 0), ("k/12", "::1", 1), ("k/2", "10.1.2.3", 0), ("k", "", 2),
+        ("", "::ffff:10.1.2.3", 0),
         ("m", "192.0.2.1", 5), ("m", "2001:db8::1%eth0", 4), ("m", "none", 5), ("x", "010.1.2.3", -1),
     ):  # fmt: skip
         charges, _ = compiled.bill(Asked("look", key=key, address=address))
