--- a/lupinlink/coordination/pace.py
+++ b/lupinlink/coordination/pace.py
@@ -18,7 +18,7 @@
     """How often the service is asked."""
 
     ask_ms: float = 1000.0  # between two calls of this process, on average; standing questions wait for it
-    wait_ms: float = 10000.0  # how long a question may stand unanswered while nothing changes
+    wait_ms: float = 10000.0  # how long a question may stand while nothing changes, at most
     again_ms: float = 500.0  # the shortest wait after one that failed
 
 
--- a/lupinlink/coordination/watching.py
+++ b/lupinlink/coordination/watching.py
@@ -11,7 +11,7 @@
 from lupinlink.clock import Clock
 from lupinlink.coordination.backoff import Backoff
 from lupinlink.coordination.contract import View
-from lupinlink.coordination.errors import CoordinationError
+from lupinlink.coordination.errors import CoordinationError, RestoredError
 from lupinlink.coordination.history import follow
 from lupinlink.coordination.pace import Pace, Pacing
 from lupinlink.coordination.wire import Found, Wire
@@ -19,6 +19,7 @@
 
 log = logging.getLogger(__name__)
 MOST_AGAIN_MS = 10000.0  # between questions that failed
+SHORTER = 0.4  # of a question's wait, drawn
 SPREAD_MS = 100.0  # a change wakes every process at once; they ask again within this
 
 
@@ -54,7 +55,9 @@
 
     def _ask(self) -> None:
         asked_ms = self._clock.now()
-        found = self._wire.read(self._prefix, self._index, self._wait_ms)
+        # Danger: questions that one change has woken together would come together ever after.
+        wait_ms = self._wait_ms * (1.0 - SHORTER * self._draw())
+        found = self._wire.read(self._prefix, self._index, wait_ms)
         found.addCallbacks(self._answered, self._failed, callbackArgs=(asked_ms,))
 
     def _answered(self, found: Found, asked_ms: float) -> None:
@@ -63,7 +66,11 @@
         self._backoff.reset()
         # Danger: the highest index so far would be the wrong one; after a restore nothing comes up to it.
         self._index = found.index
-        self._told = follow(self._told, View(self._prefix, found.records, found.index, asked_ms))
+        before = self._told
+        self._told = follow(before, View(self._prefix, found.records, found.index, asked_ms))
+        if before is not None and self._told.index < before.index:
+            why = RestoredError(f"below {self._prefix}").line()
+            log.warning("restored", extra={"kv": {"why": why}})
         self._again(self._draw() * SPREAD_MS)
         self._tell(self._seen, self._told)
 
--- a/tests/test_tenure.py
+++ b/tests/test_tenure.py
@@ -8,6 +8,7 @@
 
 from twisted.internet.defer import Deferred, succeed
 
+from lupinlink.coordination.contract import Record
 from lupinlink.coordination.errors import LeaseLostError
 from lupinlink.coordination.keeping import KeptLease
 from lupinlink.coordination.memory import MemoryService, MemoryWire
@@ -124,14 +125,17 @@
         class Wire(MemoryWire):
             def read(self, prefix: str, index: int, wait_ms: float) -> Deferred[Found]:
                 asked.append(index)
-                return succeed(Found({}, {0: 50, 50: 7}.get(index, index + 1)))
+                now = {0: 50, 50: 7}.get(index, index + 1)
+                return succeed(Found({"r": Record("r", b"", now)}, now))
 
         clock = VirtualClock()
         wire = Wire(MemoryService(clock), clock)
         watch = StandingQuestion(
             wire, clock, Pace(10.0, 8), draw, "r", Pacing(), lambda view: None, lambda error: None
         )
-        while len(asked) < 4:
-            clock.run(clock.now() + 10.0)
+        with self.assertLogs("lupinlink.coordination.watching") as logs:
+            while len(asked) < 4:
+                clock.run(clock.now() + 10.0)
         watch.stop()
+        self.assertIn("LL107", logs.records[0].kv["why"])  # type: ignore[attr-defined]
         self.assertEqual(asked[:4], [0, 50, 7, 8])
