--- a/lupinlink/config/fleet.py
+++ b/lupinlink/config/fleet.py
@@ -37,9 +37,7 @@
     lock_delay_s: Annotated[float, Meta(ge=0.0, le=60.0)] = 1.0  # after a lease that ended
     call_ms: Annotated[float, Meta(ge=100.0, le=60000.0)] = 2000.0  # time-out of a call
     ask_ms: Annotated[float, Meta(ge=100.0, le=60000.0)] = 1000.0  # between calls, on average
-    wait_s: Annotated[float, Meta(ge=1.0, le=600.0)] = (
-        10.0  # of one while nothing changes
-    )
+    wait_s: Annotated[float, Meta(ge=1.0, le=600.0)] = 10.0  # of one while nothing changes
 
     @property
     def place(self) -> tuple[str, int]:
