--- a/tests/test_quota_decision.py
+++ b/tests/test_quota_decision.py
@@ -212,7 +212,7 @@
 def test_the_first_part_that_fits_has_a_request_however_it_is_found() -> None:
     quotas = (
         "address 10.0.0.0/8",
-        "key k/1",
+        'key "k/1"',
         "key k",
         "address 10.1.0.0/16",
         "key m match address ::/0",
