--- a/lupinlink/lab/fleet/bank.py
+++ b/lupinlink/lab/fleet/bank.py
@@ -177,10 +177,12 @@
             one.signal(signal.SIGKILL)
             one.bury()
             code = one.reap()
-            if code and played:
-                self.crashes.append(f"proxy {one.index} ended with {code}: {one.last_words()}")
             if logs is not None and one.log.exists():
                 (logs / one.log.name).write_bytes(one.log.read_bytes())
+            if code == -signal.SIGTERM and self.wanted is not None:
+                continue  # it was ending by itself, and had let go of the signal just then
+            if code and played:
+                self.crashes.append(f"proxy {one.index} ended with {code}: {one.last_words()}")
 
     def figures(self) -> dict[str, float]:
         """What the processes used, at most."""
