--- a/lupinlink/coordination/memory.py
+++ b/lupinlink/coordination/memory.py
@@ -36,6 +36,8 @@
         self.calls = 0  # that arrived, of all processes
         self._waiting: list[Callable[[], bool]] = []
         self._end_call = 0
+        self._read: dict[str, tuple[dict[str, Record], int]] = {}  # by prefix, as of ``_read_at``
+        self._read_at = (-1.0, 0)
 
     def wire(self, clock: Clock | None = None) -> MemoryWire:
         """One more process's way here. ``clock``: the process's own, which may stand still."""
@@ -51,6 +53,7 @@
     def restore(self, saved: Saved) -> None:
         """Go back to an older state."""
         self.ledger.restore(saved, self.clock.now())
+        self._read_at = (-1.0, 0)
         self.changed()
 
     def expire(self, lease: str) -> None:
@@ -71,6 +74,16 @@
         if end is not None:
             self._end_call = self.clock.at(end, self.changed)
 
+    def read(self, prefix: str) -> tuple[dict[str, Record], int]:
+        """As ``Ledger.read``, once for all questions of one moment: hundreds of processes ask the same."""
+        now = self.clock.now()
+        if self._read_at != (now, self.ledger.index):
+            self.ledger.expire(now)
+            self._read, self._read_at = {}, (now, self.ledger.index)
+        if prefix not in self._read:
+            self._read[prefix] = self.ledger.read(prefix, now)
+        return self._read[prefix]
+
     def wait(self, ask: Callable[[], bool]) -> None:
         """``ask`` is called at each change until it says that it was answered."""
         self._waiting.append(ask)
@@ -93,7 +106,7 @@
         def arrive(result: Deferred[Found]) -> None:
             def ask() -> bool:
                 error = self._turned_away()
-                records, now_index = service.ledger.read(prefix, service.clock.now())
+                records, now_index = service.read(prefix)
                 if error is not None:
                     self._fail(result, error)
                 elif now_index != index or service.clock.now() >= until:
--- a/lupinlink/release/agent.py
+++ b/lupinlink/release/agent.py
@@ -24,7 +24,7 @@
 from lupinlink.release.known import Known, known
 from lupinlink.release.ordering import Ordering
 from lupinlink.release.orders import again
-from lupinlink.release.records import LEAD, MEMBERS, RELEASE, Report
+from lupinlink.release.records import LEAD, MEMBERS, PERMITS, PLAN, RELEASE, Report
 from lupinlink.release.reporter import Reporter
 from lupinlink.release.settings import ReleaseSettings
 from lupinlink.release.steering import Steering
@@ -122,7 +122,7 @@
 
     def _news(self, view: View) -> None:
         self._hearing.heard(self._clock.now())
-        before, went_back = self._view, self._view is not None and view.index < self._view.index
+        before, went_back = self.known, self._view is not None and view.index < self._view.index
         self._view = view
         try:
             self.known = state = known(view, self._prefix)
@@ -135,7 +135,8 @@
             self._say_again(state)
         else:
             self._memory.saw(state.halt, state.order)
-        if before is not None and state.permits.lead != self.name and view.records != before.records:
+        led = any(state.revision(key) > before.revision(key) for key in (PERMITS, PLAN))
+        if led and state.permits.lead != self.name:
             self._hearing.led()  # another leads, and has had the choice to halt
         self.acting.look(state)
         self.steering.news(view, went_back)
