--- a/lupinlink/lab/asking.py
+++ b/lupinlink/lab/asking.py
@@ -1,4 +1,4 @@
-"""What user agents say on loopback: the model's tries as HTTP/1.1, and their answers back into the model."""
+"""What clients say on loopback: the model's tries as HTTP/1.1, and their answers back into the model."""
 
 from __future__ import annotations
 
@@ -7,9 +7,9 @@
 
 from lupinlink.lab.callers import Answer, Call, Pool
 from lupinlink.lab.loop import LoopClock
+from lupinlink.lab.model.clients import Ask
 from lupinlink.lab.model.referee import Reply
 from lupinlink.lab.model.scenario import Scenario
-from lupinlink.lab.model.user_agents import Ask
 from lupinlink.net import http1
 
 if TYPE_CHECKING:
@@ -17,7 +17,7 @@
 
 
 class Asking:
-    """Between one world's user agents and their connections; ``world`` and ``pools`` are put in later."""
+    """Between one world's clients and their connections; ``world`` and ``pools`` are put in later."""
 
     world: World
 
@@ -37,7 +37,7 @@
         self.world.referee.answered(ask.name, self.clock.now(), Reply.FAILED)
 
     def ask(self, ask: Ask) -> None:
-        """A user agent begins a try: it is at its proxy a way later."""
+        """A client begins a try: it is at its proxy a way later."""
         self.clock.at(self.clock.now() + self.world.ways.client(), partial(self._send, ask))
 
     def _send(self, ask: Ask) -> None:
@@ -87,7 +87,7 @@
         self.clock.at(now + wait, done)
 
     def leave(self, ask: Ask) -> None:
-        """A user agent goes away."""
+        """A client goes away."""
         self.clock.at(self.clock.now() + self.world.ways.client(), partial(self._gone, ask))
 
     def _gone(self, ask: Ask) -> None:
--- a/lupinlink/lab/callers.py
+++ b/lupinlink/lab/callers.py
@@ -1,4 +1,4 @@
-"""User agents on loopback: a pool of connections to each proxy, one request at a time on each."""
+"""Clients on loopback: a pool of connections to each proxy, one request at a time on each."""
 
 from __future__ import annotations
 
@@ -27,7 +27,7 @@
 
 
 class Line(asyncio.Protocol):
-    """One connection of a user agent."""
+    """One connection of a client."""
 
     def __init__(self, pool: Pool) -> None:
         self._pool = pool
@@ -93,7 +93,7 @@
             self.done(answer)
 
     def leave(self) -> None:
-        """The user agent goes away: its connection is closed, nothing more is told."""
+        """The client goes away: its connection is closed, nothing more is told."""
         self.over = True
         if self.line is not None and self.line.call is self:
             self.line.call = None
--- a/lupinlink/lab/emulated.py
+++ b/lupinlink/lab/emulated.py
@@ -13,9 +13,9 @@
 from typing import Any
 
 from lupinlink.interface import Endpoint, EndpointState, MembershipKind
+from lupinlink.lab.model.clients import Ask
 from lupinlink.lab.model.referee import End
 from lupinlink.lab.model.servers import NEVER_RUN, Ending, Job, Server
-from lupinlink.lab.model.user_agents import Ask
 from lupinlink.lab.model.world import World
 from lupinlink.net import http1
 
--- a/lupinlink/lab/fleet/backends.py
+++ b/lupinlink/lab/fleet/backends.py
@@ -14,8 +14,8 @@
 from lupinlink.lab.emulated import Fronts, Passage, ServerFront, listen
 from lupinlink.lab.fleet import addresses
 from lupinlink.lab.fleet.gate import Hush, claim
+from lupinlink.lab.model.clients import Ask, Want
 from lupinlink.lab.model.servers import Server
-from lupinlink.lab.model.user_agents import Ask, Want
 from lupinlink.lab.model.windows import ServerSecond
 from lupinlink.lab.model.world import World
 from lupinlink.net import http1
@@ -92,7 +92,7 @@
         return Relay(self, name)
 
     def ask_of(self, passage: Passage, name: str, message: http1.Message) -> Ask | None:
-        """What a request is for stands in its path, which a proxy passes on unchanged."""
+        """What a request is for stands in its path, which an attempts on unchanged."""
         path, _, query = message.target.partition("?")
         figures = parse_qs(query)
         try:
--- a/lupinlink/lab/fleet/fronts.py
+++ b/lupinlink/lab/fleet/fronts.py
@@ -1,4 +1,4 @@
-"""A helper as one zone's front: its user agents, their connections, and which proxies it hands them to."""
+"""A helper as one zone's front: its clients, their connections, and which proxies it hands them to."""
 
 from __future__ import annotations
 
@@ -13,8 +13,8 @@
 from lupinlink.lab.callers import Call, Pool
 from lupinlink.lab.fleet import addresses
 from lupinlink.lab.loop import LoopClock
+from lupinlink.lab.model.clients import Ask
 from lupinlink.lab.model.scenario import Scenario
-from lupinlink.lab.model.user_agents import Ask
 from lupinlink.lab.model.world import World
 from lupinlink.lab.sockets import AGENT_SHARE
 
@@ -22,11 +22,11 @@
 SEEK_S = 0.1  # and at one that is not
 ANSWER = aiohttp.ClientTimeout(total=1.0)  # so long may the answer to a look take
 NOTICE_S = 2.0  # a proxy that answers no look is noticed to be dead after so long
-LEAVES_MS = 600.0  # past its time a user agent closes its connection
+LEAVES_MS = 600.0  # past its time a client closes its connection
 
 
 class FleetAsking(Asking):
-    """User agents of a fleet: their requests say in the path what they cost, and they leave in the end."""
+    """Clients of a fleet: their requests say in the path what they cost, and they leave in the end."""
 
     def target(self, ask: Ask) -> str:
         return f"{super().target(ask)}?work={ask.want.work_ms:.3f}&wait={ask.want.wait_ms:.3f}"
@@ -60,7 +60,7 @@
 
 
 class ZoneFront:
-    """One zone's user agents and front. ``changed`` is told of its proxies that come in or go out, and of
+    """One zone's clients and front. ``changed`` is told of its proxies that come in or go out, and of
     the time of the last look at which that was certainly not so, or, of one that goes out, of this one, and
     whether it said so itself; it is told again of one that was silent and is up as before."""
 
--- a/lupinlink/lab/fleet/ground.py
+++ b/lupinlink/lab/fleet/ground.py
@@ -10,10 +10,10 @@
 from lupinlink.lab.fleet.gate import FleetError
 from lupinlink.lab.fleet.size import shares
 from lupinlink.lab.loop import LoopClock
+from lupinlink.lab.model.clients import Ask
 from lupinlink.lab.model.lost import LossReferee
 from lupinlink.lab.model.referee import Try
 from lupinlink.lab.model.scenario import Scenario
-from lupinlink.lab.model.user_agents import Ask
 from lupinlink.lab.model.witnesses import Hearing, Witness
 from lupinlink.lab.model.world import World
 from lupinlink.lab.sockets import SLACK_MS
--- a/lupinlink/lab/fleet/rig.py
+++ b/lupinlink/lab/fleet/rig.py
@@ -112,7 +112,7 @@
             self.fleet["agreed"] = await self._agreeing.sums(self.seconds)
 
     async def _serve(self, bank: Bank, discovery: Discovery, befalling: Befalling) -> None:
-        """User agents ask, and faults befall the fleet, until the scenario's end."""
+        """Clients ask, and faults befall the fleet, until the scenario's end."""
         ground, clock, world = self._ground, self.clock, self.world
         if ground.scenario.agreement is not None:
             await ground.pass_time(ground.scenario.agreement.ready_after_s)
--- a/lupinlink/lab/fleet/seen.py
+++ b/lupinlink/lab/fleet/seen.py
@@ -13,11 +13,11 @@
 from lupinlink.lab.model.referee import Try
 from lupinlink.lab.model.windows import FleetSecond
 
-QUOTA_SLACK_MS = 50.0  # between what a user agent wrote and what its gateway read
+QUOTA_SLACK_MS = 50.0  # between what a client wrote and what its gateway read
 
 
 class Seen:
-    """Eyes on a fleet that agrees. What comes before the first user agent counts for nothing."""
+    """Eyes on a fleet that agrees. What comes before the first client counts for nothing."""
 
     def __init__(self, ground: Ground, spec: Agreement) -> None:
         scenario, count = ground.scenario, ground.scenario.proxies.count
@@ -35,7 +35,7 @@
         self._idle: set[int] = set()  # proxies of pools that do not serve yet: out, and by nobody's choice
 
     def begin(self, up: set[int]) -> None:
-        """User agents come from now on; ``up``: the proxies that their fronts find up."""
+        """Clients come from now on; ``up``: the proxies that their fronts find up."""
         pools = pools_of(self._spec, self._ground.scenario.proxies.count)
         first = next(iter(self._spec.pools), "")
         for proxy, pool in pools.items():
--- a/lupinlink/lab/migration_crowd.py
+++ b/lupinlink/lab/migration_crowd.py
@@ -1,6 +1,6 @@
-"""Proxies and their user agents for a migration's model, in simulated time.
+"""Proxies and their clients for a migration's model, in simulated time.
 
-A user agent keeps one connection, asks, rests, asks again; some rest long, some answers are long bodies. It
+A client keeps one connection, asks, rests, asks again; some rest long, some answers are long bodies. It
 connects anew where a front sends it: to one of the proxies that said yes at ``/up`` when it last looked. A
 proxy closes what rests for long, and in a drain each connection with its next answer and what rests 1.5 s
 after the call, as ``lupinlink.net`` has it.
@@ -17,13 +17,13 @@
 from lupinlink.net.lifecycle import DRAIN_IDLE_MS
 
 FRONT_MS = 300.0  # between two looks at /up
-REST_MS = 2100.0  # a proxy keeps a connection at rest so long (lupinlink.net.user_agents)
+REST_MS = 2100.0  # a proxy keeps a connection at rest so long (lupinlink.net.clients)
 BODY_BYTES_S = 1e6  # at which a long body goes
 
 
 @dataclass(frozen=True, slots=True)
 class Manners:
-    """How user agents behave; means of exponential times, in ms."""
+    """How clients behave; means of exponential times, in ms."""
 
     rest_ms: float = 700.0
     sleeper_share: float = 0.1  # rest much longer
@@ -35,7 +35,7 @@
 
 @dataclass(eq=False, slots=True)
 class Connection:
-    """Of one user agent to one proxy."""
+    """Of one client to one proxy."""
 
     proxy: LabProxy
     busy_since: float | None = None
@@ -138,17 +138,17 @@
 
 @dataclass(slots=True)
 class Crowd:
-    """The user agents, and the front before the proxies."""
+    """The clients, and the front before the proxies."""
 
     clock: VirtualClock
     random: random.Random
     proxies: list[LabProxy]
     manners: Manners = field(default_factory=Manners)
     seen_up: list[LabProxy] = field(default_factory=list)
-    unserved: int = 0  # times that a user agent found nobody in service
+    unserved: int = 0  # times that a client found nobody in service
 
     def start(self, agents: int) -> None:
-        """So many user agents come within the first second."""
+        """So many clients come within the first second."""
         self._look()
         for number in range(agents):
             sleeper = number < agents * self.manners.sleeper_share
--- a/lupinlink/lab/model/agreed.py
+++ b/lupinlink/lab/model/agreed.py
@@ -105,7 +105,7 @@
 
 
 class Owners:
-    """Which pool serves the user agents, as their fronts see it; only one may, unless it is being moved."""
+    """Which pool serves the clients, as their fronts see it; only one may, unless it is being moved."""
 
     def __init__(self, pools: Mapping[int, str], settled_ms: float) -> None:
         """``pools``: each proxy's. A move has settled once one pool alone was up for ``settled_ms``."""
@@ -123,7 +123,7 @@
         self._since = at
 
     def up(self, proxy: int, at: float, up: bool) -> None:
-        """A proxy is handed user agents from now on, or no more."""
+        """A proxy is handed clients from now on, or no more."""
         self.look(at)
         self._up.add(proxy) if up else self._up.discard(proxy)
         self._since = at
--- a/lupinlink/lab/model/agreed_quota.py
+++ b/lupinlink/lab/model/agreed_quota.py
@@ -1,6 +1,6 @@
 """Whether all gateways together let on more than a quota, and how much of it was used. Pure.
 
-From what servers and user agents saw: a try was let on when an attempt of it was seen at a server, or when it
+From what servers and clients saw: a try was let on when an attempt of it was seen at a server, or when it
 was answered with anything but a refusal. The moment is that of the whole request at its gateway, which
 decides then; what a gateway reads late is covered by a slack that every window is longer by.
 """
--- a/lupinlink/lab/model/agreement.py
+++ b/lupinlink/lab/model/agreement.py
@@ -30,7 +30,7 @@
     settled_s: Span = 4.0  # a pool that served alone for so long has the listener
     idle_s: Annotated[int, Meta(ge=1, le=60)] = 4  # a server that nobody used for so long is out of use
     idle_least: Positive = 20.0  # if so many requests came to the others meanwhile, each
-    ready_after_s: Instant = 0.0  # from the fleet's start to the first user agent: it gets to know itself
+    ready_after_s: Instant = 0.0  # from the fleet's start to the first client: it gets to know itself
     steady_from_s: Instant = 5.0  # quotas count as dealt from then on
     steady_after_s: Amount = 3.0  # and so long after each fault
 
--- a/lupinlink/lab/model/arrivals.py
+++ b/lupinlink/lab/model/arrivals.py
@@ -34,7 +34,7 @@
         return len(self.at)
 
     def of_zone(self, zone: int) -> Arrivals:
-        """Those of one zone's user agents, under the numbers that they have in the whole."""
+        """Those of one zone's clients, under the numbers that they have in the whole."""
         mine = self.zone == zone
         return Arrivals(
             self.at[mine], self.class_index[mine], self.member[mine], self.key[mine], self.zone[mine],
--- a/lupinlink/lab/model/user_agents.py
+++ b/lupinlink/lab/model/clients.py
@@ -1,4 +1,4 @@
-"""User agents: they ask open-loop, wait, leave, come back; the front spreads them over the proxies."""
+"""Clients: they ask open-loop, wait, leave, come back; the front spreads them over the proxies."""
 
 from __future__ import annotations
 
@@ -48,7 +48,7 @@
 
 
 class Front:
-    """Spreads user agents over the proxies of their zone; zones without one go to all."""
+    """Spreads clients over the proxies of their zone; zones without one go to all."""
 
     def __init__(self, scenario: Scenario, streams: Streams) -> None:
         zones = len(scenario.network.zones)
@@ -84,7 +84,7 @@
         return proxies[self._draws.below(len(proxies))]
 
 
-class UserAgents:
+class Clients:
     """Asks through ``ask`` what was drawn ahead; ``leave`` tells that one has gone away."""
 
     def __init__(
@@ -103,7 +103,7 @@
         self._spec, self._clock, self._referee = scenario.clients, clock, referee
         self._classes = list(scenario.classes.values())
         self._ask, self._leave = ask, leave
-        self._draws = streams.draws("user agents")
+        self._draws = streams.draws("clients")
         self._next = 0
         self.behind_ms = 0.0  # the latest that a first try was, against when it was drawn to come
         self._began = clock.now()
--- a/lupinlink/lab/model/faults.py
+++ b/lupinlink/lab/model/faults.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 from lupinlink.clock import Clock
+from lupinlink.lab.model.clients import Front
 from lupinlink.lab.model.farm import Farm
 from lupinlink.lab.model.fault_kinds import MEETS_SERVERS, PROXY_KINDS, Fault
 from lupinlink.lab.model.network import Ways
@@ -13,7 +14,6 @@
 from lupinlink.lab.model.roster import Roster
 from lupinlink.lab.model.scenario import Scenario
 from lupinlink.lab.model.streams import Streams
-from lupinlink.lab.model.user_agents import Front
 
 
 @dataclass(slots=True)
--- a/lupinlink/lab/model/lost.py
+++ b/lupinlink/lab/model/lost.py
@@ -11,7 +11,7 @@
     lost = 0
 
     def broken_off(self, name: str, now: float) -> None:
-        """A user agent's connection has ended without an answer."""
+        """A client's connection has ended without an answer."""
         before = self.counts[1]
         super().broken_off(name, now)
         self.lost += self.counts[1] > before
--- a/lupinlink/lab/model/network.py
+++ b/lupinlink/lab/model/network.py
@@ -23,7 +23,7 @@
         return self._drawn(self._spec.same_ms if zone == other else self._spec.cross_ms + self.more_ms)
 
     def client(self) -> float:
-        """From a user agent to its proxy or back, milliseconds."""
+        """From a client to its proxy or back, milliseconds."""
         return self._drawn(self._spec.client_ms)
 
     def _drawn(self, mean: float) -> float:
--- a/lupinlink/lab/model/referee.py
+++ b/lupinlink/lab/model/referee.py
@@ -1,7 +1,7 @@
-"""The referee: the four rules and the worth of the service, from what the wire, servers and user agents saw.
+"""The referee: the four rules and the worth of the service, from what the wire, servers and clients saw.
 
 Nothing a proxy says of itself counts. The wire tells when a request was whole at a proxy, when an attempt's
-first byte went out, when its last byte arrived, how it ended for both sides; the user agents tell what they
+first byte went out, when its last byte arrived, how it ended for both sides; the clients tell what they
 were answered; the farm tells what the roster told whom, and which server fell.
 
 The rules: 1 one final answer for each request taken, in time; 2 no forbidden repeat, no two attempts out at
@@ -23,7 +23,7 @@
 
 
 class Reply(Enum):
-    """What a user agent was answered."""
+    """What a client was answered."""
 
     SERVED = "served"
     REFUSED = "refused"
@@ -59,7 +59,7 @@
 
 @dataclass(slots=True)
 class Try:
-    """One request of a user agent at one proxy, and all that became of it."""
+    """One request of a client at one proxy, and all that became of it."""
 
     name: str
     first: int  # the number of the first try that it belongs to
@@ -71,7 +71,7 @@
     deadline: float
     sent: list[Sent] = field(default_factory=list)
     answers: list[tuple[float, Reply, str]] = field(default_factory=list)  # time, what, whose answer it was
-    left: float | None = None  # when the user agent went away
+    left: float | None = None  # when the client went away
     judged: bool = False  # its lack of an answer in time has been counted
     void: bool = False  # its proxy died, or was never reached: nothing is owed
 
@@ -86,7 +86,7 @@
                 lines.append((s.ended, f"attempt {i} ends: {s.end.value}"))
         lines += [(at, f"answered: {what.value}") for at, what, _ in self.answers]
         if self.left is not None:
-            lines.append((self.left, "the user agent leaves"))
+            lines.append((self.left, "the client leaves"))
         return [f"{at:12.1f} ms  {text}" for at, text in sorted(lines, key=lambda line: line[0])]
 
 
@@ -178,7 +178,7 @@
         self._recent: OrderedDict[str, Try] = OrderedDict()
         self._dead: set[int] = set()  # proxies that do not run: what comes to them is owed nothing
 
-    # What user agents tell
+    # What clients tell
 
     def first(self, number: int, first: First, work_ms: float) -> None:
         """Somebody wants something."""
@@ -236,14 +236,14 @@
         self._settle(request)
 
     def left(self, name: str, now: float) -> None:
-        """The user agent has closed its connection: nothing is owed any more."""
+        """The client has closed its connection: nothing is owed any more."""
         request = self._tries.get(name)
         if request is not None and request.left is None:
             request.left = now
             self._settle(request)
 
     def broken_off(self, name: str, now: float) -> None:
-        """The user agent's connection has ended without an answer: its proxy must have been killed."""
+        """The client's connection has ended without an answer: its proxy must have been killed."""
         request = self._tries.get(name)
         if request is None or request.answers or request.left is not None or request.judged:
             return
@@ -272,7 +272,7 @@
                 del told[key]
 
     def served(self, number: int, now: float) -> None:
-        """A first try, or a retry of it, has its answer at the user agent."""
+        """A first try, or a retry of it, has its answer at the client."""
         first = self._firsts.get(number)
         if first is None or first.done_at is not None:
             return
--- a/lupinlink/lab/model/scenario.py
+++ b/lupinlink/lab/model/scenario.py
@@ -14,7 +14,7 @@
 class Load(Part, frozen=True):
     """First tries, drawn ahead of the run: a slow answer delays no later one."""
 
-    rate: Positive = 200.0  # a second, all user agents together
+    rate: Positive = 200.0  # a second, all clients together
     shape: Literal["poisson", "bursty"] = "poisson"
     burst_factor: Times = 3.0  # bursty: rate while a burst lasts, over the mean
     burst_ms: Positive = 400.0  # mean length of a burst
@@ -51,7 +51,7 @@
 
 
 class Clients(Part, frozen=True):
-    """What user agents do beyond asking."""
+    """What clients do beyond asking."""
 
     retries: Annotated[int, Meta(ge=0, le=20)] = 2
     backoff_ms: Positive = 200.0  # before the first retry, doubled each time, drawn from half of it on
@@ -62,7 +62,7 @@
     hurried_ms: Positive = 45.0
     marks_retries: bool = True
     once: Share = 0.0  # of connections that carry one request and then rest; only sockets know of these
-    rest_ms: Positive = 1600.0  # until their user agent closes them
+    rest_ms: Positive = 1600.0  # until their client closes them
 
 
 class Kind(Part, frozen=True):
@@ -107,7 +107,7 @@
     count: Annotated[int, Meta(ge=1, le=10_000)] = 2
     sockets: Annotated[int, Meta(ge=64, le=1024)] = 1024
     memory_mb: Annotated[float, Meta(ge=32.0, le=65536.0)] = 192.0
-    ready_s: Span = 30.0  # of a fleet: user agents arrive once all are ready, or after so long
+    ready_s: Span = 30.0  # of a fleet: clients arrive once all are ready, or after so long
 
 
 class Network(Part, frozen=True):
--- a/lupinlink/lab/model/world.py
+++ b/lupinlink/lab/model/world.py
@@ -7,6 +7,7 @@
 
 from lupinlink.clock import Clock
 from lupinlink.lab.model.arrivals import draw
+from lupinlink.lab.model.clients import Ask, Clients
 from lupinlink.lab.model.farm import Farm, Told
 from lupinlink.lab.model.faults import Script
 from lupinlink.lab.model.network import Ways
@@ -14,7 +15,6 @@
 from lupinlink.lab.model.roster import Roster
 from lupinlink.lab.model.scenario import Scenario
 from lupinlink.lab.model.streams import Streams
-from lupinlink.lab.model.user_agents import Ask, UserAgents
 
 JUDGE_MS = 100.0  # the referee looks for answers that are overdue this often
 
@@ -49,7 +49,7 @@
         referee: Referee | None = None,
         zone: int | None = None,
     ) -> None:
-        """``referee``: in a replica one who passes on what happens. ``zone``: only its user agents ask."""
+        """``referee``: in a replica one who passes on what happens. ``zone``: only its clients ask."""
         self.scenario, self.clock = scenario, clock
         self.streams = Streams(seed)
         self.referee = referee or Referee(scenario, ended, slack_ms)
@@ -64,7 +64,7 @@
         arrivals = draw(scenario, self.streams)
         if zone is not None:
             arrivals = arrivals.of_zone(zone)
-        self.agents = UserAgents(scenario, clock, self.streams, arrivals, self.referee, ask, leave)
+        self.agents = Clients(scenario, clock, self.streams, arrivals, self.referee, ask, leave)
         self.script = Script(
             scenario, clock, self.streams, self.farm, self.roster, self.agents.front, self.ways
         )
--- a/lupinlink/lab/operations.py
+++ b/lupinlink/lab/operations.py
@@ -1,4 +1,4 @@
-"""Drains, upgrades, restarts and large bodies on real proxies under load: what each costs user agents."""
+"""Drains, upgrades, restarts and large bodies on real proxies under load: what each costs clients."""
 
 from __future__ import annotations
 
@@ -60,7 +60,7 @@
 
 
 class Stand:
-    """One application server, one discovery, one proxy (of one or two processes) and its user agents."""
+    """One application server, one discovery, one proxy (of one or two processes) and its clients."""
 
     def __init__(
         self, kind: str, times: int, rate: float, crowd: int, limits: dict[str, float], seed: int
@@ -263,7 +263,7 @@
         return False
 
     def _arrive(self) -> None:
-        """User agents: a Poisson stream, whatever comes back."""
+        """Clients: a Poisson stream, whatever comes back."""
         if self._rate > 0.0:
             self._loop.call_later(self._random.expovariate(self._rate), self._arrive)
             self._send()
--- a/lupinlink/lab/sockets.py
+++ b/lupinlink/lab/sockets.py
@@ -33,7 +33,7 @@
 START_S, STOP_S = 20.0, 6.0  # so long may a proxy take to serve, and to end
 LEAD_MS = 300.0  # at least, from the moment all is ready to the first request
 SLACK_MS = 50.0  # every time limit is so much longer on sockets
-AGENT_SHARE = 1.0 / 3.0  # of a proxy's descriptors: user agents hold no more connections there
+AGENT_SHARE = 1.0 / 3.0  # of a proxy's descriptors: clients hold no more connections there
 
 
 class ProxyProcess:
--- a/lupinlink/lab/virtual.py
+++ b/lupinlink/lab/virtual.py
@@ -2,7 +2,7 @@
 
 Each proxy is a real ``net.proxy.Proxy`` round a real decision module. Its clock is virtual, and the
 application servers' side is the model's: connections are opened, kept and closed, and bytes take their time,
-but no socket is there. What the user agents' side of the real network adds (parsing, its cap on connections)
+but no socket is there. What the clients' side of the real network adds (parsing, its cap on connections)
 is left out.
 """
 
@@ -18,13 +18,13 @@
 from twisted.internet.defer import Deferred
 
 from lupinlink.interface import Endpoint, MembershipKind, Status
+from lupinlink.lab.model.clients import Ask
 from lupinlink.lab.model.clock import VirtualClock
 from lupinlink.lab.model.farm import Place
 from lupinlink.lab.model.proxy_settings import settings
 from lupinlink.lab.model.referee import End, Reply, Try
 from lupinlink.lab.model.scenario import Scenario
 from lupinlink.lab.model.servers import NEVER_RUN, Ending, Job, Server
-from lupinlink.lab.model.user_agents import Ask
 from lupinlink.lab.model.world import World
 from lupinlink.net import proxy as net
 from lupinlink.net.bodies import Body
@@ -39,13 +39,13 @@
 MakeProxy = Callable[[Settings, int, VirtualClock, Any, Callable[[], None], Counters], Any]
 
 
-class VirtualPass:
-    """One proxy pass; ``ended`` fires once."""
+class VirtualAttempt:
+    """One attempt; ``ended`` fires once."""
 
     __slots__ = ("ended", "job", "number", "over", "place", "server", "side", "timer", "try_name")
 
     def __init__(self, side: Servers, place: Place, try_name: str) -> None:
-        self.ended: Deferred[net.PassEnd] = Deferred()
+        self.ended: Deferred[net.AttemptEnd] = Deferred()
         self.side, self.place, self.try_name = side, place, try_name
         self.server: Server | None = None  # the process that it is out at
         self.job: Job | None = None
@@ -57,9 +57,9 @@
         """The proxy closes its connection."""
         if not self.over:
             self.side.given_up(self)
-            self.finish(net.PassEnd(status))
+            self.finish(net.AttemptEnd(status))
 
-    def finish(self, end: net.PassEnd) -> None:
+    def finish(self, end: net.AttemptEnd) -> None:
         self.over = True
         self.side.out.pop(self, None)
         self.side.world.clock.drop(self.timer)
@@ -72,32 +72,32 @@
     def __init__(self, world: World, asks: dict[str, Ask], index: int, zone: int) -> None:
         self.world, self.asks, self.index, self.zone = world, asks, index, zone
         self._chance = world.streams.draws(f"side {index}")
-        self.out: dict[VirtualPass, None] = {}
+        self.out: dict[VirtualAttempt, None] = {}
         self._idle: dict[Server, list[float]] = {}  # by process: since when each idle connection is idle
         self._idle_ms = world.scenario.network.idle_close_ms * IDLE_SHARE
         self._network = world.scenario.network
 
-    def start(self, server: str, call: net.Call, timeout_ms: float) -> VirtualPass:
+    def start(self, server: str, call: net.Call, timeout_ms: float) -> VirtualAttempt:
         """An attempt goes out as soon as it has a connection."""
         world = self.world
         place = world.farm.places[server]
-        proxy_pass = VirtualPass(self, place, call.identity)
-        self.out[proxy_pass] = None
+        attempt = VirtualAttempt(self, place, call.identity)
+        self.out[attempt] = None
         now = world.clock.now()
-        proxy_pass.timer = world.clock.at(now + timeout_ms, partial(proxy_pass.give_up, Status.TIMEOUT))
+        attempt.timer = world.clock.at(now + timeout_ms, partial(attempt.give_up, Status.TIMEOUT))
         process = place.server
         idle = self._idle.get(process)
         while idle:
             if now - idle.pop() < self._idle_ms:
-                self._send(proxy_pass, process)
-                return proxy_pass
+                self._send(attempt, process)
+                return attempt
             process.ports.open -= 1
-        self._dial(proxy_pass, process, lambda: self._send(proxy_pass, process))
-        return proxy_pass
+        self._dial(attempt, process, lambda: self._send(attempt, process))
+        return attempt
 
-    def probe(self, server: str) -> Deferred[net.PassEnd]:
+    def probe(self, server: str) -> Deferred[net.AttemptEnd]:
         """Ask a server for its load report."""
-        world, ended = self.world, Deferred[net.PassEnd]()
+        world, ended = self.world, Deferred[net.AttemptEnd]()
         place = world.farm.places[server]
         process = place.server
         world.referee.probed()
@@ -114,24 +114,24 @@
                 back = world.ways.between(self.zone, place.zone)
                 report = _report(process.report())
                 world.clock.at(
-                    world.clock.now() + back, partial(finish, net.PassEnd(Status.OK, None, report))
+                    world.clock.now() + back, partial(finish, net.AttemptEnd(Status.OK, None, report))
                 )
 
-        def finish(end: net.PassEnd) -> None:
+        def finish(end: net.AttemptEnd) -> None:
             if not ended.called:
                 ended.callback(end)
 
         world.clock.at(world.clock.now() + there, asked)
         limit = self._network.dial_timeout_ms + 2.0 * there
-        world.clock.at(world.clock.now() + limit, partial(finish, net.PassEnd(Status.TIMEOUT)))
+        world.clock.at(world.clock.now() + limit, partial(finish, net.AttemptEnd(Status.TIMEOUT)))
         return ended
 
-    def _dial(self, proxy_pass: VirtualPass, process: Server, made: Callable[[], None]) -> None:
-        world, place = self.world, proxy_pass.place
+    def _dial(self, attempt: VirtualAttempt, process: Server, made: Callable[[], None]) -> None:
+        world, place = self.world, attempt.place
         now = world.clock.now()
         world.referee.shook()
         way = world.ways.between(self.zone, place.zone) + world.ways.between(self.zone, place.zone)
-        refused = partial(self._unreached, proxy_pass)
+        refused = partial(self._unreached, attempt)
         if process.troubles.silent or process.troubles.hangs:
             # Nobody says no: the dial ends when it has taken too long.
             world.clock.at(now + self._network.dial_timeout_ms, refused)
@@ -144,8 +144,8 @@
 
         def up() -> None:
             if not process.alive or process.fallen:
-                self._unreached(proxy_pass)
-            elif proxy_pass.over:
+                self._unreached(attempt)
+            elif attempt.over:
                 self._rest(process)
             else:
                 process.overhead(process.machine.connection_work_ms)
@@ -153,74 +153,74 @@
 
         world.clock.at(now + way, up)
 
-    def _unreached(self, proxy_pass: VirtualPass) -> None:
-        if not proxy_pass.over:
-            proxy_pass.finish(net.PassEnd(Status.UNREACHABLE))
+    def _unreached(self, attempt: VirtualAttempt) -> None:
+        if not attempt.over:
+            attempt.finish(net.AttemptEnd(Status.UNREACHABLE))
 
-    def _send(self, proxy_pass: VirtualPass, process: Server) -> None:
-        world, place = self.world, proxy_pass.place
-        now, name = world.clock.now(), proxy_pass.try_name
-        proxy_pass.server = process
-        proxy_pass.number = world.referee.sent(
+    def _send(self, attempt: VirtualAttempt, process: Server) -> None:
+        world, place = self.world, attempt.place
+        now, name = world.clock.now(), attempt.try_name
+        attempt.server = process
+        attempt.number = world.referee.sent(
             name, place.name, place.zone, place.cell, now, crosses=place.zone != self.zone
         )
         there = world.ways.between(self.zone, place.zone)
-        world.clock.at(now + there, partial(self._arrive, proxy_pass, process))
+        world.clock.at(now + there, partial(self._arrive, attempt, process))
 
-    def _arrive(self, proxy_pass: VirtualPass, process: Server) -> None:
+    def _arrive(self, attempt: VirtualAttempt, process: Server) -> None:
         world = self.world
-        name = proxy_pass.try_name
+        name = attempt.try_name
         ask = self.asks.get(name)
-        if proxy_pass.over or ask is None or not process.alive or process.troubles.silent:
+        if attempt.over or ask is None or not process.alive or process.troubles.silent:
             return
         now = world.clock.now()
-        world.referee.arrived(name, proxy_pass.number, now)
+        world.referee.arrived(name, attempt.number, now)
         want = ask.want
         if process.troubles.resets > 0.0 and self._chance.even() < process.troubles.resets:
-            self._back(proxy_pass, process, net.PassEnd(Status.RESET), End.RESET)
+            self._back(attempt, process, net.AttemptEnd(Status.RESET), End.RESET)
             return
         noise = world.scenario.load.work_noise
         work = want.work_ms
         if noise > 0.0:
             work *= math.exp(noise * self._chance.normal() - noise * noise / 2.0)  # of mean 1
         job = Job(work, want.wait_ms, want.key, ask.deadline, None, self.index)
-        job.ended = partial(self._ended, proxy_pass, process)
-        proxy_pass.job = job
+        job.ended = partial(self._ended, attempt, process)
+        attempt.job = job
         process.offer(job)
 
-    def _ended(self, proxy_pass: VirtualPass, process: Server, how: Ending, report: dict[str, float]) -> None:
+    def _ended(self, attempt: VirtualAttempt, process: Server, how: Ending, report: dict[str, float]) -> None:
         told = _report(report) if self.world.scenario.rules.reports else None
         if how is Ending.SERVED:
-            body = proxy_pass.try_name.encode()
-            end = net.PassEnd(Status.OK, net.Reply([], body), told)
-            self._back(proxy_pass, process, end, End.SERVED)
+            body = attempt.try_name.encode()
+            end = net.AttemptEnd(Status.OK, net.Reply([], body), told)
+            self._back(attempt, process, end, End.SERVED)
         elif how in NEVER_RUN:
-            self._back(proxy_pass, process, net.PassEnd(Status.OVERLOADED, None, told), End.NEVER_RAN)
+            self._back(attempt, process, net.AttemptEnd(Status.OVERLOADED, None, told), End.NEVER_RAN)
         elif how is Ending.SPOILT:
-            self._back(proxy_pass, process, net.PassEnd(Status.RESET), End.ERROR, reuse=False)
+            self._back(attempt, process, net.AttemptEnd(Status.RESET), End.ERROR, reuse=False)
         else:
-            self._back(proxy_pass, process, net.PassEnd(Status.ERROR, None, told), End.ERROR)
+            self._back(attempt, process, net.AttemptEnd(Status.ERROR, None, told), End.ERROR)
 
     def _back(
-        self, proxy_pass: VirtualPass, process: Server, end: net.PassEnd, how: End, reuse: bool = True
+        self, attempt: VirtualAttempt, process: Server, end: net.AttemptEnd, how: End, reuse: bool = True
     ) -> None:
         """An answer, or a reset, is on its way to the proxy."""
         world = self.world
-        back = world.ways.between(self.zone, proxy_pass.place.zone)
+        back = world.ways.between(self.zone, attempt.place.zone)
 
         def here() -> None:
-            if proxy_pass.over:
-                if proxy_pass.job is not None and how is not End.NEVER_RAN:
-                    world.referee.wasted(proxy_pass.job.cost_ms)
+            if attempt.over:
+                if attempt.job is not None and how is not End.NEVER_RAN:
+                    world.referee.wasted(attempt.job.cost_ms)
                 return
-            if how is not End.SERVED and how is not End.NEVER_RAN and proxy_pass.job is not None:
-                world.referee.wasted(proxy_pass.job.cost_ms)
+            if how is not End.SERVED and how is not End.NEVER_RAN and attempt.job is not None:
+                world.referee.wasted(attempt.job.cost_ms)
             if how is End.RESET or not reuse:
                 process.ports.open -= 1
             else:
                 self._rest(process)
-            world.referee.ended(proxy_pass.try_name, proxy_pass.number, world.clock.now(), how)
-            proxy_pass.finish(end)
+            world.referee.ended(attempt.try_name, attempt.number, world.clock.now(), how)
+            attempt.finish(end)
 
         world.clock.at(world.clock.now() + back, here)
 
@@ -228,16 +228,16 @@
         if process.alive:
             self._idle.setdefault(process, []).append(self.world.clock.now())
 
-    def given_up(self, proxy_pass: VirtualPass) -> None:
+    def given_up(self, attempt: VirtualAttempt) -> None:
         """The connection is closed from here; its server learns of it a way later."""
-        world, process = self.world, proxy_pass.server
-        if proxy_pass.number < 0 or process is None:
+        world, process = self.world, attempt.server
+        if attempt.number < 0 or process is None:
             return
         process.ports.open -= 1
-        world.referee.ended(proxy_pass.try_name, proxy_pass.number, world.clock.now(), End.GIVEN_UP)
-        job = proxy_pass.job
+        world.referee.ended(attempt.try_name, attempt.number, world.clock.now(), End.GIVEN_UP)
+        job = attempt.job
         if job is not None:
-            there = world.ways.between(self.zone, proxy_pass.place.zone)
+            there = world.ways.between(self.zone, attempt.place.zone)
             world.clock.at(world.clock.now() + there, partial(self._cancelled, process, job))
 
     def _cancelled(self, process: Server, job: Job) -> None:
@@ -251,15 +251,15 @@
         if process.troubles.silent:
             return
         world = self.world
-        for proxy_pass in [p for p in self.out if p.server is process]:
-            back = world.ways.between(self.zone, proxy_pass.place.zone)
-            world.clock.at(world.clock.now() + back, partial(self._broken, proxy_pass))
+        for attempt in [p for p in self.out if p.server is process]:
+            back = world.ways.between(self.zone, attempt.place.zone)
+            world.clock.at(world.clock.now() + back, partial(self._broken, attempt))
 
-    def _broken(self, proxy_pass: VirtualPass) -> None:
-        if not proxy_pass.over:
+    def _broken(self, attempt: VirtualAttempt) -> None:
+        if not attempt.over:
             world = self.world
-            world.referee.ended(proxy_pass.try_name, proxy_pass.number, world.clock.now(), End.RESET)
-            proxy_pass.finish(net.PassEnd(Status.RESET))
+            world.referee.ended(attempt.try_name, attempt.number, world.clock.now(), End.RESET)
+            attempt.finish(net.AttemptEnd(Status.RESET))
 
     def sweep(self, now: float) -> None:
         """Close what has been idle for long."""
@@ -279,7 +279,7 @@
 
 @dataclass(slots=True)
 class Agent:
-    """The user agents' side of one try."""
+    """The clients' side of one try."""
 
     world: World
     ask: Ask
@@ -289,7 +289,7 @@
     def served(self, reply: net.Reply) -> None:
         self._answer(Reply.SERVED, 0.0, reply.body.decode())
 
-    def unavailable(self, retry_after_ms: float, over_quota: bool = False) -> None:
+    def refused(self, retry_after_ms: float, over_quota: bool = False) -> None:
         self._answer(Reply.REFUSED, retry_after_ms)
 
     def failed(self, why: net.Failure) -> None:
--- a/lupinlink/limits/progress.py
+++ b/lupinlink/limits/progress.py
@@ -1,9 +1,9 @@
-"""Whether what a user agent sends gets on: heads by the clock, bodies by their rate. Pure; milliseconds."""
+"""Whether what a client sends gets on: heads by the clock, bodies by their rate. Pure; milliseconds."""
 
 from __future__ import annotations
 
 HEAD_MS = 2500.0  # a further head on a kept connection, from its first byte
-# The first head, from connecting: user agents in earnest take up to 2 s, others are owed an end within 3 s.
+# The first head, from connecting: clients in earnest take up to 2 s, others are owed an end within 3 s.
 FIRST_HEAD_MS = 2850.0
 RATE = 32.0  # bytes a millisecond: half of what is promised
 GRACE_MS = 1000.0  # not judged before that
--- a/lupinlink/limits/returns.py
+++ b/lupinlink/limits/returns.py
@@ -1,6 +1,6 @@
 """Which connections at rest are worth their place: learnt from how often, and how soon, they are asked again.
 
-A user agent may ask once, keep its connection and never come back on it. What it may hold is limited on
+A client may ask once, keep its connection and never come back on it. What it may hold is limited on
 its own side, where the proxy cannot see, so connections that nobody uses keep its next requests from being
 sent at all. Closing one that would have been asked again costs a new connection instead. So a place is
 given up once the odds of its being asked again fall under the price of a place, which rises as places run
--- a/lupinlink/migration/follower.py
+++ b/lupinlink/migration/follower.py
@@ -96,7 +96,7 @@
         return older
 
     def serves(self, now: float) -> bool:
-        """Whether it may serve user agents, as far as migrations go."""
+        """Whether it may serve clients, as far as migrations go."""
         if not self.pool:
             return True
         if self._memory is not None and not self._fresh(now):
--- a/lupinlink/migration/host.py
+++ b/lupinlink/migration/host.py
@@ -24,12 +24,12 @@
         ...
 
     def drain(self) -> None:
-        """Take no more user agents: ``/up`` says no, kept connections end with their answers. Again is
+        """Take no more clients: ``/up`` says no, kept connections end with their answers. Again is
         harmless."""
         ...
 
     def in_service(self) -> None:
-        """Take user agents, as far as migrations go; again is harmless."""
+        """Take clients, as far as migrations go; again is harmless."""
         ...
 
     def end_last(self) -> int:
--- a/lupinlink/migration/model.py
+++ b/lupinlink/migration/model.py
@@ -102,7 +102,7 @@
 class Figures(Struct, frozen=True, kw_only=True):
     """What a proxy holds at one moment; all figures are counts but for those that name a unit."""
 
-    live: int = 0  # connections of user agents
+    live: int = 0  # connections of clients
     idle: int = 0  # of these: with no part of a request
     closing: int = 0  # of these: answered for the last time
     requests: int = 0  # that still owe an answer
--- a/lupinlink/migration/progress.py
+++ b/lupinlink/migration/progress.py
@@ -48,7 +48,7 @@
 
 
 class Progress(Struct, frozen=True, kw_only=True):
-    """The lead's word; connections are of user agents."""
+    """The lead's word; connections are of clients."""
 
     epoch: int
     lead: str
--- a/lupinlink/migration/rules.py
+++ b/lupinlink/migration/rules.py
@@ -78,7 +78,7 @@
 
 
 def unready(sight: Sight) -> dict[str, str]:
-    """The targets that could not take user agents yet, by name, and why."""
+    """The targets that could not take clients yet, by name, and why."""
     known = [
         report.figures.servers for n in sight.migration.sources if (report := sight.fresh(n)) is not None
     ]
--- a/lupinlink/migration/settings.py
+++ b/lupinlink/migration/settings.py
@@ -12,12 +12,12 @@
 
 
 class ListenerSettings(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
-    """One named listener: the client address and classes of user agents that every proxy of a pool serves."""
+    """One named listener: the client address and classes of clients that every proxy of a pool serves."""
 
     name: Name
     home: Name  # the pool that has it before any migration, and where nothing else is known
     least: Annotated[int, Meta(ge=1, le=10000)] = 1  # proxies that serve it at any time
-    classes: tuple[Name, ...] = ()  # of user agents, as operators read them; empty: all
+    classes: tuple[Name, ...] = ()  # of clients, as operators read them; empty: all
 
 
 class MigrationSettings(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
--- a/lupinlink/migration/sight.py
+++ b/lupinlink/migration/sight.py
@@ -1,7 +1,7 @@
 """What the lead sees of a migration at one moment, and what may be counted on. Pure.
 
 Whoever is silent is never counted on: neither as serving (it may be dead) nor as having stopped (it may be
-cut off from us, and not from user agents).
+cut off from us, and not from clients).
 """
 
 from __future__ import annotations
@@ -94,7 +94,7 @@
         return sorted(name for name in self.migration.serving() if self.serves(name))
 
     def load(self) -> int:
-        """Connections of user agents at both pools, of all that are heard: they come back elsewhere."""
+        """Connections of clients at both pools, of all that are heard: they come back elsewhere."""
         names = (*self.migration.sources, *self.migration.targets)
         reports = [report for name in names if (report := self.fresh(name)) is not None]
         return sum(max(0, report.figures.live - report.figures.closing) for report in reports)
--- a/lupinlink/net/application_servers/__init__.py
+++ b/lupinlink/net/application_servers/__init__.py
@@ -1,4 +1,4 @@
-"""Application servers: their connection pools and the proxy passes that travel on them."""
+"""Application servers: their connection pools and the attempts that travel on them."""
 
 from lupinlink.net.application_servers.outcomes import outcome, read_report
 from lupinlink.net.application_servers.pools import ApplicationServers
--- a/lupinlink/net/application_servers/passes.py
+++ b/lupinlink/net/application_servers/attempts.py
@@ -1,4 +1,4 @@
-"""One proxy pass, from its start to its one end."""
+"""One attempt, from its start to its one end."""
 
 from __future__ import annotations
 
@@ -10,13 +10,13 @@
 from lupinlink.net.bodies import Body
 from lupinlink.net.counters import Counters
 from lupinlink.net.slots import Slots
-from lupinlink.net.terms import PassEnd
+from lupinlink.net.terms import AttemptEnd
 from lupinlink.net.wheel import Clockwork
 from lupinlink.settings import Settings
 
 
 class Servers(Protocol):
-    """All application servers' connections, as one pass or connection sees them."""
+    """All application servers' connections, as one attempt or connection sees them."""
 
     clock: Clockwork
     settings: Settings
@@ -25,19 +25,19 @@
 
 
 class Carrier(Protocol):
-    """The connection that a pass travels on."""
+    """The connection that an attempt travels on."""
 
     def drop(self) -> None: ...
 
 
 class Way(Protocol):
-    """A connection on its way up for a pass."""
+    """A connection on its way up for an attempt."""
 
     def abandon(self) -> None: ...
 
 
-class Pass:
-    """One proxy pass: ``ended`` fires once, after its connection was given back or closed."""
+class Attempt:
+    """One attempt: ``ended`` fires once, after its connection was given back or closed."""
 
     def __init__(
         self,
@@ -49,7 +49,7 @@
         only_head: bool = False,
     ) -> None:
         """``data``: what goes out first; ``body``: what follows it as it comes."""
-        self.ended: Deferred[PassEnd] = Deferred()
+        self.ended: Deferred[AttemptEnd] = Deferred()
         self.server, self.data, self.body, self.only_head = server, data, body, only_head
         self.connection: Carrier | None = None
         self.dial: Way | None = None
@@ -63,7 +63,7 @@
             self._servers.clock.drop(self._deadline)
             self._deadline = self._servers.clock.at(at_ms, lambda: self.give_up(Status.TIMEOUT))
 
-    def end(self, end: PassEnd) -> None:
+    def end(self, end: AttemptEnd) -> None:
         """The outcome; later ones find nothing to end."""
         if self._open:
             self._open = False
@@ -80,4 +80,4 @@
             dial.abandon()
         if connection is not None:
             connection.drop()
-        self.end(PassEnd(status))
+        self.end(AttemptEnd(status))
--- a/lupinlink/net/application_servers/connection.py
+++ b/lupinlink/net/application_servers/connection.py
@@ -10,12 +10,12 @@
 
 from lupinlink.interface import Status
 from lupinlink.net import http1
+from lupinlink.net.application_servers.attempts import Servers
 from lupinlink.net.application_servers.outcomes import kept, outcome, read_report
-from lupinlink.net.application_servers.passes import Servers
 from lupinlink.net.application_servers.pool import Pool
 from lupinlink.net.application_servers.sending import Opening, Sending
 from lupinlink.net.bodies import SMALL_BYTES, Flow
-from lupinlink.net.terms import PassEnd, Reply
+from lupinlink.net.terms import AttemptEnd, Reply
 from lupinlink.net.typed import READ_BYTES
 
 log = logging.getLogger("lupinlink.net.application_servers")
@@ -38,7 +38,7 @@
         self._heard_at = 0.0
 
     def dataReceived(self, data: bytes) -> None:
-        if self._pass is None and self._flow is None:
+        if self._attempt is None and self._flow is None:
             self.pool.forget(self)
             self.transport.abortConnection()  # nothing was asked
             return
@@ -53,7 +53,7 @@
             if self._flow is not None:
                 self._end_flow(None)
             else:
-                self._finish(PassEnd(Status.RESET if self._written else Status.NOT_SENT), reuse=False)
+                self._finish(AttemptEnd(Status.RESET if self._written else Status.NOT_SENT), reuse=False)
             return
         if self._flow is not None:
             self._flowed(message)
@@ -80,8 +80,8 @@
         if message is None and not self._parser.begun():
             return
         self._servers.counters["early_answers"] += 1
-        end = outcome(message) if message is not None else PassEnd(Status.NOT_SENT)
-        self._finish(end if end.status == Status.OVERLOADED else PassEnd(Status.NOT_SENT), reuse=False)
+        end = outcome(message) if message is not None else AttemptEnd(Status.NOT_SENT)
+        self._finish(end if end.status == Status.OVERLOADED else AttemptEnd(Status.NOT_SENT), reuse=False)
 
     def _ripe(self) -> bool:
         """Whether an answer is seen to be a long one that is worth passing on."""
@@ -93,17 +93,17 @@
         return length > SMALL_BYTES and self._parser.came >= FIRST_BYTES
 
     def _begin_flow(self) -> None:
-        """Pass the answer on as it comes. For its pass that is the end; the connection stays busy."""
-        head, proxy_pass = self._parser.head, self._pass
-        assert head is not None and proxy_pass is not None
+        """Pass the answer on as it comes. For its attempt that is the end; the connection stays busy."""
+        head, attempt = self._parser.head, self._attempt
+        assert head is not None and attempt is not None
         self._servers.counters["flows"] += 1
         self._flow = Flow(self._parser.length, self._hold_back, self._go_on, self._abandon_flow)
-        self._pass, proxy_pass.connection = None, None
+        self._attempt, attempt.connection = None, None
         self._heard_at = self._servers.clock.now()
         self._whole_by = self._servers.clock.after(FLOW_LOOK_MS, self._look_at_flow)
         self.transport.bufferSize = FLOW_READ_BYTES
         report = read_report(head.get("endpoint-load-metrics"))
-        proxy_pass.end(PassEnd(Status.OK, Reply(kept(head), self._parser.drain(), self._flow), report))
+        attempt.end(AttemptEnd(Status.OK, Reply(kept(head), self._parser.drain(), self._flow), report))
 
     def _flowed(self, message: http1.Message | None) -> None:
         """More of the answer that is being passed on, or its end."""
@@ -144,15 +144,15 @@
             self.transport.pauseProducing()
 
     def _abandon_flow(self) -> None:
-        """The user agent has gone."""
+        """The client has gone."""
         if self._flow is not None:
             self._flow = None
             self.drop()
 
     def _unfinished(self) -> None:
         self._servers.counters["unfinished_answers"] += 1
-        if self._pass is not None:
-            self._finish(PassEnd(Status.RESET), reuse=False)
+        if self._attempt is not None:
+            self._finish(AttemptEnd(Status.RESET), reuse=False)
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         self.pool.forget(self)
@@ -165,11 +165,11 @@
             message = None
         if self._flow is not None:
             self._end_flow(message)
-        elif self._pass is not None:
+        elif self._attempt is not None:
             if message is not None and self._written:
                 end = outcome(message)
             else:
-                end = PassEnd(Status.RESET if self._written else Status.UNREACHABLE)
-            proxy_pass, self._pass = self._pass, None
-            proxy_pass.connection = None
-            proxy_pass.end(end)
+                end = AttemptEnd(Status.RESET if self._written else Status.UNREACHABLE)
+            attempt, self._attempt = self._attempt, None
+            attempt.connection = None
+            attempt.end(end)
--- a/lupinlink/net/application_servers/dialling.py
+++ b/lupinlink/net/application_servers/dialling.py
@@ -8,22 +8,22 @@
 from twisted.python.failure import Failure
 
 from lupinlink.interface import Status
+from lupinlink.net.application_servers.attempts import Attempt, Servers
 from lupinlink.net.application_servers.connection import Connection
-from lupinlink.net.application_servers.passes import Pass, Servers
 from lupinlink.net.application_servers.pool import Pool, Rested
-from lupinlink.net.terms import PassEnd
+from lupinlink.net.terms import AttemptEnd
 from lupinlink.net.typed import Connector, Reactor
 from lupinlink.net.wheel import Timer
 
 
 class Dial(ClientFactory):
-    """One connection on its way up, for one pass."""
+    """One connection on its way up, for one attempt."""
 
     noisy = False
 
-    def __init__(self, servers: Servers, pool: Pool, proxy_pass: Pass) -> None:
+    def __init__(self, servers: Servers, pool: Pool, attempt: Attempt) -> None:
         self._servers, self.pool = servers, pool
-        self._pass: Pass | None = proxy_pass
+        self._attempt: Attempt | None = attempt
         self._timer: Timer | None = None
         self._connector: Connector | None = None
         self.handle = servers.connections.add(self)
@@ -45,19 +45,19 @@
     def made(self, connection: Rested) -> None:
         """It is up."""
         self.pool.dialled()
-        proxy_pass = self._settle()
-        if proxy_pass is None:
+        attempt = self._settle()
+        if attempt is None:
             connection.drop()
         else:
-            connection.carry(proxy_pass)
+            connection.carry(attempt)
 
     def clientConnectionFailed(self, connector: Connector, reason: Failure) -> None:
         self._servers.connections.remove(self.handle)
-        proxy_pass = self._settle()
-        if proxy_pass is not None:
+        attempt = self._settle()
+        if attempt is not None:
             self._servers.counters["dials_failed"] += 1
             self.pool.dialled(reason.getErrorMessage())
-            proxy_pass.end(PassEnd(Status.UNREACHABLE))
+            attempt.end(AttemptEnd(Status.UNREACHABLE))
 
     def abandon(self) -> None:
         """Nobody waits for it any more."""
@@ -67,18 +67,18 @@
                 self._connector.stopConnecting()
 
     def _too_slow(self) -> None:
-        proxy_pass = self._pass
+        attempt = self._attempt
         self.abandon()
-        if proxy_pass is not None:
+        if attempt is not None:
             self._servers.counters["dials_too_slow"] += 1
             self.pool.dialled("too slow")
-            proxy_pass.end(PassEnd(Status.UNREACHABLE))
+            attempt.end(AttemptEnd(Status.UNREACHABLE))
 
-    def _settle(self) -> Pass | None:
-        proxy_pass, self._pass = self._pass, None
+    def _settle(self) -> Attempt | None:
+        attempt, self._attempt = self._attempt, None
         if self._timer is not None:
             self._timer.drop()
             self._timer = None
-        if proxy_pass is not None:
-            proxy_pass.dial = None
-        return proxy_pass
+        if attempt is not None:
+            attempt.dial = None
+        return attempt
--- a/lupinlink/net/application_servers/outcomes.py
+++ b/lupinlink/net/application_servers/outcomes.py
@@ -1,4 +1,4 @@
-"""What an answer says: of its pass, of the server's load, and to the user agent. No I/O."""
+"""What an answer says: of its attempt, of the server's load, and to the client. No I/O."""
 
 from __future__ import annotations
 
@@ -6,7 +6,7 @@
 
 from lupinlink.interface import Status
 from lupinlink.net import http1
-from lupinlink.net.terms import PassEnd, Reply
+from lupinlink.net.terms import AttemptEnd, Reply
 from lupinlink.settings import SOCKET_FIELDS
 
 MOST_BUSY, MOST_FIGURE, MOST_REPORT = 16.0, 1e6, 1024  # beyond these a load report is noise
@@ -32,17 +32,17 @@
 
 
 def kept(message: http1.Message) -> list[tuple[str, str]]:
-    """The headers of an answer that go on to the user agent."""
+    """The headers of an answer that go on to the client."""
     return [(n, v) for n, v in message.headers if n.lower() in KEPT]
 
 
-def outcome(message: http1.Message) -> PassEnd:
-    """What an answer says of the pass."""
+def outcome(message: http1.Message) -> AttemptEnd:
+    """What an answer says of the attempt."""
     report = read_report(message.get("endpoint-load-metrics"))
     if message.status == 200:
-        return PassEnd(Status.OK, Reply(kept(message), message.body), report)
+        return AttemptEnd(Status.OK, Reply(kept(message), message.body), report)
     if message.status in (503, 504) and message.get("x-never-ran") == "1":
-        return PassEnd(Status.OVERLOADED, None, report)
+        return AttemptEnd(Status.OVERLOADED, None, report)
     if 400 <= message.status < 500 and message.status not in (408, 429):
-        return PassEnd(Status.REJECTED, None, report)
-    return PassEnd(Status.ERROR, None, report)  # it may have run
+        return AttemptEnd(Status.REJECTED, None, report)
+    return AttemptEnd(Status.ERROR, None, report)  # it may have run
--- a/lupinlink/net/application_servers/pool.py
+++ b/lupinlink/net/application_servers/pool.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
-from lupinlink.net.application_servers.passes import Pass
+from lupinlink.net.application_servers.attempts import Attempt
 
 log = logging.getLogger("lupinlink.net.application_servers")
 
@@ -18,7 +18,7 @@
     idle_since: float
     pool: Pool
 
-    def carry(self, proxy_pass: Pass) -> None: ...
+    def carry(self, attempt: Attempt) -> None: ...
     def stale(self) -> bool: ...
     def drop(self) -> None: ...
 
@@ -47,7 +47,7 @@
             self.idle.remove(connection)
 
     def void(self) -> None:
-        """Close what is idle; what is busy closes after its pass."""
+        """Close what is idle; what is busy closes after its attempt."""
         self.current = False
         while self.idle:
             self.idle.pop().drop()
--- a/lupinlink/net/application_servers/pools.py
+++ b/lupinlink/net/application_servers/pools.py
@@ -1,4 +1,4 @@
-"""All pools of connections to application servers, under one cap; each pass finds its connection here."""
+"""All pools of connections to application servers, under one cap; each attempt finds its connection here."""
 
 from __future__ import annotations
 
@@ -6,14 +6,14 @@
 
 from lupinlink.interface import Endpoint, EndpointState, Status
 from lupinlink.net import http1
+from lupinlink.net.application_servers.attempts import Attempt
 from lupinlink.net.application_servers.dialling import Dial
 from lupinlink.net.application_servers.outcomes import read_report
-from lupinlink.net.application_servers.passes import Pass
 from lupinlink.net.application_servers.pool import Pool
 from lupinlink.net.bodies import SMALL_BYTES, Body
 from lupinlink.net.counters import Counters
 from lupinlink.net.slots import Slots
-from lupinlink.net.terms import Call, PassEnd
+from lupinlink.net.terms import AttemptEnd, Call
 from lupinlink.net.typed import Reactor
 from lupinlink.net.wheel import Clockwork
 from lupinlink.settings import Settings
@@ -65,7 +65,7 @@
         for name in [n for n in self._pools if n not in named] if full else ():
             self._pools.pop(name).void()
 
-    def start(self, server: str, call: Call, timeout_ms: float) -> Pass:
+    def start(self, server: str, call: Call, timeout_ms: float) -> Attempt:
         """Send a pass on an idle connection, or on a new one."""
         pool = self._pools.get(server)
         headers = [(n, v) for n, v in call.headers if n.lower() not in REPLACED]
@@ -82,14 +82,14 @@
             body.length = body.end  # told now, however it was told before
         return self._send(server, data, timeout_ms, None if whole else body, call.method == "HEAD")
 
-    def probe(self, server: str) -> Deferred[PassEnd]:
+    def probe(self, server: str) -> Deferred[AttemptEnd]:
         """Ask an application server how it fares."""
         target = "/metrics/load" if self.settings.reports_in_probes else "/alive"
         data = http1.request("GET", target, [("Host", server)])
         return self._send(server, data, PROBE_MS).ended.addCallback(self._probed)
 
     @staticmethod
-    def _probed(end: PassEnd) -> PassEnd:
+    def _probed(end: AttemptEnd) -> AttemptEnd:
         if end.reply is not None and end.reply.flow is not None:
             end.reply.flow.stop()
         if end.reply is not None and end.report is None:
@@ -98,30 +98,30 @@
 
     def _send(
         self, server: str, data: bytes, timeout_ms: float, body: Body | None = None, only_head: bool = False
-    ) -> Pass:
+    ) -> Attempt:
         now = self.clock.now()
-        proxy_pass = Pass(self, server, data, now + timeout_ms, body, only_head)
+        attempt = Attempt(self, server, data, now + timeout_ms, body, only_head)
         pool = self._pools.get(server)
         if pool is None or timeout_ms <= 0.0:
-            proxy_pass.end(PassEnd(Status.NOT_SENT))
-            return proxy_pass
+            attempt.end(AttemptEnd(Status.NOT_SENT))
+            return attempt
         while pool.idle:
             connection = pool.idle.pop()
             if now - connection.idle_since < self._idle_ms and not connection.stale():
                 self.counters["connections_reused"] += 1
-                connection.carry(proxy_pass)
-                return proxy_pass
+                connection.carry(attempt)
+                return attempt
             connection.drop()
         if self.connections.full:
             self._evict()
         if self.connections.full:
-            self.counters["passes_over_cap"] += 1
-            proxy_pass.end(PassEnd(Status.NOT_SENT))
-            return proxy_pass
+            self.counters["attempts_over_cap"] += 1
+            attempt.end(AttemptEnd(Status.NOT_SENT))
+            return attempt
         self.counters["connections_opened"] += 1
-        proxy_pass.dial = Dial(self, pool, proxy_pass)
-        proxy_pass.dial.start(self._reactor)
-        return proxy_pass
+        attempt.dial = Dial(self, pool, attempt)
+        attempt.dial.start(self._reactor)
+        return attempt
 
     def _evict(self) -> bool:
         """Make room: the connection that has been idle longest goes. Its socket is freed a turn later."""
--- a/lupinlink/net/application_servers/sending.py
+++ b/lupinlink/net/application_servers/sending.py
@@ -12,10 +12,10 @@
 
 from lupinlink.interface import Status
 from lupinlink.net import http1
-from lupinlink.net.application_servers.passes import Pass, Servers
+from lupinlink.net.application_servers.attempts import Attempt, Servers
 from lupinlink.net.application_servers.pool import Pool, Rested
 from lupinlink.net.bodies import Body
-from lupinlink.net.terms import PassEnd
+from lupinlink.net.terms import AttemptEnd
 from lupinlink.net.typed import READ_BYTES, Transport
 from lupinlink.net.wheel import Timer
 
@@ -31,7 +31,7 @@
 
 @implementer(IPullProducer)
 class Sending(TcpProtocol):
-    """One connection to an application server: one proxy pass at a time, idle in its pool between.
+    """One connection to an application server: one attempt at a time, idle in its pool between.
 
     As a pull producer it learns when the kernel has taken a request's last byte: a break before that
     proves that the request never ran, a break after it does not.
@@ -41,7 +41,7 @@
 
     def __init__(self, servers: Servers, pool: Pool, dial: Opening) -> None:
         self._servers, self.pool, self._dial = servers, pool, dial
-        self._pass: Pass | None = None
+        self._attempt: Attempt | None = None
         self._parser = http1.AnswerParser(http1.MAX_MESSAGE)
         self._unsent: bytes | None = None
         self._body: Body | None = None  # of the request, while some of it is still to be sent
@@ -49,7 +49,7 @@
         self._starved = False  # it has no more at the moment
         self._written = True
         self._whole_by: Timer | None = None
-        self._held_back = False  # by the user agent, which does not read
+        self._held_back = False  # by the client, which does not read
         self.idle_since = 0.0
         self.handle = 0
 
@@ -58,12 +58,12 @@
         self.transport.bufferSize = READ_BYTES
         self._dial.made(self)
 
-    def carry(self, proxy_pass: Pass) -> None:
-        """Send a pass's request."""
-        self._pass, proxy_pass.connection = proxy_pass, self
-        self._unsent, self._written = proxy_pass.data, False
-        self._body, self._sent, self._starved = proxy_pass.body, 0, False
-        self._parser.asked_for_head = proxy_pass.only_head
+    def carry(self, attempt: Attempt) -> None:
+        """Send an attempt's request."""
+        self._attempt, attempt.connection = attempt, self
+        self._unsent, self._written = attempt.data, False
+        self._body, self._sent, self._starved = attempt.body, 0, False
+        self._parser.asked_for_head = attempt.only_head
         if self._body is not None:
             self._body.more = self._more
         self.transport.registerProducer(self, False)
@@ -90,7 +90,7 @@
         assert body is not None
         if body.broken:
             # Its end is never to be written, so it never runs.
-            self._finish(PassEnd(Status.NOT_SENT), reuse=False)
+            self._finish(AttemptEnd(Status.NOT_SENT), reuse=False)
             return
         data = body.read(self._sent, WRITE_BYTES)
         self._sent += len(data)
@@ -111,16 +111,16 @@
         body.sent(self._sent)
 
     def _stalled(self) -> None:
-        if self._pass is not None and not self._written:
+        if self._attempt is not None and not self._written:
             self._servers.counters["uploads_stalled"] += 1
-            self._finish(PassEnd(Status.NOT_SENT), reuse=False)
+            self._finish(AttemptEnd(Status.NOT_SENT), reuse=False)
 
     def stopProducing(self) -> None:
         pass  # connectionLost follows
 
     def drop(self) -> None:
         """Close at once. Twisted closes on its next turn, after other writes: the end must go first."""
-        self._pass = None
+        self._attempt = None
         self._settle()
         self._let_body_go()
         with suppress(OSError, AttributeError):
@@ -145,13 +145,13 @@
             self._whole_by.drop()
             self._whole_by = None
 
-    def _finish(self, end: PassEnd, reuse: bool) -> None:
+    def _finish(self, end: AttemptEnd, reuse: bool) -> None:
         self._settle()
-        proxy_pass, self._pass = self._pass, None
-        assert proxy_pass is not None
-        proxy_pass.connection = None
+        attempt, self._attempt = self._attempt, None
+        assert attempt is not None
+        attempt.connection = None
         self._rest(reuse)
-        proxy_pass.end(end)
+        attempt.end(end)
 
     def _rest(self, reuse: bool) -> None:
         """Back to the pool, or closed."""
--- a/lupinlink/net/bodies.py
+++ b/lupinlink/net/bodies.py
@@ -141,10 +141,10 @@
 
 
 class Flow:
-    """An answer that is passed on as it comes: from a pass to a user agent, which may hold it back.
+    """An answer that is passed on as it comes: from an attempt to a client, which may hold it back.
 
-    ``length``: of the whole body, where it is known. The pass gives ``pause``, ``resume`` and ``stop``; the
-    user agent's side sets ``data``, ``ended`` and ``broken``, and counts in ``passed`` what it wrote.
+    ``length``: of the whole body, where it is known. The attempt gives ``pause``, ``resume``, ``stop``; the
+    client's side sets ``data``, ``ended`` and ``broken``, and counts in ``passed`` what it wrote.
     """
 
     __slots__ = ("broken", "data", "ended", "length", "passed", "pause", "resume", "stop")
--- a/lupinlink/net/user_agents/accepting.py
+++ b/lupinlink/net/clients/accepting.py
@@ -1,4 +1,4 @@
-"""The listener, and which connections of user agents are taken and kept."""
+"""The listener, and which connections of clients are taken and kept."""
 
 from __future__ import annotations
 
@@ -12,16 +12,16 @@
 
 from lupinlink.net import http1
 from lupinlink.net.bodies import Budget
+from lupinlink.net.clients.calls import CallReader
+from lupinlink.net.clients.peer import Peer
+from lupinlink.net.clients.phases import Phase
+from lupinlink.net.clients.places import Places
+from lupinlink.net.clients.requests import Client
 from lupinlink.net.counters import Counters
 from lupinlink.net.farm import Farm
 from lupinlink.net.lifecycle import Lifecycle
 from lupinlink.net.proxy import Proxy
 from lupinlink.net.typed import Port
-from lupinlink.net.user_agents.calls import CallReader
-from lupinlink.net.user_agents.peer import Peer
-from lupinlink.net.user_agents.phases import Phase
-from lupinlink.net.user_agents.places import Places
-from lupinlink.net.user_agents.requests import UserAgent
 from lupinlink.net.wheel import Clockwork
 from lupinlink.settings import Settings
 
@@ -47,10 +47,10 @@
     _shouldShutdown = False  # noqa: N815
 
     @classmethod
-    def on(cls, listening: socket.socket, agents: UserAgents, reactor: object) -> Listener:
+    def on(cls, listening: socket.socket, clients: Clients, reactor: object) -> Listener:
         """A listener on a socket that listens already."""
         made = cls._fromListeningDescriptor(  # type: ignore[no-untyped-call]
-            reactor, listening.fileno(), listening.family, agents
+            reactor, listening.fileno(), listening.family, clients
         )
         return cast(Listener, made)
 
@@ -59,19 +59,19 @@
         self._reusePort = True
 
     def doRead(self) -> None:  # noqa: N802
-        agents = cast(UserAgents, self.factory)
+        clients = cast(Clients, self.factory)
         # Kept here: Twisted sets its own figure anew while it reads, to what it has just accepted.
-        most = self.numberAccepts = max(1, min(ACCEPTS, agents.room))
-        before = agents.counters["user_agents"]
+        most = self.numberAccepts = max(1, min(ACCEPTS, clients.room))
+        before = clients.counters["clients"]
         super().doRead()  # type: ignore[no-untyped-call]
-        if agents.unwatched_since is None:
+        if clients.unwatched_since is None:
             return
-        if agents.counters["user_agents"] - before < most or not waiting(self):
-            agents.watched()  # the kernel's queue is empty: what comes from now on is read as it comes
+        if clients.counters["clients"] - before < most or not waiting(self):
+            clients.watched()  # the kernel's queue is empty: what comes from now on is read as it comes
 
 
-class UserAgents(ServerFactory):
-    """The listener: it holds every connection of user agents under one cap."""
+class Clients(ServerFactory):
+    """The listener: it holds every connection of clients under one cap."""
 
     noisy = False
 
@@ -103,7 +103,7 @@
 
     @property
     def ready(self) -> bool:
-        """Whether a front should send user agents here."""
+        """Whether a front should send clients here."""
         return self._lifecycle.up(self._farm.ready)
 
     @property
@@ -111,37 +111,37 @@
         """How many more connections the cap allows."""
         return self.connections.capacity - len(self.connections)
 
-    def keeps(self, agent: Peer) -> bool:
+    def keeps(self, client: Peer) -> bool:
         """Whether a connection that has its answer stays.
 
         While others wait in the kernel's queue, a kept connection would leave them there for good.
         """
         if not self._lifecycle.keeps() or self.crowded:
             return False
-        stays = self._places.worth_keeping(agent)
+        stays = self._places.worth_keeping(client)
         self.counters["given_up_answered"] += not stays
         return stays
 
-    def buildProtocol(self, addr: object) -> UserAgent | None:
+    def buildProtocol(self, addr: object) -> Client | None:
         if self.connections.full and not self._places.make_room():
             self.counters["connections_over_cap"] += 1
             return None
-        agent = UserAgent(self)
-        agent.address = getattr(addr, "host", "")
+        client = Client(self)
+        client.address = getattr(addr, "host", "")
         if self.unwatched_since is not None:
-            agent.held_ms = self.clock.now() - self.unwatched_since
-        agent.handle = self.connections.add(agent)
-        self.enter(agent, Phase.SILENT)
-        self.counters["user_agents"] += 1
+            client.held_ms = self.clock.now() - self.unwatched_since
+        client.handle = self.connections.add(client)
+        self.enter(client, Phase.SILENT)
+        self.counters["clients"] += 1
         if self.connections.full and not self._places.make_room():
             # The rest waits in the kernel's queue until there is room, instead of being turned away.
             self.crowded = True
             self.listen()
-        return agent
+        return client
 
-    def lost(self, agent: Peer) -> None:
+    def lost(self, client: Peer) -> None:
         """A connection has ended."""
-        self._places.forget(agent)
+        self._places.forget(client)
         self._uncrowd()
 
     def _uncrowd(self) -> None:
--- a/lupinlink/net/user_agents/answers.py
+++ b/lupinlink/net/clients/answers.py
@@ -1,4 +1,4 @@
-"""Answers on their way to a user agent: whole, or passed on as they come; and whether it stays after one."""
+"""Answers on their way to a client: whole, or passed on as they come; and whether it stays after one."""
 
 from __future__ import annotations
 
@@ -10,8 +10,8 @@
 
 from lupinlink.net import http1
 from lupinlink.net.bodies import Flow
+from lupinlink.net.clients.peer import Crowd, Peer
 from lupinlink.net.terms import Failure, Reply
-from lupinlink.net.user_agents.peer import Crowd, Peer
 
 FLOW_SEND_BYTES = 128 * 1024  # of such an answer in the kernel: beyond it nobody could tell who does not read
 STATUS = {Failure.NOT_SERVED: 502, Failure.TOO_LATE: 504, Failure.INTERNAL: 500, Failure.DUPLICATE: 409}
@@ -19,19 +19,19 @@
 
 @implementer(IPushProducer)
 class Answered(Peer):
-    """UserAgentSide of the proxy: takes the one answer of the request that is open.
+    """ClientSide of the proxy: takes the one answer of the request that is open.
 
     As a push producer it takes no further request while its answers are not read: a silent peer must
     not fill the memory.
     """
 
-    def __init__(self, agents: Crowd) -> None:
-        super().__init__(agents)
+    def __init__(self, clients: Crowd) -> None:
+        super().__init__(clients)
         self._request: int | None = None  # the handle of the request that is open
         self._waiting = False  # an answer is owed, or on its way
         self._flow: Flow | None = None  # the answer that is being passed on
         self._chunked = False  # in what form
-        self._keep = True  # the user agent means the connection to stay
+        self._keep = True  # the client means the connection to stay
         self._minor = 1  # the version of HTTP/1 that it speaks
         self._only_head = False  # of the answer is asked for
 
@@ -40,7 +40,7 @@
         raise NotImplementedError
 
     def pauseProducing(self) -> None:
-        self._choked, self.choked_at = True, self._agents.clock.now()
+        self._choked, self.choked_at = True, self._clients.clock.now()
         if self._flow is not None:
             self._flow.pause()
 
@@ -60,7 +60,7 @@
         else:
             self._answer(200, reply.headers, reply.body, reply.length)
 
-    def unavailable(self, retry_after_ms: float, over_quota: bool = False) -> None:
+    def refused(self, retry_after_ms: float, over_quota: bool = False) -> None:
         after = [("Retry-After", f"{retry_after_ms / 1000.0:.3f}")] if retry_after_ms > 0 else []
         self._answer(429 if over_quota else 503, after)
 
@@ -73,9 +73,9 @@
         if not self._waiting:
             return
         self._waiting, self._request = False, None
-        self._agents.counters[f"answers_{status}"] += 1
+        self._clients.counters[f"answers_{status}"] += 1
         receiving = self._intake is not None
-        stay = self._keep and not receiving and self._agents.keeps(self)
+        stay = self._keep and not receiving and self._clients.keeps(self)
         if self._only_head:
             self.transport.write(http1.answer_head(status, headers, length, close=not stay))
         else:
@@ -93,11 +93,11 @@
             flow.stop()
             return
         self._request = None
-        self._agents.counters["answers_200"] += 1
-        self._agents.flowing[self] = None
+        self._clients.counters["answers_200"] += 1
+        self._clients.flowing[self] = None
         length = flow.length if flow.length is not None else http1.CHUNKED if self._minor else None
         self._chunked = length == http1.CHUNKED
-        self._keep = self._keep and length is not None and self._agents.keeps(self)
+        self._keep = self._keep and length is not None and self._clients.keeps(self)
         self._flow = flow
         flow.data, flow.ended, flow.broken = self._flow_data, self._flow_ended, self.abort
         with suppress(OSError, AttributeError):
@@ -114,7 +114,7 @@
         if self._chunked:
             self.transport.write(http1.LAST_CHUNK)
         self._flow, self._waiting = None, False
-        self._agents.flowing.pop(self, None)
+        self._clients.flowing.pop(self, None)
         if self._keep:
             self._advance()
         else:
--- a/lupinlink/net/user_agents/peer.py
+++ b/lupinlink/net/clients/peer.py
@@ -1,4 +1,4 @@
-"""A user agent's connection as such: whether it gets on, what of it is read, and how it ends."""
+"""A client's connection as such: whether it gets on, what of it is read, and how it ends."""
 
 from __future__ import annotations
 
@@ -17,14 +17,14 @@
 from lupinlink.limits.returns import Rest
 from lupinlink.net import http1
 from lupinlink.net.bodies import Budget
+from lupinlink.net.clients.phases import Phase
 from lupinlink.net.counters import Counters
 from lupinlink.net.proxy import Proxy
 from lupinlink.net.terms import Call
 from lupinlink.net.typed import READ_BYTES, Transport, unsent
-from lupinlink.net.user_agents.phases import Phase
 from lupinlink.net.wheel import Clockwork
 
-UNREAD_MS = 20000.0  # so long may a user agent read nothing of an answer that is passed on to it
+UNREAD_MS = 20000.0  # so long may a client read nothing of an answer that is passed on to it
 
 
 @dataclass(slots=True)
@@ -47,18 +47,18 @@
 
     @property
     def ready(self) -> bool:
-        """Whether a front should send user agents here."""
+        """Whether a front should send clients here."""
 
     def read(self, message: http1.Message, path: str) -> Call:
         """A request in the terms of the decisions; raises MessageError for what cannot be put so."""
 
-    def enter(self, agent: Peer, phase: Phase | None, anew: bool = False) -> None:
+    def enter(self, client: Peer, phase: Phase | None, anew: bool = False) -> None:
         """A connection's phase begins, or begins ``anew``; None: it has ended."""
 
-    def keeps(self, agent: Peer) -> bool:
+    def keeps(self, client: Peer) -> bool:
         """Whether a connection that has its answer stays."""
 
-    def lost(self, agent: Peer) -> None:
+    def lost(self, client: Peer) -> None:
         """A connection has ended."""
 
 
@@ -67,8 +67,8 @@
 
     transport: Transport  # type: ignore[assignment]
 
-    def __init__(self, agents: Crowd) -> None:
-        self._agents = agents
+    def __init__(self, clients: Crowd) -> None:
+        self._clients = clients
         self._parser = http1.RequestParser(http1.MAX_MESSAGE)
         self._intake: Intake | None = None
         self._deaf = self._choked = False
@@ -77,7 +77,7 @@
         self.choked_at = 0.0
         self.phase: Phase | None = None
         self.since = 0.0  # when the phase began
-        self.made_at = self.heard_at = agents.clock.now()
+        self.made_at = self.heard_at = clients.clock.now()
         self.asked = False  # a whole request was here
         self.address = ""
         self.rest: Rest | None = None  # while it stands between two requests
@@ -131,7 +131,7 @@
             if not 0 < self._left < before:
                 self.transport.abortConnection()
             else:
-                self._agents.enter(self, Phase.CLOSING, anew=True)
+                self._clients.enter(self, Phase.CLOSING, anew=True)
         elif self.phase is Phase.CLOSING:
             # No reset, which could overtake the answer: our side has ended already, now the other does.
             self.transport.loseConnection()
@@ -153,13 +153,13 @@
     def close(self) -> None:
         """Close once all is written; the sweep aborts what does not get there."""
         self._deaf = True
-        self._agents.enter(self, Phase.CLOSING)
+        self._clients.enter(self, Phase.CLOSING)
         self.transport.unregisterProducer()
         self.transport.loseConnection()
 
     def reject(self, status: int, why: str) -> None:
         """Answer what is no proper request, and take nothing more from this connection."""
-        self._agents.counters[f"rejected_{status}"] += 1
+        self._clients.counters[f"rejected_{status}"] += 1
         text = [("Content-Type", "text/plain")]
         self.transport.write(http1.answer(status, text, f"{why}\n".encode(), close=True))
         self._hang_up()
@@ -171,7 +171,7 @@
         and the answer with it.
         """
         self._deaf = True
-        self._agents.enter(self, Phase.CLOSING)
+        self._clients.enter(self, Phase.CLOSING)
         self._parser = http1.RequestParser()  # what it held is dropped
         self._drop_all()
         self.transport.unregisterProducer()
--- a/lupinlink/net/user_agents/phases.py
+++ b/lupinlink/net/clients/phases.py
@@ -1,11 +1,11 @@
-"""Where a user agent's connection stands, how long it may, and when it must make room. Pure."""
+"""Where a client's connection stands, how long it may, and when it must make room. Pure."""
 
 from __future__ import annotations
 
 import math
 from enum import Enum
 
-LINGER_MS = 1500.0  # so long may a user agent take to read its last answer without getting on with it
+LINGER_MS = 1500.0  # so long may a client take to read its last answer without getting on with it
 
 
 class Phase(Enum):
@@ -16,7 +16,7 @@
     """
 
     SILENT = 2200.0, 50.0  # not a byte was ever here
-    RESTING = 2100.0, 0.0  # between two requests; some user agents never come back
+    RESTING = 2100.0, 0.0  # between two requests; some clients never come back
     HEAD = math.inf, 400.0  # the head of a request has begun
     BODY = math.inf, 1000.0  # its body is on its way, and it is with nobody yet
     OPEN = math.inf, math.inf  # a request is with the decisions, or its answer on its way
--- a/lupinlink/net/user_agents/places.py
+++ b/lupinlink/net/clients/places.py
@@ -1,14 +1,14 @@
-"""Who has a place among the connections of user agents, and who gives way to others."""
+"""Who has a place among the connections of clients, and who gives way to others."""
 
 from __future__ import annotations
 
 from itertools import islice
 
 from lupinlink.limits.returns import Ended, Returns, price
+from lupinlink.net.clients.peer import Peer
+from lupinlink.net.clients.phases import Phase
 from lupinlink.net.counters import Counters
 from lupinlink.net.slots import Slots
-from lupinlink.net.user_agents.peer import Peer
-from lupinlink.net.user_agents.phases import Phase
 from lupinlink.net.wheel import Clockwork
 
 PEEKS = 8  # connections looked at to make room for one
@@ -25,22 +25,22 @@
         self.receiving: dict[Peer, None] = {}  # their requests are with the decisions before their end
         self._returns = Returns(cap)
 
-    def enter(self, agent: Peer, phase: Phase | None, anew: bool = False) -> None:
+    def enter(self, client: Peer, phase: Phase | None, anew: bool = False) -> None:
         """A connection's phase begins, or begins ``anew``; None: it has ended."""
-        if agent.phase is phase and not anew:
+        if client.phase is phase and not anew:
             return
         now = self._clock.now()
-        if agent.phase is not None:
-            self.phases[agent.phase].pop(agent, None)
-        if agent.rest is not None:
+        if client.phase is not None:
+            self.phases[client.phase].pop(client, None)
+        if client.rest is not None:
             how = Ended.LEFT if phase is None else Ended.CUT if phase is Phase.CLOSING else Ended.ASKED
-            self._returns.ended(agent.rest, now, how)
-            agent.rest = None
-        agent.phase, agent.since = phase, now
+            self._returns.ended(client.rest, now, how)
+            client.rest = None
+        client.phase, client.since = phase, now
         if phase is not None:
-            self.phases[phase][agent] = None
+            self.phases[phase][client] = None
         if phase is Phase.RESTING:
-            agent.rest = self._returns.began(agent.address, now)
+            client.rest = self._returns.began(client.address, now)
 
     @property
     def taken(self) -> float:
@@ -48,15 +48,15 @@
         used = sum(len(self.phases[phase]) for phase in (Phase.OPEN, Phase.RESTING, Phase.HEAD, Phase.BODY))
         return used / self.connections.capacity
 
-    def worth_keeping(self, agent: Peer) -> bool:
+    def worth_keeping(self, client: Peer) -> bool:
         """Whether a connection that has its answer is worth its place."""
-        return self._returns.worth_keeping(agent.address, self.taken)
+        return self._returns.worth_keeping(client.address, self.taken)
 
-    def forget(self, agent: Peer) -> None:
+    def forget(self, client: Peer) -> None:
         """A connection has ended."""
-        self.connections.remove(agent.handle)
-        self.enter(agent, None)
-        self.receiving.pop(agent, None)
+        self.connections.remove(client.handle)
+        self.enter(client, None)
+        self.receiving.pop(client, None)
 
     def make_room(self) -> bool:
         """Who has stood longest where nothing is expected any more goes; nothing here looks at them all.
@@ -65,42 +65,42 @@
         """
         now, peeks = self._clock.now(), 0
         for phase in (Phase.CLOSING, Phase.SILENT, Phase.RESTING):
-            for agent in self.phases[phase]:
-                if now - agent.since < phase.grace_ms or peeks >= PEEKS:
+            for client in self.phases[phase]:
+                if now - client.since < phase.grace_ms or peeks >= PEEKS:
                     break
-                if not agent.connected:
+                if not client.connected:
                     continue  # only being set up: it must not make room for itself
                 peeks += 1
-                if self._gives_way(agent):
+                if self._gives_way(client):
                     return True
         for phase in (Phase.HEAD, Phase.BODY):
             # Of those who are sending a request, the one that has been still longest; who gets on stays.
-            still = min(self.phases[phase], key=lambda agent: agent.heard_at, default=None)
+            still = min(self.phases[phase], key=lambda client: client.heard_at, default=None)
             if still is not None and now - still.heard_at >= phase.grace_ms and self._gives_way(still):
                 return True
         return False
 
-    def _gives_way(self, agent: Peer) -> bool:
-        if agent.unread():
+    def _gives_way(self, client: Peer) -> bool:
+        if client.unread():
             return False
-        agent.leave(overdue=False)
+        client.leave(overdue=False)
         # Its socket is freed a turn later, out of the reserve.
-        self.connections.remove(agent.handle)
+        self.connections.remove(client.handle)
         self._counters["made_room"] += 1
         return True
 
     def close_idle(self, unasked: bool) -> None:
         """Close what is between requests; ``unasked``: also who has not asked anything yet."""
         for phase in (Phase.RESTING, Phase.SILENT) if unasked else (Phase.RESTING,):
-            for agent in list(self.phases[phase]):
-                if not agent.begun and not agent.unread():
-                    agent.close()
+            for client in list(self.phases[phase]):
+                if not client.begun and not client.unread():
+                    client.close()
 
     def gauges(self) -> dict[str, int]:
         """The size of every table here."""
-        phases = {f"agents_{phase.name.lower()}": len(agents) for phase, agents in self.phases.items()}
+        phases = {f"clients_{phase.name.lower()}": len(clients) for phase, clients in self.phases.items()}
         return {
-            "user_agents_now": len(self.connections),
+            "clients_now": len(self.connections),
             "flowing": len(self.flowing),
             **phases,
         }
@@ -108,30 +108,30 @@
     def _end_rests(self, now: float) -> None:
         """Close the rests whose place is worth more to others, the oldest first."""
         resting = self.phases[Phase.RESTING]
-        self._returns.refresh([agent.rest for agent in resting if agent.rest is not None], now)
-        for agent in list(resting):
+        self._returns.refresh([client.rest for client in resting if client.rest is not None], now)
+        for client in list(resting):
             if price(taken := self.taken) <= 0.0:
                 break
-            rest = agent.rest
-            if rest is not None and self._returns.outstayed(rest, taken, now) and not agent.unread():
-                agent.close()
+            rest = client.rest
+            if rest is not None and self._returns.outstayed(rest, taken, now) and not client.unread():
+                client.close()
                 self._counters["given_up_resting"] += 1
 
     def sweep(self, rests: bool) -> None:
         """See off who stood too long; ``rests``: also who rests where the place is worth more to others."""
         now = self._clock.now()
-        for phase, agents in self.phases.items():
-            for agent in list(islice(agents, 64)):
-                if now - agent.since < phase.limit_ms:
+        for phase, clients in self.phases.items():
+            for client in list(islice(clients, 64)):
+                if now - client.since < phase.limit_ms:
                     break
-                if phase is Phase.CLOSING or not agent.unread():
-                    agent.leave(overdue=True)
+                if phase is Phase.CLOSING or not client.unread():
+                    client.leave(overdue=True)
         slow = [*self.phases[Phase.HEAD], *self.phases[Phase.BODY], *self.receiving]
-        for agent in slow:
-            if agent.late(now) and not agent.unread():
-                agent.leave(overdue=True)
-        for agent in [agent for agent in self.flowing if agent.stuck(now)]:
+        for client in slow:
+            if client.late(now) and not client.unread():
+                client.leave(overdue=True)
+        for client in [client for client in self.flowing if client.stuck(now)]:
             self._counters["answers_unread"] += 1
-            agent.abort()
+            client.abort()
         if rests:
             self._end_rests(now)
--- a/lupinlink/net/user_agents/requests.py
+++ b/lupinlink/net/clients/requests.py
@@ -1,4 +1,4 @@
-"""Requests as a user agent sends them: one at a time, its body whole or as it comes, to the decisions."""
+"""Requests as a client sends them: one at a time, its body whole or as it comes, to the decisions."""
 
 from __future__ import annotations
 
@@ -9,27 +9,27 @@
 
 from lupinlink.limits.progress import Progress
 from lupinlink.net import http1
+from lupinlink.net.clients.answers import Answered
+from lupinlink.net.clients.peer import Crowd, Intake
+from lupinlink.net.clients.phases import Phase
 from lupinlink.net.terms import Call, Failure
-from lupinlink.net.user_agents.answers import Answered
-from lupinlink.net.user_agents.peer import Crowd, Intake
-from lupinlink.net.user_agents.phases import Phase
 
-log = logging.getLogger("lupinlink.net.user_agents")
-SENT_AHEAD = 8 * 1024  # bytes of further requests that may wait behind one: user agents send one at a time
-# Bytes read and dropped for the sake of a user agent that writes before it reads.
+log = logging.getLogger("lupinlink.net.clients")
+SENT_AHEAD = 8 * 1024  # bytes of further requests that may wait behind one: clients send one at a time
+# Bytes read and dropped for the sake of a client that writes before it reads.
 DISCARDED = 2 * http1.MAX_MESSAGE
 
 
-class UserAgent(Answered):
-    """One connection of a user agent; one request at a time."""
+class Client(Answered):
+    """One connection of a client; one request at a time."""
 
-    def __init__(self, agents: Crowd) -> None:
-        super().__init__(agents)
+    def __init__(self, clients: Crowd) -> None:
+        super().__init__(clients)
         self._advancing = self._overrun = False
         self._discarded = 0
 
     def dataReceived(self, data: bytes) -> None:
-        self.heard_at = self._agents.clock.now()
+        self.heard_at = self._clients.clock.now()
         if self._deaf:
             # What still comes behind a last answer is of no use; enough of it was read for that to be seen.
             self._discarded += len(data)
@@ -41,7 +41,7 @@
 
     def connectionLost(self, reason: Reason = connectionDone) -> None:
         self._deaf = True
-        self._agents.lost(self)
+        self._clients.lost(self)
         self._drop_all()
 
     def _drop_all(self) -> None:
@@ -49,11 +49,11 @@
         intake, self._intake = self._intake, None
         request, self._request = self._request, None
         flow, self._flow = self._flow, None
-        self._agents.flowing.pop(self, None)
-        self._agents.receiving.pop(self, None)
+        self._clients.flowing.pop(self, None)
+        self._clients.receiving.pop(self, None)
         owed, self._waiting = self._waiting, False
         if owed and request is not None:
-            self._agents.proxy.gone(request)
+            self._clients.proxy.gone(request)
         if intake is not None:
             intake.call.body.break_off()
             intake.call.body.drop()
@@ -90,7 +90,7 @@
                         self._receive(self._parser.head)
                     break
                 self.asked = True
-                self._agents.enter(self, Phase.OPEN, anew=self._intake is None)
+                self._clients.enter(self, Phase.OPEN, anew=self._intake is None)
                 if self._intake is None:
                     self._take(message)
                 else:
@@ -99,7 +99,7 @@
             self.reject(exc.status, str(exc))
         except Exception:
             log.exception("request failed inside")
-            self._agents.counters["internal_errors"] += 1
+            self._clients.counters["internal_errors"] += 1
             self.reject(500, Failure.INTERNAL.value)
         finally:
             self._advancing = False
@@ -109,7 +109,7 @@
             # Counted from the first byte: a peer that drips bytes must not hold its connection for ever.
             begun = Phase.HEAD if self._intake is None else Phase.BODY
             rests = Phase.RESTING if self.asked else Phase.SILENT
-            self._agents.enter(self, begun if self._parser.begun() else rests)
+            self._clients.enter(self, begun if self._parser.begun() else rests)
         if self._intake is None:
             held = (self._waiting or self._choked) and len(self._parser.buffer) > SENT_AHEAD
             # It is told so once the request that is open has its answer.
@@ -120,7 +120,7 @@
         self._know(message)
         path = message.target.partition("?")[0]
         if path == "/up" and message.method in ("GET", "HEAD"):
-            ready = self._agents.ready
+            ready = self._clients.ready
             self._waiting = True
             self._answer(200 if ready else 503, [("Content-Type", "text/plain")], b"up\n" if ready else b"")
             return
@@ -131,20 +131,20 @@
 
     def _read(self, message: http1.Message, path: str) -> Call:
         """The call, with how long it may have waited unread: only the first of a connection can have."""
-        call = self._agents.read(message, path)
+        call = self._clients.read(message, path)
         call.address = self.address
         call.waited_ms, self.held_ms = self.held_ms, 0.0
         return call
 
     def _know(self, head: http1.Message) -> None:
-        # An older user agent takes an answer for ended only when the connection is.
+        # An older client takes an answer for ended only when the connection is.
         self._keep = head.version == 1 and head.keeps_open()
         self._minor, self._only_head = head.version, head.method == "HEAD"
 
     def _give(self, call: Call) -> None:
         """To the decisions."""
         self._waiting, self._request = True, None
-        request = self._agents.proxy.take(call, self)
+        request = self._clients.proxy.take(call, self)
         if self._waiting:
             self._request = request
         else:
@@ -152,7 +152,7 @@
 
     def _receive(self, head: http1.Message) -> None:
         """A head is here, and a body that is not whole yet."""
-        now = self._agents.clock.now()
+        now = self._clients.clock.now()
         intake = self._intake
         if intake is None:
             self._know(head)
@@ -167,13 +167,13 @@
             intake.progress.came(len(data), now)
             body.add(data)
         if not self._waiting:
-            if self._agents.budget.spent:
+            if self._clients.budget.spent:
                 raise http1.MessageError(503, "no room for this request now")
             if body.flows:
-                self._agents.counters["bodies_flowing"] += 1
+                self._clients.counters["bodies_flowing"] += 1
                 self.asked = True
-                self._agents.enter(self, Phase.OPEN)
-                self._agents.receiving[self] = None
+                self._clients.enter(self, Phase.OPEN)
+                self._clients.receiving[self] = None
                 self._give(intake.call)
         if body.full and self._intake is not None:
             intake.progress.hold(now)
@@ -182,17 +182,17 @@
     def _go_on(self, intake: Intake) -> None:
         """There is room for more of the body."""
         if self._intake is intake:
-            intake.progress.go_on(self._agents.clock.now())
+            intake.progress.go_on(self._clients.clock.now())
             self._read_on("body", True)
 
     def _received(self, intake: Intake, data: bytes) -> None:
         """The last byte of a body is here."""
         self._intake = None
-        self._agents.receiving.pop(self, None)
+        self._clients.receiving.pop(self, None)
         self._read_on("body", True)
         intake.call.body.add(data)
         intake.call.body.finish()
         if not self._waiting:
             self._give(intake.call)
         elif self._request is not None:
-            self._agents.proxy.completed(self._request)
+            self._clients.proxy.completed(self._request)
--- a/lupinlink/net/deadlines.py
+++ b/lupinlink/net/deadlines.py
@@ -1,4 +1,4 @@
-"""All deadlines in one ordered structure: requests' and proxy passes' alike, to the millisecond."""
+"""All deadlines in one ordered structure: requests' and attempts' alike, to the millisecond."""
 
 from __future__ import annotations
 
--- a/lupinlink/net/fleet_release.py
+++ b/lupinlink/net/fleet_release.py
@@ -61,7 +61,7 @@
         return here.use * here.servers_ready if here.use is not None else 0.0
 
     def figures(self) -> Figures:
-        """Of the user agents' requests; ``served`` is in time, for what is late is answered as failed."""
+        """Of the clients' requests; ``served`` is in time, for what is late is answered as failed."""
         count = self._kit.host.gauges().counters.get
         return Figures(count("requests", 0), count("served", 0), count("refused", 0), count("failed", 0))
 
--- a/lupinlink/net/handover/room.py
+++ b/lupinlink/net/handover/room.py
@@ -8,7 +8,7 @@
 # Measured: 21 MB with the program at rest, 24 with 200 connections at work. Bodies on their way have a
 # common budget of their own, so a connection needs no room for the largest one.
 BASE_MB, CONNECTION_MB = 25.0, 0.016
-AGENT_SHARE = 0.55  # of the rest; user agents keep idle connections, pools give theirs up
+CLIENT_SHARE = 0.55  # of the rest; clients keep idle connections, pools give theirs up
 LEAST_CONNECTIONS = 16  # alone; under this nothing can be served
 LEAST_BESIDE = 16  # beside another process: so many for the moment until that one has told what it holds
 LEAST_SPARE_MB = 2.0
@@ -33,9 +33,9 @@
 
 @dataclass(slots=True, frozen=True)
 class Room:
-    """What one process may hold: connections of user agents and to servers, and megabytes for bodies."""
+    """What one process may hold: connections of clients and to servers, and megabytes for bodies."""
 
-    agents: int
+    clients: int
     servers: int
     spare_mb: float
 
@@ -53,17 +53,17 @@
     usable = min(usable, int(memory / CONNECTION_MB)) if beside is None or memory > 0 else usable
     if beside is not None:
         usable, memory = max(usable, LEAST_BESIDE), max(memory, LEAST_SPARE_MB)
-    agents = int(usable * AGENT_SHARE)
-    return Room(agents, usable - agents, memory)
+    clients = int(usable * CLIENT_SHARE)
+    return Room(clients, usable - clients, memory)
 
 
-def shrunk(limits: Limits, agents: int, servers: int, open_calls: int, spare_mb: float) -> Room:
+def shrunk(limits: Limits, clients: int, servers: int, open_calls: int, spare_mb: float) -> Room:
     """The room of a process whose successor serves: what it holds, and servers enough for what is open."""
     own = room(limits)
     least = min(own.servers, open_calls + 2)
-    return Room(max(1, min(agents, own.agents)), max(1, min(max(servers, least), own.servers)), spare_mb)
+    return Room(max(1, min(clients, own.clients)), max(1, min(max(servers, least), own.servers)), spare_mb)
 
 
 def held(limits: Limits, now: Room, memory_mb: float) -> Held:
     """What a process with that room may come to hold."""
-    return Held(now.agents + now.servers + reserve(limits), memory_mb)
+    return Held(now.clients + now.servers + reserve(limits), memory_mb)
--- a/lupinlink/net/hosting.py
+++ b/lupinlink/net/hosting.py
@@ -9,6 +9,7 @@
 
 from lupinlink.coordination.part import Ask, DoorCall
 from lupinlink.interface import NEVER_RAN, Status
+from lupinlink.net.clients import Phase
 from lupinlink.net.lifecycle import Stand
 from lupinlink.net.lists import STATES
 from lupinlink.net.management import Call as ManagementCall
@@ -16,7 +17,6 @@
 from lupinlink.net.parts import Parts
 from lupinlink.net.seam import FleetSide, Gauges, Listed, Outcomes
 from lupinlink.net.terms import Call
-from lupinlink.net.user_agents import Phase
 from lupinlink.settings import Config
 
 log = logging.getLogger(__name__)
@@ -54,13 +54,13 @@
 
 
 class Tally:
-    """How passes ended, by application server."""
+    """How attempts ended, by application server."""
 
     def __init__(self) -> None:
         self._by: dict[str, Outcomes] = {}
 
     def ended(self, server: str, status: Status) -> None:
-        """One pass."""
+        """One attempt."""
         was = self._by.get(server, Outcomes())
         ok, away, off = status == Status.OK, status in NEVER_RAN, status == Status.CANCELLED
         failed = not (ok or away or off)
@@ -103,8 +103,8 @@
         self.name, self.settings = config.name, config.settings
         self.reactor, self.clock, self._acts = parts.reactor, parts.clock, acts
         self._fleet, self._lifecycle, self._counters = fleet, parts.lifecycle, parts.counters
-        self._proxy, self._agents, self._farm, self._servers = (
-            parts.proxy, parts.agents, parts.farm, parts.servers,
+        self._proxy, self._clients, self._farm, self._servers = (
+            parts.proxy, parts.clients, parts.farm, parts.servers,
         )  # fmt: skip
         self._reports, self._tally = Reports(), Tally()
         self._started = self._stopped = False
@@ -126,7 +126,7 @@
         self._started = True
         try:
             self._fleet.started(self)
-        except Exception:  # user agents are served without it
+        except Exception:  # clients are served without it
             log.exception("fleet failed to start")
 
     def stop(self) -> None:
@@ -175,23 +175,23 @@
 
     def end_last(self) -> int:
         """Every request gets its answer; what is at rest is closed."""
-        here = len(self._agents.connections)
+        here = len(self._clients.connections)
         self._proxy.end_all()
-        self._agents.close_idle(unasked=True)
+        self._clients.close_idle(unasked=True)
         return here
 
     def gauges(self) -> Gauges:
         """What is here now."""
-        phases, now = self._agents.phases, self.clock.now()
-        counts = {phase: len(agents) for phase, agents in phases.items()}
+        phases, now = self._clients.phases, self.clock.now()
+        counts = {phase: len(clients) for phase, clients in phases.items()}
         # Each phase is in order of time.
         oldest = [next(iter(phases[phase])).since for phase in (Phase.OPEN, Phase.BODY) if counts[phase]]
-        long = {**phases[Phase.BODY], **self._agents.receiving, **self._agents.flowing}
-        left = [agent.to_go() for agent in long]
+        long = {**phases[Phase.BODY], **self._clients.receiving, **self._clients.flowing}
+        left = [client.to_go() for client in long]
         known = self.use()
         uses = [known[one.name] for one in self.servers() if one.state == "ready" and one.name in known]
         return Gauges(
-            connections=len(self._agents.connections),
+            connections=len(self._clients.connections),
             idle=counts[Phase.SILENT] + counts[Phase.RESTING],
             busy=counts[Phase.HEAD] + counts[Phase.BODY] + counts[Phase.OPEN],
             closing=counts[Phase.CLOSING],
@@ -199,11 +199,11 @@
             oldest_ms=now - min(oldest, default=now),
             bytes_to_go=sum(told for told, _ in left),
             untold=sum(untold for _, untold in left),
-            unread=sum(agent.choked for agent in self._agents.flowing),
+            unread=sum(client.choked for client in self._clients.flowing),
             servers_ready=self._farm.ready,
             use=sum(uses) / len(uses) if uses else None,
             counters=dict(self._counters),
-            capacity=self._agents.connections.capacity,
+            capacity=self._clients.connections.capacity,
         )
 
     def servers(self) -> list[Listed]:
@@ -221,7 +221,7 @@
         return self._reports.use(self.clock.now())
 
     def outcomes(self) -> Mapping[str, Outcomes]:
-        """How passes ended, by server."""
+        """How attempts ended, by server."""
         return self._tally.of([one.name for one in self.servers()])
 
     def busy(self) -> set[str]:
--- a/lupinlink/net/http1.py
+++ b/lupinlink/net/http1.py
@@ -12,7 +12,7 @@
 MAX_MESSAGE = 32 * 1024 * 1024  # of a body that is passed on as it comes
 
 TOKEN = r"[!#$%&'*+.^_`|~0-9A-Za-z-]+"
-# A proxy's user agents may name the whole address; what it says before the path is of no use here.
+# A proxy's clients may name the whole address; what it says before the path is of no use here.
 REQUEST_LINE = re.compile(rf"({TOKEN}) (?:[Hh][Tt][Tt][Pp]://[^/?# ]+)?(/[\x21-\x7e]*) HTTP/1\.([01])")
 STATUS_LINE = re.compile(r"HTTP/1\.([01]) ([1-5][0-9][0-9])(?: [^\x00-\x08\x0a-\x1f\x7f]*)?")
 HEADER = re.compile(rf"({TOKEN}):[ \t]*([^\x00-\x08\x0a-\x1f\x7f]*?)[ \t]*")
@@ -43,7 +43,7 @@
 
 
 class MessageError(Exception):
-    """Bytes that are no message; ``status`` is what a user agent is told."""
+    """Bytes that are no message; ``status`` is what a client is told."""
 
     def __init__(self, status: int, why: str) -> None:
         super().__init__(why)
@@ -249,7 +249,7 @@
 
 
 class RequestParser(Parser):
-    """Reads what a user agent sends."""
+    """Reads what a client sends."""
 
     def start_line(self, line: str) -> Message:
         match = REQUEST_LINE.fullmatch(line)
--- a/lupinlink/net/leavers.py
+++ b/lupinlink/net/leavers.py
@@ -1,4 +1,4 @@
-"""Sees user agents off while a drain, a handover or a stop is on, until nothing more can come."""
+"""Sees clients off while a drain, a handover or a stop is on, until nothing more can come."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
 
     def __init__(self, parts: Parts, leave: Callable[[], None]) -> None:
         self._clock, self._lifecycle = parts.clock, parts.lifecycle
-        self._proxy, self._agents = parts.proxy, parts.agents
+        self._proxy, self._clients = parts.proxy, parts.clients
         self._leave = leave
         self._checking = False
 
@@ -25,7 +25,7 @@
             self._check()
 
     def _check(self) -> None:
-        """While user agents are to go: see them off, and leave once nothing more can come."""
+        """While clients are to go: see them off, and leave once nothing more can come."""
         now, state = self._clock.now(), self._lifecycle
         if state.keeps():
             self._checking = False
@@ -33,8 +33,8 @@
         if state.last_call(now):
             self._proxy.end_all()
         if now >= state.idle_from():
-            self._agents.close_idle(unasked=state.stopping)
-        if state.may_leave(now, len(self._agents.connections) + self._proxy.open):
+            self._clients.close_idle(unasked=state.stopping)
+        if state.may_leave(now, len(self._clients.connections) + self._proxy.open):
             self._leave()
         else:
             self._clock.after(CHECK_MS, self._check)
--- a/lupinlink/net/lifecycle.py
+++ b/lupinlink/net/lifecycle.py
@@ -17,7 +17,7 @@
 # kill gets its answer then.
 STOP_IDLE_MS, QUIET_MS, LAST_MS, LEAVE_MS = 500.0, 700.0, 3400.0, 3600.0
 # With a successor, whoever is told to go comes back to it; crossing a request is worse than waiting
-# for the idle limit, after which user agents do not come back on a connection.
+# for the idle limit, after which clients do not come back on a connection.
 HANDED_IDLE_MS = 2500.0
 HANDED_LEAVE_MS = 3000.0  # an old process stays so long in any case: its successor may yet fail
 
@@ -63,7 +63,7 @@
 
     @property
     def drained(self) -> bool:
-        """Whether the operators want no user agents here; it outlasts an upgrade."""
+        """Whether the operators want no clients here; it outlasts an upgrade."""
         return self._drained_at is not None
 
     @property
@@ -81,7 +81,7 @@
             self._drained_at = now
 
     def in_service(self) -> None:
-        """Take user agents again; harmless without a drain and in the middle of one."""
+        """Take clients again; harmless without a drain and in the middle of one."""
         self._drained_at = None
 
     def hand_over(self, now: float) -> None:
@@ -99,7 +99,7 @@
             self._stopping_at = now
 
     def up(self, servers_ready: int) -> bool:
-        """What ``/up`` answers: whether a front should send user agents here."""
+        """What ``/up`` answers: whether a front should send clients here."""
         return self._serving and servers_ready > 0 and self._drained_at is None and self._stopping_at is None
 
     def ready(self, servers_ready: int) -> bool:
@@ -129,7 +129,7 @@
         return self._stopping_at is not None and now - self._stopping_at >= LAST_MS
 
     def may_leave(self, now: float, left: int) -> bool:
-        """Whether the process may end; ``left``: connections of user agents and requests still here."""
+        """Whether the process may end; ``left``: connections of clients and requests still here."""
         if self._stopping_at is not None:
             since = now - self._stopping_at
             quiet = since >= QUIET_MS or self._handed_at is not None
--- a/lupinlink/net/open_requests.py
+++ b/lupinlink/net/open_requests.py
@@ -1,4 +1,4 @@
-"""The requests that are open: taken in once, answered once, let go once no pass of them is out."""
+"""The requests that are open: taken in once, answered once, let go once no attempt of them is out."""
 
 from __future__ import annotations
 
@@ -12,30 +12,30 @@
 from lupinlink.interface import Status
 from lupinlink.net.counters import Counters
 from lupinlink.net.slots import Slots
-from lupinlink.net.terms import Call, Failure, ProxyPass, Refused, UserAgentSide
+from lupinlink.net.terms import Call, ClientSide, Failure, OpenAttempt, Refused
 from lupinlink.settings import Settings
 
 log = logging.getLogger("lupinlink.net.proxy")  # one source in the log for both halves
 MARGIN_MS = 20.0  # the module's deadline lies this far before the client's: an answer takes time to arrive
 GUARD_MS = 10.0  # and this long after the module's, what is still open is ended here
-# The time of a request counts from its last byte, which of a body that flows is yet to come: its user agent's
+# The time of a request counts from its last byte, which of a body that flows is yet to come: its client's
 # side ends it when it stops, so the module is told a deadline beyond all that may come.
 FLOWING_MS = 1_200_000.0
 
 
 @dataclass(slots=True)
 class Taken:
-    """A request from its receipt until it has its answer and no pass of it is out."""
+    """A request from its receipt until it has its answer and no attempt of it is out."""
 
     call: Call
-    side: UserAgentSide | None  # None once nothing is owed any more
+    side: ClientSide | None  # None once nothing is owed any more
     deadline: float
     guard: int = 0
     out: int = 0
-    server: str = ""  # of the last pass
-    committed: bool = False  # a pass is out that cannot be repeated; the module has let go of the request
-    may_have_run: bool = False  # one of its passes did not prove that it never ran
-    passes: list[ProxyPass] = field(default_factory=list)
+    server: str = ""  # of the last attempt
+    committed: bool = False  # an attempt is out that cannot be repeated; the module has let go of the request
+    may_have_run: bool = False  # one of its attempts did not prove that it never ran
+    attempts: list[OpenAttempt] = field(default_factory=list)
 
 
 class OpenRequests:
@@ -45,7 +45,7 @@
         self.counters = counters
         self._settings, self._clock = settings, clock
         self._requests: Slots[Taken] = Slots(settings.most_held)
-        self._identities: set[str] = set()  # of all calls that are open, or have a pass out
+        self._identities: set[str] = set()  # of all calls that are open, or have an attempt out
         # What a fleet file adds; without one neither is there. ``admits``: the time to tell in ms of a call
         # that is over its quota, None of one that may go on; ``settled``: nothing is owed for it any more.
         self.admits: Callable[[Call], float | None] | None = None
@@ -60,7 +60,7 @@
         """Requests that still owe an answer."""
         return sum(1 for taken in self._requests if taken.side is not None)
 
-    def take(self, call: Call, side: UserAgentSide) -> int | None:
+    def take(self, call: Call, side: ClientSide) -> int | None:
         """A call is here with its last byte; its handle, or None if it was answered on the spot."""
         if call.identity in self._identities:
             # Sent on, it would be a second copy of the other's request.
@@ -87,7 +87,7 @@
         self.tell(api.Arrival(str(handle), call.class_index, tenant, deadline, retry, call.key))
         return handle
 
-    def _admitted(self, call: Call, side: UserAgentSide) -> bool:
+    def _admitted(self, call: Call, side: ClientSide) -> bool:
         """Whether the fleet's quotas let a call on; who is not let on has its answer."""
         assert self.admits is not None
         try:
@@ -103,11 +103,11 @@
             self._turn_away(side, Refused.QUOTA, retry_after_ms)
         return retry_after_ms is None
 
-    def _turn_away(self, side: UserAgentSide, why: Refused, retry_after_ms: float) -> None:
-        """The one place that counts refusals. Trying again is harmless, and the user agent is told so."""
+    def _turn_away(self, side: ClientSide, why: Refused, retry_after_ms: float) -> None:
+        """The one place that counts refusals. Trying again is harmless, and the client is told so."""
         self.counters["refused"] += 1
         self.counters[f"refused_{why.value}"] += 1
-        side.unavailable(retry_after_ms, why is Refused.QUOTA)
+        side.refused(retry_after_ms, why is Refused.QUOTA)
 
     def _span(self, call: Call, waited_ms: float) -> float:
         """How long from now the module has for an answer, in ms; never below 0.
@@ -131,22 +131,22 @@
             taken.deadline = self._clock.now() + self._span(taken.call, 0.0)  # the last byte is just here
             self._set_guard(handle, taken)
             if taken.out:
-                taken.passes[-1].end_by(taken.deadline)
+                taken.attempts[-1].end_by(taken.deadline)
 
     def _commit(self, handle: int) -> None:
-        """Bytes that a repeat would need are gone: the pass that is out is the last, and the shell's alone.
+        """Bytes that a repeat would need are gone: the attempt that is out is the last, the shell's alone.
 
         To the module it was not sent: how long an upload takes says nothing of its server's delay.
         """
         taken = self._requests.get(handle)
         if taken is not None and not taken.committed:
             taken.committed = True
-            self.counters["passes_committed"] += 1
-            index = len(taken.passes) - 1
+            self.counters["attempts_committed"] += 1
+            index = len(taken.attempts) - 1
             self.tell(api.Outcome(str(handle), Status.NOT_SENT, 0.0, index, True, taken.server, None))
 
     def gone(self, handle: int) -> None:
-        """The user agent has left."""
+        """The client has left."""
         taken = self._requests.get(handle)
         if taken is not None and taken.side is not None:
             self.counters["clients_gone"] += 1
@@ -157,7 +157,7 @@
         """Nobody waits for it any more."""
         self.tell(api.ClientGone(str(handle)))
         if taken.committed:
-            taken.passes[-1].give_up(Status.CANCELLED)
+            taken.attempts[-1].give_up(Status.CANCELLED)
         self._release(handle)
 
     def end(self, handle: int, why: Failure) -> None:
@@ -173,7 +173,7 @@
         for handle in self._requests.handles():
             self.end(handle, Failure.TOO_LATE)
 
-    def _settle(self, taken: Taken) -> UserAgentSide | None:
+    def _settle(self, taken: Taken) -> ClientSide | None:
         """Nothing is owed for this request from here on."""
         side, taken.side = taken.side, None
         self._clock.drop(taken.guard)
--- a/lupinlink/net/parts.py
+++ b/lupinlink/net/parts.py
@@ -5,20 +5,20 @@
 from dataclasses import dataclass
 
 from lupinlink.net.application_servers import ApplicationServers
+from lupinlink.net.clients import Clients
 from lupinlink.net.counters import Counters
 from lupinlink.net.farm import Farm
 from lupinlink.net.handover.room import Room
 from lupinlink.net.lifecycle import Lifecycle
 from lupinlink.net.proxy import Proxy
 from lupinlink.net.typed import Reactor
-from lupinlink.net.user_agents import UserAgents
 from lupinlink.net.wheel import Clockwork
 from lupinlink.settings import Config
 
 
 @dataclass(eq=False, repr=False)
 class Parts:
-    """From the clock up to user agents; each knows only those before it."""
+    """From the clock up to clients; each knows only those before it."""
 
     reactor: Reactor
     clock: Clockwork
@@ -27,7 +27,7 @@
     servers: ApplicationServers
     farm: Farm
     proxy: Proxy
-    agents: UserAgents
+    clients: Clients
 
 
 def build(config: Config, reactor: Reactor, room: Room) -> Parts:
@@ -37,5 +37,5 @@
     farm = Farm(reactor, clock, config.discovery, settings, servers, counters)
     proxy = Proxy(settings, config.seed, clock, servers, farm.watch, counters)
     farm.news = proxy.news
-    agents = UserAgents(proxy, farm, clock, settings, lifecycle, room.agents, room.spare_mb, counters)
-    return Parts(reactor, clock, counters, lifecycle, servers, farm, proxy, agents)
+    clients = Clients(proxy, farm, clock, settings, lifecycle, room.clients, room.spare_mb, counters)
+    return Parts(reactor, clock, counters, lifecycle, servers, farm, proxy, clients)
--- a/lupinlink/net/premises.py
+++ b/lupinlink/net/premises.py
@@ -10,6 +10,7 @@
 
 from twisted.internet.error import CannotListenError
 
+from lupinlink.net.clients import Listener
 from lupinlink.net.farm import ListError
 from lupinlink.net.handover.channel import Channel, Doorstep, call, place
 from lupinlink.net.handover.room import Held, Limits, Room, held, room, shrunk
@@ -17,7 +18,6 @@
 from lupinlink.net.parts import Parts
 from lupinlink.net.process import resident_mb
 from lupinlink.net.typed import Port
-from lupinlink.net.user_agents import Listener
 from lupinlink.settings import Config, SettingsError
 
 log = logging.getLogger("lupinlink.net.service")
@@ -37,12 +37,12 @@
         told: Callable[[bool], None],
         see_off: Callable[[], None],
     ) -> None:
-        """``told``: drain (True) or serve again; ``see_off``: user agents are to go from now on."""
+        """``told``: drain (True) or serve again; ``see_off``: clients are to go from now on."""
         self._config, self._limits, self.room = config, limits, now
         self._told, self._see_off = told, see_off
         self._reactor, self._clock, self._lifecycle = parts.reactor, parts.clock, parts.lifecycle
-        self._servers, self._farm, self._proxy, self._agents = (
-            parts.servers, parts.farm, parts.proxy, parts.agents,
+        self._servers, self._farm, self._proxy, self._clients = (
+            parts.servers, parts.farm, parts.proxy, parts.clients,
         )  # fmt: skip
         self._upgrade = Upgrade(self, config.name)
         self._looking = False
@@ -97,8 +97,8 @@
 
     def offered(self) -> tuple[int, dict[str, Any]]:
         """For a successor: our listening socket, the farm's list and whether we are drained."""
-        assert self._agents.port is not None
-        return self._agents.port.fileno(), {
+        assert self._clients.port is not None
+        return self._clients.port.fileno(), {
             "known": self._farm.snapshot(),
             "drained": self._lifecycle.drained,
         }
@@ -112,13 +112,13 @@
                 with socket.socket(fileno=handed) as theirs:
                     listens = theirs.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN)
                     if listens and theirs.getsockname()[1] == port:
-                        listening = Listener.on(theirs, self._agents, self._reactor)
+                        listening = Listener.on(theirs, self._clients, self._reactor)
             except OSError:
                 os.close(handed)  # no socket at all
             if listening is None:
                 log.warning("what was handed over does not listen here")
         if listening is None:
-            listening = Listener(port, self._agents, BACKLOG, host, self._reactor)  # type: ignore[arg-type]
+            listening = Listener(port, self._clients, BACKLOG, host, self._reactor)  # type: ignore[arg-type]
             if self._config.folder:
                 listening.share()
         try:
@@ -128,11 +128,11 @@
             if self._reactor.running:
                 self._reactor.stop()
             return
-        self._agents.port = cast(Port, listening)
+        self._clients.port = cast(Port, listening)
         if self._upgrade.busy:
             # A predecessor serves at this address, so no front held requests for it: what queues is new.
-            self._agents.unwatched_since = self._clock.now()
-        self._agents.listen()  # not before this process serves
+            self._clients.unwatched_since = self._clock.now()
+        self._clients.listen()  # not before this process serves
         if offer.get("drained"):
             self._told(True)
         known = offer.get("known")
@@ -150,7 +150,7 @@
         self.beside(held(self._limits, room(self._limits), self._limits.memory_mb))
 
     def _serve(self) -> None:
-        """Take user agents; beside an old process only once a request could be served."""
+        """Take clients; beside an old process only once a request could be served."""
         if self._upgrade.busy and not self._farm.ready:
             self._clock.after(UPGRADE_MS, self._serve)
             return
@@ -162,26 +162,26 @@
             self._reactor.callWhenRunning(self._in_place)
 
     def _in_place(self) -> None:
-        assert self._agents.port is not None
+        assert self._clients.port is not None
         self._lifecycle.serve()
-        self._agents.listen()
+        self._clients.listen()
         self._upgrade.serving()
         if self._doorstep is not None:
             self._doorstep.open()
-        where = self._agents.port.getHost()
+        where = self._clients.port.getHost()
         log.info("serving", extra={"kv": {"host": where.host, "port": where.port}})
 
     def handed_over(self) -> None:
         """A successor serves: what is here ends with its answers, and no more comes."""
         self._lifecycle.hand_over(self._clock.now())
-        self._agents.listen()
+        self._clients.listen()
         self._see_off()
 
     def taken_back(self) -> None:
         """The successor has gone before us."""
         self._lifecycle.take_back()
         self._resize(room(self._limits))
-        self._agents.listen()
+        self._clients.listen()
         if self._doorstep is not None:
             self._doorstep.open()
 
@@ -192,7 +192,7 @@
 
     def holds(self) -> Held:
         """What this process holds, and no more than that from here on."""
-        counts = len(self._agents.connections), len(self._servers.connections), self._proxy.open
+        counts = len(self._clients.connections), len(self._servers.connections), self._proxy.open
         self._resize(shrunk(self._limits, *counts, self.room.spare_mb))
         return held(self._limits, self.room, resident_mb())
 
@@ -202,5 +202,5 @@
 
     def _resize(self, now: Room) -> None:
         self.room = now
-        self._agents.resize(now.agents, now.spare_mb)
+        self._clients.resize(now.clients, now.spare_mb)
         self._servers.resize(now.servers)
--- a/lupinlink/net/proxy.py
+++ b/lupinlink/net/proxy.py
@@ -1,7 +1,7 @@
 """Between sockets and decisions: news becomes the module's events, its actions become I/O.
 
-Nothing here knows a protocol. A user agent's side hands in a Call and is told of one final answer
-through UserAgentSide; the application servers' side carries proxy passes. Another protocol needs
+Nothing here knows a protocol. A client's side hands in a Call and is told of one final answer
+through ClientSide; the application servers' side carries attempts. Another protocol needs
 its own two sides, not another proxy. No decision is taken here.
 """
 
@@ -20,17 +20,17 @@
 from lupinlink.net.open_requests import OpenRequests, Taken
 from lupinlink.net.terms import (
     ApplicationServerSide,
+    AttemptEnd,
     Call,
+    ClientSide,
     Failure,
-    PassEnd,
-    ProxyPass,
+    OpenAttempt,
     Refused,
     Reply,
-    UserAgentSide,
 )
 from lupinlink.settings import Settings
 
-__all__ = ["Call", "Failure", "PassEnd", "Proxy", "ProxyPass", "Refused", "Reply", "UserAgentSide"]
+__all__ = ["AttemptEnd", "Call", "ClientSide", "Failure", "OpenAttempt", "Proxy", "Refused", "Reply"]
 log = logging.getLogger(__name__)
 
 
@@ -51,7 +51,7 @@
         self._servers, self._watch = servers, watch
         self._events: deque[api.Event] = deque()
         self._busy = False
-        # A fleet file's: told of the load reports that servers send along, and how each pass ended.
+        # A fleet file's: told of the load reports that servers send along, and how each attempt ended.
         self.reported: Callable[[str, Mapping[str, float]], None] | None = None
         self.passed: Callable[[str, Status], None] | None = None
         self._carry: dict[type, Callable[..., None]] = {
@@ -113,17 +113,17 @@
         now = self._clock.now()
         left = taken.deadline - now
         timeout = left if action.timeout_ms == 0.0 else min(action.timeout_ms, left)
-        self.counters["passes"] += 1
-        index = len(taken.passes)
+        self.counters["attempts"] += 1
+        index = len(taken.attempts)
         taken.server = action.endpoint
-        proxy_pass = self._servers.start(action.endpoint, taken.call, timeout)
-        taken.passes.append(proxy_pass)
+        attempt = self._servers.start(action.endpoint, taken.call, timeout)
+        taken.attempts.append(attempt)
         taken.out += 1
-        proxy_pass.ended.addCallback(self._pass_ended, handle, index, action.endpoint, now)
-        proxy_pass.ended.addErrback(self._pass_broken, handle)
+        attempt.ended.addCallback(self._attempt_ended, handle, index, action.endpoint, now)
+        attempt.ended.addErrback(self._attempt_broken, handle)
 
-    def _pass_ended(self, end: PassEnd, handle: int, index: int, server: str, sent_at: float) -> None:
-        self.counters[f"passes_{end.status.name.lower()}"] += 1
+    def _attempt_ended(self, end: AttemptEnd, handle: int, index: int, server: str, sent_at: float) -> None:
+        self.counters[f"attempts_{end.status.name.lower()}"] += 1
         if self.reported is not None and end.report:
             self.reported(server, end.report)
         if self.passed is not None:
@@ -151,9 +151,9 @@
         self._release(handle)
 
     def _end_committed(self, taken: Taken) -> None:
-        """The one pass of a request that the module has let go of served nobody.
+        """The one attempt of a request that the module has let go of served nobody.
 
-        Where no pass of it can have run, trying again is harmless, and its user agent is told so: the
+        Where no attempt of it can have run, trying again is harmless, and its client is told so: the
         application server has turned it away, not we.
         """
         if taken.may_have_run:  # or it was rejected: nobody will take it
@@ -164,15 +164,15 @@
         if side is not None:
             self._turn_away(side, Refused.NEVER_RAN, min(self._settings.max_retry_after_ms, cls.aim_ms / 2.0))
 
-    def _pass_broken(self, failure: object, handle: int) -> None:
-        log.error("proxy pass failed inside", extra={"kv": {"why": str(failure)}})
+    def _attempt_broken(self, failure: object, handle: int) -> None:
+        log.error("attempt failed inside", extra={"kv": {"why": str(failure)}})
         self.counters["internal_errors"] += 1
         self.end(handle, Failure.INTERNAL)
 
     def _cancel(self, action: api.Cancel) -> None:
         taken = self._requests.get(int(action.request_id))
-        if taken is not None and 0 <= action.attempt < len(taken.passes):
-            taken.passes[action.attempt].give_up(Status.CANCELLED)
+        if taken is not None and 0 <= action.attempt < len(taken.attempts):
+            taken.attempts[action.attempt].give_up(Status.CANCELLED)
 
     def _refuse(self, action: api.Refuse) -> None:
         handle = int(action.request_id)
@@ -198,7 +198,7 @@
         self.counters["probes"] += 1
         sent_at, server = self._clock.now(), action.endpoint
 
-        def probed(end: PassEnd) -> None:
+        def probed(end: AttemptEnd) -> None:
             if self.reported is not None and end.report:
                 self.reported(server, end.report)
             self.tell(api.ProbeResult(server, end.status, self._clock.now() - sent_at, end.report))
--- a/lupinlink/net/seam.py
+++ b/lupinlink/net/seam.py
@@ -37,7 +37,7 @@
 
 
 class Outcomes(NamedTuple):
-    """How the passes to one application server ended, since this process started."""
+    """How the attempts at one application server ended, since this process started."""
 
     ended: int = 0
     served: int = 0
@@ -49,7 +49,7 @@
 class Gauges:
     """What is here at one moment."""
 
-    connections: int  # of user agents: idle, busy and closing
+    connections: int  # of clients: idle, busy and closing
     idle: int  # with no part of a request here
     busy: int  # with a request on its way in, open, or with its answer on its way out
     closing: int  # answered for the last time, still to be read
@@ -57,11 +57,11 @@
     oldest_ms: float  # the age of the oldest request that keeps a connection busy; 0: there is none
     bytes_to_go: int  # of long answers and of bodies on their way in, where their length is told
     untold: int  # of these, those whose length is not told
-    unread: int  # long answers whose user agent does not read at the moment
+    unread: int  # long answers whose client does not read at the moment
     servers_ready: int  # application servers that take work
     use: float | None  # mean use (1.0: all cores busy) that those last reported; None: none has lately
     counters: Mapping[str, int] = field(default_factory=dict)  # since this process's start
-    capacity: int = 0  # connections of user agents that may be here
+    capacity: int = 0  # connections of clients that may be here
 
 
 class Host(Protocol):
@@ -88,7 +88,7 @@
 
     @property
     def drained(self) -> bool:
-        """Whether the operators want no user agents here; it outlasts an upgrade."""
+        """Whether the operators want no clients here; it outlasts an upgrade."""
         ...
 
     @property
@@ -106,7 +106,7 @@
         ...
 
     def in_service(self) -> bool:
-        """Take user agents again, as the door's call does; False: it is stopping."""
+        """Take clients again, as the door's call does; False: it is stopping."""
         ...
 
     def end(self) -> None:
@@ -133,7 +133,7 @@
         ...
 
     def outcomes(self) -> Mapping[str, Outcomes]:
-        """How passes ended, by application server; those that have left the list are forgotten."""
+        """How attempts ended, by application server; those that have left the list are forgotten."""
         ...
 
     def busy(self) -> set[str]:
@@ -152,7 +152,7 @@
     """What a fleet file adds to the service; all calls come on the reactor's thread."""
 
     def started(self, host: Host) -> None:
-        """The reactor runs; called once. User agents may come before or after it."""
+        """The reactor runs; called once. Clients may come before or after it."""
         ...
 
     def stopping(self) -> None:
--- a/lupinlink/net/service.py
+++ b/lupinlink/net/service.py
@@ -46,8 +46,8 @@
         sockets = allowed(config.sockets)
         limits = Limits(sockets, config.memory_mb, most_callers(sockets) if config.mgmt else 0)
         now = room(limits)
-        if now.agents + now.servers < LEAST_CONNECTIONS:
-            raise SettingsError(f"limits leave room for {max(0, now.agents + now.servers)} connections only")
+        if now.clients + now.servers < LEAST_CONNECTIONS:
+            raise SettingsError(f"limits leave room for {max(0, now.clients + now.servers)} connections only")
         parts = self._parts = build(config, reactor, now)
         self._counters, self._lifecycle, self._farm = parts.counters, parts.lifecycle, parts.farm
         self._leavers = Leavers(parts, self._leave)
@@ -140,7 +140,7 @@
             servers_listed=len(self._farm),
             deadlines=len(parts.clock.deadlines),
             timers=len(parts.clock.wheel),
-            **parts.agents.gauges(),
+            **parts.clients.gauges(),
             **self._door.gauges(),
             resident_mb=int(resident_mb()),
             **parts.servers.gauges(),
--- a/lupinlink/net/terms.py
+++ b/lupinlink/net/terms.py
@@ -1,4 +1,4 @@
-"""What user agents, decisions and application servers say to each other here, in terms of no protocol."""
+"""What clients, decisions and application servers say to each other here, in terms of no protocol."""
 
 from __future__ import annotations
 
@@ -22,7 +22,7 @@
 
 
 class Refused(Enum):
-    """Why a final answer is 'unavailable'; as counted, behind ``refused_``."""
+    """Why a final answer is a refusal; as counted, behind ``refused_``."""
 
     TABLE_FULL = "table_full"
     MODULE = "module"
@@ -32,7 +32,7 @@
 
 @dataclass(slots=True)
 class Call:
-    """What a user agent asks, in terms that the decisions and the application servers share."""
+    """What a client asks, in terms that the decisions and the application servers share."""
 
     identity: str  # no two open calls may share it
     class_index: int
@@ -61,33 +61,33 @@
 
 
 @dataclass(slots=True)
-class PassEnd:
-    """How a proxy pass ended."""
+class AttemptEnd:
+    """How an attempt ended."""
 
     status: Status
     reply: Reply | None = None
     report: dict[str, float] | None = None
 
 
-class UserAgentSide(Protocol):
+class ClientSide(Protocol):
     """Takes the one final answer of a call."""
 
     def served(self, reply: Reply) -> None: ...
-    def unavailable(self, retry_after_ms: float, over_quota: bool = False) -> None: ...
+    def refused(self, retry_after_ms: float, over_quota: bool = False) -> None: ...
     def failed(self, why: Failure) -> None: ...
 
 
-class ProxyPass(Protocol):
+class OpenAttempt(Protocol):
     """One attempt that is out; ``ended`` fires once."""
 
-    ended: Deferred[PassEnd]
+    ended: Deferred[AttemptEnd]
 
     def give_up(self, status: Status) -> None: ...
     def end_by(self, at_ms: float) -> None: ...
 
 
 class ApplicationServerSide(Protocol):
-    """Carries proxy passes and probes."""
+    """Carries attempts and probes."""
 
-    def start(self, server: str, call: Call, timeout_ms: float) -> ProxyPass: ...
-    def probe(self, server: str) -> Deferred[PassEnd]: ...
+    def start(self, server: str, call: Call, timeout_ms: float) -> OpenAttempt: ...
+    def probe(self, server: str) -> Deferred[AttemptEnd]: ...
--- a/lupinlink/net/wishes.py
+++ b/lupinlink/net/wishes.py
@@ -1,7 +1,7 @@
 """Who wants this proxy out of service: it is in service only while nobody does. Pure.
 
 Danger: an operator, a release and a migration may each want the same proxy out. If one of them took it back
-for all, user agents would come to a proxy that is about to end, or that does not own their listener.
+for all, clients would come to a proxy that is about to end, or that does not own their listener.
 """
 
 from __future__ import annotations
--- a/lupinlink/quota/checks.py
+++ b/lupinlink/quota/checks.py
@@ -72,7 +72,7 @@
             yield NeverReachedError(text, limit.place)
             continue
         if region.second_try and not known.marks_second_tries:
-            text = f"user agents do not mark second tries, says the settings' ClientHabits: {limit.path}"
+            text = f"clients do not mark second tries, says the settings' ClientHabits: {limit.path}"
             yield NeverReachedError(text + " is never reached", limit.place)
         if not limit.parent:
             continue  # each tree has its requests for itself
--- a/lupinlink/quota/errors.py
+++ b/lupinlink/quota/errors.py
@@ -82,7 +82,7 @@
 
 
 class RetryAfterError(PolicyError):
-    """User agents that are told no time come back at once, or wait without need."""
+    """Clients that are told no time come back at once, or wait without need."""
 
     code = "LL308"
     about = "refusals by a quota do not go with what the settings say of Retry-After"
--- a/lupinlink/quota/language/matching.py
+++ b/lupinlink/quota/language/matching.py
@@ -14,7 +14,7 @@
 
 MOST_VALUES = 100_000  # buckets of one quota; one with its entry is some 300 bytes
 NAMED_VALUES = 1000  # buckets where the settings bound the values: classes, tenants, zones
-BITS, BITS6 = 32, 64  # of an address: an IPv6 user agent has a network of 64 bits to itself
+BITS, BITS6 = 32, 64  # of an address: an IPv6 client has a network of 64 bits to itself
 
 
 @dataclass(frozen=True, slots=True)
--- a/lupinlink/release/host.py
+++ b/lupinlink/release/host.py
@@ -24,7 +24,7 @@
         ...
 
     def serving(self) -> bool:
-        """Whether it takes user agents: ready, and nobody wants it drained."""
+        """Whether it takes clients: ready, and nobody wants it drained."""
         ...
 
     def standby(self) -> bool:
@@ -32,7 +32,7 @@
         ...
 
     def left(self) -> int:
-        """Connections of user agents and requests that are still here."""
+        """Connections of clients and requests that are still here."""
         ...
 
     def use(self) -> float:
@@ -65,11 +65,11 @@
         ...
 
     def drain(self) -> None:
-        """Take no more user agents; again is harmless."""
+        """Take no more clients; again is harmless."""
         ...
 
     def in_service(self) -> bool:
-        """Take user agents again, as far as operators and releases go; False: it is stopping."""
+        """Take clients again, as far as operators and releases go; False: it is stopping."""
         ...
 
     def end(self, version: str) -> None:
--- a/tests/migrating.py
+++ b/tests/migrating.py
@@ -75,7 +75,7 @@
         self.proxies[name].follower, self.proxies[name].live = None, 0
 
     def serves(self, name: str) -> bool:
-        """Whether it truly answers user agents."""
+        """Whether it truly answers clients."""
         follower = self.proxies[name].follower
         return follower is not None and follower.serves(self.now)
 
@@ -95,7 +95,7 @@
             self.reports[name] = proxy.follower.report(proxy.ready, self.now), self.now
 
     def arrive(self, name: str) -> None:
-        """A user agent comes, to one that serves and has room."""
+        """A client comes, to one that serves and has room."""
         proxy = self.proxies[name]
         proxy.live += self.serves(name) and proxy.live < 3
 
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -162,11 +162,11 @@
     ) -> None:
         limits = Limits(sockets, memory, 4)
         alone = room(limits)
-        old = shrunk(limits, min(agents, alone.agents), min(servers, alone.servers), calls, 1.0)
+        old = shrunk(limits, min(agents, alone.clients), min(servers, alone.servers), calls, 1.0)
         told = held(limits, old, 22.0)
         new = room(limits, told)
-        self.assertLessEqual(old.agents + old.servers, max(2, alone.agents + alone.servers))
-        both = told.descriptors + new.agents + new.servers + reserve(limits)
+        self.assertLessEqual(old.clients + old.servers, max(2, alone.clients + alone.servers))
+        both = told.descriptors + new.clients + new.servers + reserve(limits)
         self.assertLessEqual(both, max(sockets, told.descriptors + reserve(limits) + LEAST_BESIDE))
 
 
--- a/tests/test_lab_model.py
+++ b/tests/test_lab_model.py
@@ -284,10 +284,10 @@
         super().__init__(settings, seed, *rest)
         self._module = Sinner(settings, Random(seed))
 
-    def _pass_ended(self, end: Any, handle: int, *rest: Any) -> None:
+    def _attempt_ended(self, end: Any, handle: int, *rest: Any) -> None:
         taken = self._requests.get(handle)
         side = taken.side if taken is not None else None
-        super()._pass_ended(end, handle, *rest)
+        super()._attempt_ended(end, handle, *rest)
         if Sinner.sin == "twice" and side is not None and end.status is Status.OK and handle % 50 == 0:
             side.served(end.reply)
 
--- a/tests/test_lab_runs.py
+++ b/tests/test_lab_runs.py
@@ -274,11 +274,11 @@
         )  # 1.5 where they are sent and servers blamed for it
         self.assertGreater(tally.served, 0.98 * tally.firsts)  # 0.78
 
-    def test_user_agents_that_leave_while_an_attempt_is_out(self) -> None:
+    def test_clients_that_leave_while_an_attempt_is_out(self) -> None:
         drive = self.played("calm", **{"seconds": 6.0, "load.rate": 100.0, "clients.leaves": 0.5,
                                        "classes.status.work_ms": 400.0, "farm.servers": 4})  # fmt: skip
         counters = {
-            name: sum(c[name] for c in drive.counters) for name in ("clients_gone", "passes_cancelled")
+            name: sum(c[name] for c in drive.counters) for name in ("clients_gone", "attempts_cancelled")
         }
         self.assertGreater(min(counters.values()), 5, counters)
 
--- a/tests/test_net_parts.py
+++ b/tests/test_net_parts.py
@@ -20,7 +20,7 @@
 from lupinlink.net.deadlines import STALE_FLOOR, Deadlines
 from lupinlink.net.lists import number
 from lupinlink.net.log import pair
-from lupinlink.net.proxy import Call, Failure, PassEnd, Proxy, Reply
+from lupinlink.net.proxy import AttemptEnd, Call, Failure, Proxy, Reply
 from lupinlink.net.slots import Slots
 from lupinlink.net.wheel import SPOKES, TICK_MS, Clockwork, Wheel
 from lupinlink.settings import Effect, RequestClass, Scope, Settings
@@ -56,7 +56,7 @@
                 self.assertIn(exc.status, http1.REASONS)
 
     def test_what_an_answer_says(self) -> None:
-        def end(text: bytes) -> PassEnd:
+        def end(text: bytes) -> AttemptEnd:
             parser = http1.AnswerParser()
             parser.feed(
                 text + b"\r\nContent-Length: 0\r\nEndpoint-Load-Metrics: TEXT util=0.5, qps=x\r\n\r\n"
@@ -123,7 +123,7 @@
 
 
 class Side:
-    """A user agent's side that keeps its answers."""
+    """A client's side that keeps its answers."""
 
     def __init__(self) -> None:
         self.answers: list[str] = []
@@ -131,8 +131,8 @@
     def served(self, reply: Reply) -> None:
         self.answers.append("served")
 
-    def unavailable(self, retry_after_ms: float, over_quota: bool = False) -> None:
-        self.answers.append("unavailable")
+    def refused(self, retry_after_ms: float, over_quota: bool = False) -> None:
+        self.answers.append("refused")
 
     def failed(self, why: Failure) -> None:
         self.answers.append(why.name)
@@ -142,10 +142,10 @@
     """A pass that ends when the test says so."""
 
     def __init__(self) -> None:
-        self.ended: Deferred[PassEnd] = Deferred()
+        self.ended: Deferred[AttemptEnd] = Deferred()
 
     def give_up(self, status: Status) -> None:
-        self.ended.callback(PassEnd(status))
+        self.ended.callback(AttemptEnd(status))
 
     def end_by(self, at_ms: float) -> None:
         raise NotImplementedError
@@ -161,7 +161,7 @@
         self.passes.append(Held())
         return self.passes[-1]
 
-    def probe(self, server: str) -> Deferred[PassEnd]:
+    def probe(self, server: str) -> Deferred[AttemptEnd]:
         raise NotImplementedError
 
 
@@ -186,11 +186,11 @@
 
     def test_a_request_keeps_what_is_left_of_its_clients_time(self) -> None:
         self.offer()  # read as it came: all of its time, bar the margin for the answer's way
-        self.servers.passes[0].ended.callback(PassEnd(Status.OK, Reply([], b"")))
+        self.servers.passes[0].ended.callback(AttemptEnd(Status.OK, Reply([], b"")))
         self.offer(600.0)  # waited in the kernel's queue while the proxy was crowded
         self.offer(math.inf)  # held by a front before this process was there: nothing is known to be left
         self.assertEqual([round(t) for t in self.servers.timeouts], [880, 280])
-        self.assertEqual(self.side.answers, ["served", "unavailable"])  # at once, and sent nowhere
+        self.assertEqual(self.side.answers, ["served", "refused"])  # at once, and sent nowhere
 
     def test_an_internal_error_still_gives_a_whole_answer(self) -> None:
         self.proxy._module.arrived = lambda request, now: 1 / 0  # type: ignore[method-assign,assignment]
@@ -202,12 +202,12 @@
         self.take()
         self.proxy._module.ended = lambda *args: 1 / 0  # type: ignore[method-assign,assignment]
         with self.assertLogs("lupinlink.net.proxy"):
-            self.servers.passes[0].ended.callback(PassEnd(Status.RESET))
+            self.servers.passes[0].ended.callback(AttemptEnd(Status.RESET))
         self.assertEqual(self.side.answers, ["INTERNAL"])
 
-    def test_only_one_answer_and_nothing_for_a_user_agent_that_left(self) -> None:
+    def test_only_one_answer_and_nothing_for_a_client_that_left(self) -> None:
         self.take()
-        self.servers.passes[0].ended.callback(PassEnd(Status.OK, Reply([], b"")))
+        self.servers.passes[0].ended.callback(AttemptEnd(Status.OK, Reply([], b"")))
         self.assertEqual(self.side.answers, ["served"])
         gone = self.take()
         self.proxy.gone(gone)
@@ -221,7 +221,7 @@
         handle, crossing = self.take(), self.servers.passes[0]
         crossing.give_up = lambda status: None  # type: ignore[method-assign]
         self.proxy.gone(handle)
-        crossing.ended.callback(PassEnd(Status.OK, Reply([], b"")))
+        crossing.ended.callback(AttemptEnd(Status.OK, Reply([], b"")))
         self.assertEqual(settled, ["t0.0"])
 
     def test_what_the_module_leaves_open_is_ended(self) -> None:
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -1,4 +1,4 @@
-"""The real program as its user agents, application servers and discovery meet it."""
+"""The real program as its clients, application servers and discovery meet it."""
 
 from __future__ import annotations
 
@@ -60,13 +60,13 @@
         self.assertEqual(self.server.seen.qsize(), 1)
 
     def test_a_connections_own_headers_end_at_the_proxy(self) -> None:
-        # What a user agent says of its connection must not reach the pooled one behind the proxy.
+        # What a client says of its connection must not reach the pooled one behind the proxy.
         head = b"GET /look/1 HTTP/1.1\r\nX-Trace-Id: t\r\nConnection: close, X-Hop\r\n"
         self.assertTrue(self.raw(head + b"X-Hop: 1\r\nX-End: 1\r\n\r\n").endswith(b"ok"))
         headers = self.server.seen.get(timeout=WAIT)[1]
         self.assertEqual([n for n in ("connection", "x-hop", "x-end") if n in headers], ["x-end"])
 
-    def test_an_older_user_agent_gets_its_answer_and_the_end(self) -> None:
+    def test_an_older_client_gets_its_answer_and_the_end(self) -> None:
         head = b"GET /look/1 HTTP/1.0\r\nX-Trace-Id: t\r\nConnection: keep-alive\r\n\r\n"
         self.assertTrue(self.raw(head).endswith(b"ok"))
 
@@ -217,7 +217,7 @@
         self.assertEqual((status, self.seen()), (504, 1))
         self.servers[0].met.get(timeout=WAIT).ends.get(timeout=WAIT)
 
-    def test_a_user_agent_that_leaves_ends_its_pass(self) -> None:
+    def test_a_client_that_leaves_ends_its_pass(self) -> None:
         for server in self.servers:
             server.answer = lambda headers: None
         client = self.client()
@@ -374,7 +374,7 @@
         self.assertEqual(idle.sock.recv(1), b"")
         self.assertEqual(self.process.wait(WAIT), 0)
 
-    def test_no_request_is_lost_while_user_agents_keep_coming(self) -> None:
+    def test_no_request_is_lost_while_clients_keep_coming(self) -> None:
         self.server.answer = lambda headers: OK
         lost: list[str] = []
         over, served = threading.Event(), threading.Barrier(5)
@@ -410,7 +410,7 @@
 class FewSockets(Stage):
     limits: ClassVar[dict[str, Any]] = {"cores": 1.0, "memory_mb": 192, "sockets": 64}
 
-    def test_idle_user_agents_make_room(self) -> None:
+    def test_idle_clients_make_room(self) -> None:
         # The descriptors told are a hard limit; beyond the cap the longest idle connection goes.
         server = self.peer(ApplicationServer())
         self.start(row("s-1", server))
@@ -424,7 +424,7 @@
             self.assertEqual(self.ask(client).read(), b"ok")
         self.assertLess(len(os.listdir(f"/proc/{self.process.pid}/fd")), 64)
 
-    def test_user_agents_beyond_the_cap_wait_for_room_and_are_served(self) -> None:
+    def test_clients_beyond_the_cap_wait_for_room_and_are_served(self) -> None:
         # Closed unread, a connection would take the request that was already written to it along.
         server = self.peer(ApplicationServer(None))
         self.start(row("s-1", server))
--- a/tests/test_returns.py
+++ b/tests/test_returns.py
@@ -80,7 +80,7 @@
 
 
 class Crowd(Stage):
-    """User agents may hold only so many connections, and most ask once and let theirs rest."""
+    """Clients may hold only so many connections, and most ask once and let theirs rest."""
 
     limits: ClassVar[dict[str, Any]] = {"cores": 1.0, "memory_mb": 80, "sockets": 128}  # room for 57
     held = 24  # of which no rest ends by itself in less than 2.1 s
--- a/tests/test_rude.py
+++ b/tests/test_rude.py
@@ -1,4 +1,4 @@
-"""User agents that mean ill, application servers that answer badly, and tables that must stay small."""
+"""Clients that mean ill, application servers that answer badly, and tables that must stay small."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
 HEAD = b"GET /look/1 HTTP/1.1\r\nX-Trace-Id: "
 
 
-class RudeUserAgents(Stage):
+class RudeClients(Stage):
     limits: ClassVar[dict[str, Any]] = {"cores": 1.0, "memory_mb": 32, "sockets": 128}
 
     def setUp(self) -> None:
@@ -34,7 +34,7 @@
         self.assertEqual(got, [b"", b"HTTP/1.1 408", b"HTTP/1.1 408", b"HTTP/1.1 408"])
         self.assertEqual(self.ask().read(), b"ok")
 
-    def test_hundreds_that_say_nothing_do_not_crowd_out_a_user_agent(self) -> None:
+    def test_hundreds_that_say_nothing_do_not_crowd_out_a_client(self) -> None:
         # There is room for 57. Each newcomer used to look at all others to find whom to close.
         silent = [self.connect() for _ in range(300)]
         began = time.monotonic()
@@ -80,8 +80,8 @@
         for _ in range(3):
             self.connect(b"noise\r\n\r\n").recv(4096)
         phases = ("silent", "resting", "head", "body", "closing")
-        names = ("requests_now", "identities", "module_open", "user_agents_now", "bytes_held", "flowing")
-        now = self.settle(**dict.fromkeys((*names, *(f"agents_{phase}" for phase in phases)), 0))
+        names = ("requests_now", "identities", "module_open", "clients_now", "bytes_held", "flowing")
+        now = self.settle(**dict.fromkeys((*names, *(f"clients_{phase}" for phase in phases)), 0))
         self.assertLess(now["module_timers"] + now["timers"], 20)
 
 
--- a/tests/test_seam.py
+++ b/tests/test_seam.py
@@ -70,7 +70,7 @@
         self.assertEqual((now["requests"], now["settled"], len(now["asked"])), (1, [], 4))
         counters = now["counters"]
         self.assertEqual(
-            [counters.get(n) for n in ("refused", "refused_quota", "requests", "passes")], [3, 3, 1, 1]
+            [counters.get(n) for n in ("refused", "refused_quota", "requests", "attempts")], [3, 3, 1, 1]
         )
         go_on.set()
         self.assertEqual(admitted.getresponse().read(), b"ok")
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -1,4 +1,4 @@
-"""Bodies that are passed on as they come, slow user agents, and every form that a message may have."""
+"""Bodies that are passed on as they come, slow clients, and every form that a message may have."""
 
 from __future__ import annotations
 
@@ -140,7 +140,7 @@
             self.assertEqual(self.server.seen.get(timeout=WAIT)[2], body)
         self.assertEqual(self.server.seen.qsize(), 0)
         now = self.gauges()
-        self.assertEqual((now["bytes_held"], now["passes_committed"]), (0, 2))
+        self.assertEqual((now["bytes_held"], now["attempts_committed"]), (0, 2))
         self.assertLess(now["resident_mb"], 64)
 
     def test_who_does_not_read_holds_the_server_back_and_others_go_on(self) -> None:
