Judge a watch by whole objects and signs of life, and ask anew at once when it falls silent

Now a head, an empty line, an object's beginning and its end count, so an object has 2.6 s from its first byte. Beside it: an object followed by broken bytes in the same segment was dropped, though it counts as told; a whole list without a length, ended by its connection, was never taken; a rev beyond all numbers came through as a traceback.

--- a/lupinlink/net/farm.py
+++ b/lupinlink/net/farm.py
@@ -43,8 +43,8 @@
         self.news: Callable[[MembershipKind, list[Endpoint]], None] = lambda kind, rows: None
         self._states: dict[str, EndpointState] = {}
         self._raw: dict[str, Any] = {}  # the entries as discovery wrote them, for a successor
-        self._live: Watch | None = None  # the watch that has spoken last
-        self._asked: Watch | None = None  # a watch that is yet to speak
+        self._live: Watch | None = None  # the watch that has told last
+        self._asked: Watch | None = None  # a watch that has told nothing yet
         self._foreign = False  # the list is still that of another discovery
         self._failed = False  # the module was told so and has not asked again
         self._pushed = not settings.subscribe  # the module never asks: a watch has to stand at all times
@@ -70,8 +70,12 @@
         return {"rev": self.version, "all": True, "targets": list(self._raw.values())}
 
     def watch(self) -> None:
-        """Ask for changes from now on; the module is told when that ends. One call at a time."""
+        """The module asks for changes from now on; it is told when that ends."""
         self._failed = False
+        self._open()
+
+    def _open(self) -> None:
+        """One call at a time. The module still asks when its own wait is over: else calls would add up."""
         if self._asked is None and (self._live is None or self._foreign) and not self._stopped:
             self._counters["watches"] += 1
             watch = self._asked = Watch(self, self.clock, self._discovery, self._foreign)
@@ -81,7 +85,7 @@
     def move(self, discovery: tuple[str, int]) -> None:
         """Discovery is at another address from now on.
 
-        The old watch goes on until the new one has spoken: without one, a drain could pass unheard.
+        The old watch goes on until the new one has told: without one, a drain could pass unheard.
         """
         if discovery == self._discovery:
             return
@@ -91,22 +95,18 @@
             self._live = asked
         elif asked is not None:
             asked.end("moved")
-        self.watch()
-
-    def spoke(self, watch: Watch, first_list: bool) -> None:
-        """A new watch that speaks ends the old one; of another discovery its list has to come first."""
-        if watch is self._asked and not first_list:
-            old, self._live, self._asked, self._foreign = self._live, watch, None, False
-            if old is not None:
-                old.end("another watch has spoken")
+        self._open()
 
     def take(self, watch: Watch, raw: Any, full: bool = False) -> None:
-        """One object of a watch."""
+        """One object of a watch. The first one of a new watch ends the old one, and nothing sooner."""
         if watch is not self._asked and watch is not self._live:
             return
         full = full or (isinstance(raw, dict) and raw.get("all") is True)
         self._apply(raw, MembershipKind.FULL if full else MembershipKind.DELTA)
-        self.spoke(watch, first_list=False)
+        if watch is self._asked:
+            old, self._live, self._asked, self._foreign = self._live, watch, None, False
+            if old is not None:
+                old.end("another watch has told")
 
     def stop(self) -> None:
         """Watch no longer, and tell nobody."""
@@ -162,8 +162,10 @@
             self._live = None
         else:
             return  # replaced
-        if self._pushed:
-            self.clock.after(0.0 if why == SILENCE else AGENT_AGAIN_MS, self.watch)
+        if self._pushed or why == SILENCE:
+            # Danger: much of the time after which news counts as told went by in silence. A wait that keeps
+            # proxies apart is not needed either: each had its own beat.
+            self.clock.after(0.0 if why == SILENCE else AGENT_AGAIN_MS, self._open)
         elif self._asked is None and not self._failed:
             self._failed = True
             self.news(MembershipKind.FAILED, [])
--- a/lupinlink/net/lists.py
+++ b/lupinlink/net/lists.py
@@ -45,7 +45,7 @@
             host, port = address(str(item["endpoint"]), "endpoint")
             rows.append((row, host, port))
         return int(raw["rev"]), bool(raw["all"]), rows
-    except (KeyError, TypeError, ValueError, AttributeError) as exc:
+    except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as exc:
         raise ListError(f"{type(exc).__name__}: {exc}") from exc
 
 
@@ -61,9 +61,11 @@
         self._line = b""  # the last one, while its end is still to come
         self._lines: list[bytes] = []  # of an object that has begun
         self._size = 0
+        self.signs = 0  # of life: empty lines, objects that begin, objects that end
 
     def feed(self, data: bytes) -> list[Any]:
         """The objects that end in these bytes; raises ListError for what can be none."""
+        begun = bool(self._lines or self._line.strip())
         *lines, self._line = (self._line + data).split(b"\n")
         found = []
         for line in lines:
@@ -76,6 +78,9 @@
                     found += self._whole()
             elif self._lines:
                 raise ListError("an object is cut short by an empty line")
+            else:
+                self.signs += 1
+        self.signs += len(found) + (not begun and bool(self._lines or self._line.strip()))
         if self._size + len(self._line) > MAX_LIST:
             raise ListError(f"an object of over {MAX_LIST} bytes")
         return found
--- a/lupinlink/net/watch.py
+++ b/lupinlink/net/watch.py
@@ -4,10 +4,12 @@
 
 import json
 import sys
+from contextlib import suppress
 from typing import Any
 from typing import Protocol as Face
 
 from twisted.internet.defer import Deferred
+from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import ClientFactory, Protocol, connectionDone
 from twisted.python.failure import Failure
 
@@ -16,8 +18,8 @@
 from lupinlink.net.typed import Connector, Reactor, Transport
 from lupinlink.net.wheel import Clockwork, Timer
 
-# An empty line is due every 2 s: without one for so long, the watch is dead. What it would have told
-# counts as told 6 s late at most, and the module's wait and a slow call (2 s) still come on top.
+# An empty line is due every 2 s, and a call waits that long at most: without a sign of life for so long,
+# the watch is dead. What it would have told counts as told 6 s late at most, and a slow call comes on top.
 SILENCE_MS = 2600.0
 SILENCE = "silence"  # as the reason of an end
 
@@ -27,10 +29,6 @@
 
     version: int
 
-    def spoke(self, watch: Watch, first_list: bool) -> None:
-        """Its answer has begun, or a sign of life came."""
-        ...
-
     def take(self, watch: Watch, raw: Any, full: bool = False) -> None:
         """One object of it."""
         ...
@@ -71,7 +69,10 @@
         self.transport.write(http1.request("GET", f"/discovery/hosts{query}", headers))
 
     def heard(self) -> None:
-        """A sign of life."""
+        """A sign of life: a head, an empty line, an object's beginning or its end.
+
+        Danger: bytes alone are none. What drips for ever tells nothing, and would keep a dead watch.
+        """
         if self._silence is not None:
             self._silence.drop()
         self._silence = self._clock.after(SILENCE_MS, lambda: self.end(SILENCE))
@@ -80,34 +81,56 @@
         if self._over:
             return
         self._parser.feed(data)
+        begins, whole, broken = self._parser.head is None, None, None
         try:
             whole = self._parser.next()
-            head = whole or self._parser.head
-            if head is None:
-                return
-            if head.status != 200:
-                raise ListError(f"discovery answered {head.status}")
-            self.heard()
-            self._hearer.spoke(self, first_list=self._whole)
-            if self._whole:
-                if whole is not None:
-                    self._hearer.take(self, json.loads(whole.body), full=True)
-                    self._whole = False
-                    if whole.keeps_open():
-                        self._ask()
-                    else:
-                        self.end("the list came, the watch is still to be asked for")
-                return
-            for one in self._objects.feed(whole.body if whole is not None else self._parser.drain()):
-                if not self._over:
-                    self._hearer.take(self, one)
-            if whole is not None:
-                self.end("discovery ended it")
+        except http1.MessageError as exc:
+            broken = exc  # what came before counts as told
+        head = whole or self._parser.head
+        try:
+            if head is not None:
+                self._read(head, whole, begins)
+            if broken is not None:
+                raise broken
         except (http1.MessageError, ValueError, RecursionError) as exc:
             # Broken bytes end this connection; the module is told and asks again.
             self.end(str(exc))
 
+    def _read(self, head: http1.Message, whole: http1.Message | None, begins: bool) -> None:
+        if head.status != 200:
+            raise ListError(f"discovery answered {head.status}")
+        if begins:
+            self.heard()
+        if self._whole:
+            if whole is not None:
+                self._take_list(whole)
+            return
+        # Line by line: an object counts as told though the next one is broken.
+        for line in (whole.body if whole is not None else self._parser.drain()).splitlines(keepends=True):
+            signs = self._objects.signs
+            for one in self._objects.feed(line):
+                if not self._over:
+                    self._hearer.take(self, one)
+            if self._objects.signs != signs and not self._over:
+                self.heard()
+        if whole is not None:
+            self.end("discovery ended it")
+
+    def _take_list(self, whole: http1.Message) -> None:
+        self._hearer.take(self, json.loads(whole.body), full=True)
+        self._whole = False
+        if whole.keeps_open():
+            self.heard()
+            self._ask()
+        else:
+            self.end("the list came, the watch is still to be asked for")
+
     def connectionLost(self, reason: Failure = connectionDone) -> None:
+        # A list without a length is whole at the connection's end, if that is no reset.
+        whole = self._parser.eof() if isinstance(reason.value, ConnectionDone) and not self._over else None
+        if whole is not None and self._whole and whole.status == 200:
+            with suppress(ValueError, RecursionError):
+                self._hearer.take(self, json.loads(whole.body), full=True)
         self.end("connection ended")
 
     def end(self, why: str) -> None:
--- /dev/null
+++ b/tests/test_crossing_calls.py
@@ -0,0 +1,79 @@
+"""Who asks discovery again, and when, after each end of a watch or a call: the order is given by hand."""
+
+from __future__ import annotations
+
+import unittest
+from collections.abc import Callable
+from typing import cast
+
+from lupinlink.interface import MembershipKind
+from lupinlink.net.application_servers import ApplicationServers
+from lupinlink.net.counters import Counters
+from lupinlink.net.farm import Farm
+from lupinlink.net.typed import Reactor
+from lupinlink.net.watch import SILENCE, Watch, WatchDial
+from lupinlink.net.wheel import Clockwork
+from lupinlink.settings import Settings
+from tests.helpers import SAFE
+
+
+class Recorded:
+    """A reactor and a clock that only take down what they are asked."""
+
+    def __init__(self) -> None:
+        self.dials: list[Watch] = []
+        self.waits: list[tuple[float, Callable[[], None]]] = []
+
+    def connectTCP(self, host: str, port: int, factory: WatchDial, timeout: object) -> Recorded:  # noqa: N802
+        self.dials.append(factory.buildProtocol(None))
+        return self
+
+    def disconnect(self) -> None: ...
+    def drop(self) -> None: ...
+
+    def after(self, delay_ms: float, call: Callable[[], None]) -> Recorded:
+        self.waits.append((delay_ms, call))
+        return self
+
+
+class WhoAsks(unittest.TestCase):
+    """Somebody asks again after every end, and nobody twice."""
+
+    def setUp(self) -> None:
+        self.seen, self.news = Recorded(), list[MembershipKind]()
+        clock, reactor = cast(Clockwork, self.seen), cast(Reactor, self.seen)
+        settings, counters = Settings(classes=(SAFE,), subscribe=True), Counters()
+        servers = ApplicationServers(reactor, clock, settings, 8, counters)
+        self.farm = Farm(reactor, clock, ("127.0.0.1", 1), settings, servers, counters)
+        self.farm.news = lambda kind, rows: self.news.append(kind)
+        self.farm.watch()
+        self.seen.waits.clear()
+
+    def test_silence_is_followed_by_a_call_at_once_and_only_its_failure_by_a_wait(self) -> None:
+        self.seen.dials[0].end(SILENCE)
+        (delay, call), *_ = self.seen.waits
+        self.assertEqual((delay, self.news), (0.0, []))
+        call()
+        self.seen.dials[1].end("discovery answered 503")
+        self.assertEqual(self.news, [MembershipKind.FAILED])
+
+    def test_a_move_in_the_modules_wait_does_not_make_it_wait_twice_over(self) -> None:
+        # Each further wait asks and fails on its own: a discovery that is down was called ever more often.
+        self.seen.dials[0].end("no connection")
+        self.farm.move(("127.0.0.1", 2))
+        self.seen.dials[1].end("no connection")
+        self.assertEqual(self.news, [MembershipKind.FAILED])
+        self.farm.watch()  # its wait is over
+        self.seen.dials[2].end("no connection")
+        self.assertEqual(self.news, [MembershipKind.FAILED] * 2)
+
+    def test_after_a_stop_nobody_asks_and_nobody_is_told(self) -> None:
+        self.seen.dials[0].end(SILENCE)
+        self.farm.stop()
+        for _, call in self.seen.waits:
+            call()
+        self.assertEqual((len(self.seen.dials), self.news), (1, []))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -11,7 +11,9 @@
 from tests.stage import WAIT, ApplicationServer, Discovery, Stage, chunk, listing, row
 
 
-class Reload(Stage):
+class Moving(Stage):
+    """One discovery that is watched, and another one to move to."""
+
     def setUp(self) -> None:
         super().setUp()
         self.old, self.new = self.peer(ApplicationServer()), self.peer(ApplicationServer())
@@ -25,6 +27,8 @@
         Path(self.file).write_text(json.dumps(config) if text is None else text)
         self.process.send_signal(signal.SIGHUP)
 
+
+class Reload(Moving):
     def test_the_files_discovery_goes_before_the_one_of_the_start_and_its_whole_list_counts(self) -> None:
         # Its versions start anew: 3 comes after 41, and what it does not list is gone.
         self.replace(limits={**self.limits, "sockets": 300})
