Turn nobody away on a guess, and take an aim beyond the deadline for the deadline

An aim beyond the deadline also blinded the admission, its target being beyond any answer.

Change: LatencyStats.seen leaves the guess out of the mean; the parser takes no aim beyond the deadline.

--- a/lupinlink/brain/balancer.py
+++ b/lupinlink/brain/balancer.py
@@ -128,5 +128,5 @@
 
     def in_time(self, request: Request, now: float) -> bool:
         """Whether an answer may still come before the client has gone."""
-        usual = self.latency[request.arrival.class_index].mean
+        usual = self.latency[request.arrival.class_index].seen()
         return request.arrival.deadline - now >= ANSWER_MARGIN_MS + usual / 2
--- a/lupinlink/records.py
+++ b/lupinlink/records.py
@@ -77,6 +77,14 @@
     mean: float
     dev: float
     count: int = 0
+    guess: float = field(init=False)  # the mean before anything was seen
+
+    def __post_init__(self) -> None:
+        self.guess = self.mean
+
+    def seen(self) -> float:
+        """The mean of what was seen, too low rather than too high: the guess, which is no fact, left out."""
+        return self.mean - self.guess / (self.count + 1)
 
     def add(self, latency_ms: float, least_gain: float) -> None:
         """Take one latency; the first few count evenly."""
--- a/lupinlink/settings/parser.py
+++ b/lupinlink/settings/parser.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 from typing import Any
 
 from lupinlink.settings.model import Effect, RequestClass, Scope, Settings, SettingsError, Tenant
@@ -49,7 +50,7 @@
         report = given(raw, "Report", {})
         classes = tuple(
             RequestClass(
-                aim_ms=max(1.0, float(given(c, "AimMs", c["HardLimitMs"]))),
+                aim_ms=max(1.0, min(float(given(c, "AimMs", math.inf)), float(c["HardLimitMs"]))),
                 deadline_ms=float(c["HardLimitMs"]),
                 worth=float(given(c, "Importance", 1.0)),
                 late_worth=min(1.0, max(0.0, float(given(c, "LateWorth", 0.0)))),
