Let light traffic through to servers that are all cold

Change: all proxies together earn one token in the span of a fall at least; that is within the 2 that N + 2 root N + 2 leaves however small N is. FallMs is read as 1 ms at least.

--- a/lupinlink/brain/health.py
+++ b/lupinlink/brain/health.py
@@ -15,7 +15,8 @@
     """Keeps all nodes together under what a server that has just started can do."""
 
     def __init__(self, settings: Settings) -> None:
-        self.settings, self.per_server = settings, 0.0  # this node's even share a server and millisecond
+        self.settings, self.slack = settings, 1.0 / (settings.peers * settings.fall_ms)  # of all: one a span
+        self.per_server = 0.0  # this node's even share a server and millisecond
 
     def least(self, server: Server, now: float) -> float:
         """The least share of its full capacity that the settings promise by now."""
@@ -34,7 +35,7 @@
     def allows(self, server: Server, now: float) -> bool:
         """Danger: nodes that cannot see each other spend at once what each saved: whole tokens go stale."""
         kept = max(LEAST_KEPT, self.settings.fall_multiple / server.boost - 1.0) * self.settings.fall_ms
-        rate = self.per_server * self.warmth(server, now)
+        rate = max(self.per_server * self.warmth(server, now), self.slack)
         tokens, server.tokens_at = server.tokens + (now - server.tokens_at) * rate, now
         server.tokens = tokens if tokens < 1.0 else tokens % 1.0 + (tokens % 1.0 <= rate * kept)
         return server.tokens >= 1.0 or self.least(server, now) >= 1.0
--- a/lupinlink/brain/learning.py
+++ b/lupinlink/brain/learning.py
@@ -59,9 +59,8 @@
         if not self.settings.clients_mark_retries:  # refused clients who return are not new load
             fresh = max(period.arrivals - RETURN_SHARE * period.refused, 0.5 * period.arrivals)
         busy = period.busy_sum / period.busy_count if period.busy_count >= MIN_SAMPLES else None
-        through = min(1.0, period.held / max(1, period.arrivals))
-        rate, delay = fresh / seconds, self.delay(period, seconds, now)
-        self.admission.revise(rate, delay, self.capacity(now), busy, through)
+        rate, delay, ready = fresh / seconds, self.delay(period, seconds, now), self.capacity(now)
+        self.admission.revise(rate, delay, ready, busy, min(1.0, period.held / max(1, period.arrivals)))
         even = period.arrivals / seconds / 1000.0 / max(1, len(self.split.table))
         self.slow_start.per_server += 0.5 * (even - self.slow_start.per_server)
         over = (self.admission.delay / self.admission.target - SPILL_FROM) / SPILL_SPAN
--- a/lupinlink/settings/parser.py
+++ b/lupinlink/settings/parser.py
@@ -81,7 +81,7 @@
             cold_share=float(given(rules, "ColdShare", 0.1)),
             cold_ms=float(given(rules, "ColdMs", 0.0)),
             fall_multiple=max(1.0, float(given(rules, "FallMultiple", 3.0))),
-            fall_ms=max(0.0, float(given(rules, "FallMs", 3000.0))),
+            fall_ms=max(1.0, float(given(rules, "FallMs", 3000.0))),
             max_attempts=int(given(limits, "AttemptsCap", 1)),
             may_cancel=bool(given(limits, "Cancel", False)),
             may_probe=bool(given(limits, "Probes", False)),
--- a/tests/test_crossing_settings.py
+++ b/tests/test_crossing_settings.py
@@ -75,7 +75,7 @@
     "no reports, no keys": replace(SITE, reports_in_answers=False, reports_in_probes=False, warm_keys=False),
     "dials of a second": replace(SITE, dial_timeout_ms=1000.0),
     "asked for, 200 processes": replace(SITE, subscribe=True, must_ask_ms=4000.0, peers=200, rank=77),
-    "never cold": replace(SITE, cold_share=0.0, cold_ms=0.0, fall_ms=0.0, fall_multiple=1.0),
+    "never cold": replace(SITE, cold_share=0.0, cold_ms=0.0, fall_ms=1.0, fall_multiple=1.0),
     "cold for ever": replace(SITE, cold_share=0.01, cold_ms=1e7, fall_ms=500.0, fall_multiple=1.0),
 }
 
