--- a/lupinlink/brain/learning.py
+++ b/lupinlink/brain/learning.py
@@ -11,7 +11,7 @@
 from lupinlink.node import Node
 
 PERIOD_MS, PERIOD_JITTER = 1000.0, 0.25  # T, under the paper's 3 s: bursts end by then; nodes never in step
-PERIOD_AIMS, MOST_DELAY = 2.5, 2.0  # in aims: T is no longer, quick work is judged sooner; later is late
+PERIOD_AIMS, MOST_DELAY = 2.5, 2.0  # in aims: T's most (its least: one, or no answer ends in it); late
 MIN_SAMPLES, LEAST_PERIOD, MAX_PERIODS = 8, 0.5, 3  # fewer served say little: it goes on, up to so many T
 RETURN_SHARE, STATS_GAIN = 0.5, 0.02  # refused held to return, if unmarked; of one latency for its class
 OUTLIER, ABSENT_MOST = 1.1, 3  # log load whose delays tell of no other; not reached in a row: nobody there
@@ -32,7 +32,7 @@
         self.order, self.health, self.slow_start = SheddingOrder(settings), Health(rng), SlowStart(settings)
         self.split, self.period, self.probe_tokens = Split(settings, self.slow_start, rng), Period(0.0), 0.0
         self.probes = settings.may_probe and settings.reports_in_probes and not settings.reports_in_answers
-        self.span = min(PERIOD_MS, PERIOD_AIMS * min(c.aim_ms for c in settings.classes))
+        self.span = min(max(PERIOD_MS, aim := min(c.aim_ms for c in settings.classes)), PERIOD_AIMS * aim)
 
     def capacity(self, now: float) -> float:
         """Servers that take work, a cold one by its warmth."""
@@ -59,9 +59,8 @@
         if not self.settings.clients_mark_retries:  # refused clients who return are not new load
             fresh = max(period.arrivals - RETURN_SHARE * period.refused, 0.5 * period.arrivals)
         busy = period.busy_sum / period.busy_count if period.busy_count >= MIN_SAMPLES else None
-        through = min(1.0, period.held / max(1, period.arrivals))
-        rate, delay = fresh / seconds, self.delay(period, seconds, now)
-        self.admission.revise(rate, delay, self.capacity(now), busy, through)
+        rate, delay, ready = fresh / seconds, self.delay(period, seconds, now), self.capacity(now)
+        self.admission.revise(rate, delay, ready, busy, min(1.0, period.held / max(1, period.arrivals)))
         even = period.arrivals / seconds / 1000.0 / max(1, len(self.split.table))
         self.slow_start.per_server += 0.5 * (even - self.slow_start.per_server)
         over = (self.admission.delay / self.admission.target - SPILL_FROM) / SPILL_SPAN
@@ -103,10 +102,9 @@
         if not load and status not in (Status.OVERLOADED, Status.CANCELLED, Status.NOT_SENT, Status.REJECTED):
             gain = TIMEOUT_GAIN if status == Status.TIMEOUT else HEALTH_GAIN
             self.health.record(server, gain, status != Status.OK, now, self.ready)
-        if status == Status.UNREACHABLE:
-            server.absent += 1
-            if server.absent >= ABSENT_MOST:  # nothing is there: however many, none of them is to be tried
-                self.health.eject(server, now, math.inf)
+        server.absent += status == Status.UNREACHABLE
+        if status == Status.UNREACHABLE and server.absent >= ABSENT_MOST:  # nothing is there, at however many
+            self.health.eject(server, now, math.inf)
         if (load or status in (Status.OK, Status.OVERLOADED)) and server.load < OUTLIER:
             # One bad server must not shed traffic that others could carry, nor one long wait outweigh many.
             delay = min(delay, MOST_DELAY)
--- a/lupinlink/settings/parser.py
+++ b/lupinlink/settings/parser.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 from typing import Any
 
 from lupinlink.settings.model import Effect, RequestClass, Scope, Settings, SettingsError, Tenant
@@ -49,7 +50,7 @@
         report = given(raw, "Report", {})
         classes = tuple(
             RequestClass(
-                aim_ms=max(1.0, float(given(c, "AimMs", c["HardLimitMs"]))),
+                aim_ms=max(1.0, min(float(given(c, "AimMs", math.inf)), float(c["HardLimitMs"]))),
                 deadline_ms=float(c["HardLimitMs"]),
                 worth=float(given(c, "Importance", 1.0)),
                 late_worth=min(1.0, max(0.0, float(given(c, "LateWorth", 0.0)))),
@@ -79,6 +80,8 @@
             cross_zone_price=float(given(given(raw, "Prices", {}), "CrossZone", 0.0)),
             cold_share=float(given(rules, "ColdShare", 0.1)),
             cold_ms=float(given(rules, "ColdMs", 0.0)),
+            fall_multiple=max(1.0, float(given(rules, "FallMultiple", 3.0))),
+            fall_ms=max(1.0, float(given(rules, "FallMs", 3000.0))),
             max_attempts=int(given(limits, "AttemptsCap", 1)),
             may_cancel=bool(given(limits, "Cancel", False)),
             may_probe=bool(given(limits, "Probes", False)),
