Look again as an attempt is written: drained, replaced, client gone, time or window over

Cause: an attempt was decided before its connection came up, and written when it was up, whatever had come meanwhile. Dial.made carried it to a server that drains or was replaced by then (pool.current was not asked), for a client that had left (with cancelling not allowed, or its end unread behind what it sent ahead), with the X-Expires-In-Ms of before the dial (pools.start), and after the key's repeat window (may_follow is judged when decided).

Change: Sending.carry is the one place where an attempt begins, and looks at all of it there; a no ends the attempt with NOT_SENT, and its connection goes back to the pool or is closed. The module says with its Send until when the attempt may begin (begin_by); the way is taken off: the quickest dial of this pool was there and back, so no constant is needed. The head is composed as it is written (composing.py). OpenAttempt.recall ends an attempt that is still on its way up. ClientSide.has_left looks for an end that waits unread. Nothing is dialled for a server that drains.

--- a/lupinlink/brain/balancer.py
+++ b/lupinlink/brain/balancer.py
@@ -3,7 +3,7 @@
 from lupinlink.brain.choice import LATENCY, OVERDUE_GAIN
 from lupinlink.brain.health import MAX_EJECTED
 from lupinlink.brain.learning import Learning
-from lupinlink.brain.repeats import may_follow, may_refuse
+from lupinlink.brain.repeats import begin_by, may_follow, may_refuse
 from lupinlink.interface import Attempt, Cancel, Effect, Fail, Outcome, Refuse, Request, Server, Status
 
 RETRY_RATIO, RETRY_BURST = 0.2, 20.0  # retry budget: tokens for each arrival, and their most
@@ -80,12 +80,10 @@
 
         server = self.split.pick(now, self, request.arrival.key, fits)
         if server is not None:
-            # The time-out is the client's own: a failure told at that instant is the final answer in time.
-            attempt = self.start_attempt(request, server, request.arrival.deadline - now, now)
-            stats = self.latency[request.arrival.class_index]
-            late = max(stats.mean + OVERDUE_DEVS * stats.dev, OVERDUE_LEAST * request.cls.aim_ms)
-            late = min(late, request.cls.aim_ms)  # where answers are quick, a pause of this node is no hang
-            self.after(late, lambda t: self.overdue(request, attempt, t, 1))
+            attempt = self.start_attempt(request, server, begin_by(request), now)
+            stats, aim = self.latency[request.arrival.class_index], request.cls.aim_ms
+            late = min(aim, max(stats.mean + OVERDUE_DEVS * stats.dev, OVERDUE_LEAST * aim))
+            self.after(late, lambda t: self.overdue(request, attempt, t, 1))  # a pause here is no hang
         elif now + PARK_MS < min(request.arrival.deadline - ANSWER_MARGIN_MS, request.aim_at):
             self.after(PARK_MS, lambda t: self.dispatch(request, t))
         else:
--- a/lupinlink/brain/repeats.py
+++ b/lupinlink/brain/repeats.py
@@ -5,14 +5,18 @@
 
 def may_follow(a: Attempt, cls: RequestClass, row: Endpoint, now: float) -> bool:
     """Whether an attempt at that endpoint after this one is no second effect."""
-    free = cls.effect == Effect.SAFE or not a.may_have_run()
-    known = cls.effect == Effect.KEYED and now < a.sent_at + cls.dedup_ms
-    known = known and (cls.scope == Scope.ALL or row.zone == a.server.row.zone)
-    return free or (known and (cls.scope != Scope.CELL or row.cell == a.server.row.cell))
+    at, known = a.server.row, cls.effect == Effect.KEYED and now < a.sent_at + cls.dedup_ms
+    near = row.zone == at.zone and (cls.scope == Scope.ZONE or row.cell == at.cell)
+    return cls.effect == Effect.SAFE or not a.may_have_run() or (known and (near or cls.scope == Scope.ALL))
+
+
+def begin_by(request: Request) -> float:
+    """Until when one more may arrive there: in time, and while repeats of what may have run are dropped."""
+    ran = [a.sent_at for a in request.attempts if a.may_have_run() and request.cls.effect == Effect.KEYED]
+    return min([request.arrival.deadline, *(t + request.cls.dedup_ms for t in ran)])
 
 
 def may_refuse(request: Request) -> bool:
     """The guard for every refusal, which says that trying again is harmless."""
-    cls = request.cls
-    free = cls.effect == Effect.SAFE or (cls.effect == Effect.KEYED and cls.scope == Scope.ALL)
-    return free or not any(a.may_have_run() for a in request.attempts)
+    cls, ran = request.cls, any(a.may_have_run() for a in request.attempts)
+    return not ran or cls.effect == Effect.SAFE or (cls.effect == Effect.KEYED and cls.scope == Scope.ALL)
--- a/lupinlink/interface.py
+++ b/lupinlink/interface.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 
 from lupinlink.records import NEVER_RAN as NEVER_RAN
@@ -91,6 +92,7 @@
     request_id: str
     endpoint: str
     timeout_ms: float
+    begin_by: float = math.inf  # later it could be a second effect: a connection may be long on its way up
 
 
 @dataclass(slots=True)
--- a/lupinlink/lab/virtual.py
+++ b/lupinlink/lab/virtual.py
@@ -59,6 +59,10 @@
             self.side.given_up(self)
             self.finish(net.AttemptEnd(status))
 
+    def recall(self) -> None:
+        if self.number < 0:
+            self.give_up(Status.NOT_SENT)
+
     def finish(self, end: net.AttemptEnd) -> None:
         self.over = True
         self.side.out.pop(self, None)
@@ -77,7 +81,7 @@
         self._idle_ms = world.scenario.network.idle_close_ms * IDLE_SHARE
         self._network = world.scenario.network
 
-    def start(self, server: str, call: net.Call, timeout_ms: float) -> VirtualAttempt:
+    def start(self, server: str, call: net.Call, timeout_ms: float, *last_look: object) -> VirtualAttempt:
         """An attempt goes out as soon as it has a connection."""
         world = self.world
         place = world.farm.places[server]
@@ -104,18 +108,12 @@
         there = world.ways.between(self.zone, place.zone)
 
         def asked() -> None:
-            if (
-                process.alive
-                and not process.fallen
-                and not process.troubles.silent
-                and not process.troubles.hangs
-            ):
+            deaf = process.fallen or process.troubles.silent or process.troubles.hangs
+            if process.alive and not deaf:
                 process.overhead(process.machine.probe_work_ms)
                 back = world.ways.between(self.zone, place.zone)
-                report = _report(process.report())
-                world.clock.at(
-                    world.clock.now() + back, partial(finish, net.AttemptEnd(Status.OK, None, report))
-                )
+                end = net.AttemptEnd(Status.OK, None, _report(process.report()))
+                world.clock.at(world.clock.now() + back, partial(finish, end))
 
         def finish(end: net.AttemptEnd) -> None:
             if not ended.called:
@@ -168,8 +166,7 @@
         world.clock.at(now + there, partial(self._arrive, attempt, process))
 
     def _arrive(self, attempt: VirtualAttempt, process: Server) -> None:
-        world = self.world
-        name = attempt.try_name
+        world, name = self.world, attempt.try_name
         ask = self.asks.get(name)
         if attempt.over or ask is None or not process.alive or process.troubles.silent:
             return
@@ -213,7 +210,7 @@
                 if attempt.job is not None and how is not End.NEVER_RAN:
                     world.referee.wasted(attempt.job.cost_ms)
                 return
-            if how is not End.SERVED and how is not End.NEVER_RAN and attempt.job is not None:
+            if how not in (End.SERVED, End.NEVER_RAN) and attempt.job is not None:
                 world.referee.wasted(attempt.job.cost_ms)
             if how is End.RESET or not reuse:
                 process.ports.open -= 1
@@ -286,6 +283,9 @@
     handle: int | None = None
     answered: bool = False
 
+    def has_left(self) -> bool:
+        return False  # who leaves is gone at once here
+
     def served(self, reply: net.Reply) -> None:
         self._answer(Reply.SERVED, 0.0, reply.body.decode())
 
--- a/lupinlink/net/application_servers/attempts.py
+++ b/lupinlink/net/application_servers/attempts.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+from collections.abc import Callable
 from typing import Protocol
 
 from twisted.internet.defer import Deferred
@@ -43,23 +45,39 @@
         self,
         servers: Servers,
         server: str,
-        data: bytes,
+        compose: Callable[[float], tuple[bytes, Body | None]],
         until_ms: float,
-        body: Body | None = None,
+        begin_by_ms: float = math.inf,
+        wanted: Callable[[], bool] = lambda: True,
         only_head: bool = False,
     ) -> None:
-        """``data``: what goes out first; ``body``: what follows it as it comes."""
+        """``compose``: the request, for the time left by then; ``wanted``: whether anyone waits for it."""
         self.ended: Deferred[AttemptEnd] = Deferred()
-        self.server, self.data, self.body, self.only_head = server, data, body, only_head
+        self.server, self.only_head = server, only_head
+        self._compose, self._until, self._begin_by, self._wanted = compose, until_ms, begin_by_ms, wanted
         self.connection: Carrier | None = None
         self.dial: Way | None = None
         self._servers = servers
         self._open = True
         self._deadline = servers.clock.at(until_ms, lambda: self.give_up(Status.TIMEOUT))
 
+    def may_begin(self, trip_ms: float) -> bool:
+        """Whether it may still be written, looked at anew: is it wanted, does its server still drop a repeat?
+
+        ``trip_ms``: to the server and back. Its last byte has to arrive there before then.
+        """
+        now = self._servers.clock.now()
+        late = now >= self._until or now + trip_ms >= self._begin_by
+        return self._open and not late and self._wanted() and self._open  # who is asked may end it
+
+    def request(self) -> tuple[bytes, Body | None]:
+        """What is to be written now."""
+        return self._compose(self._until - self._servers.clock.now())
+
     def end_by(self, at_ms: float) -> None:
         """Another time to stop waiting at."""
         if self._open:
+            self._until = at_ms
             self._servers.clock.drop(self._deadline)
             self._deadline = self._servers.clock.at(at_ms, lambda: self.give_up(Status.TIMEOUT))
 
@@ -81,3 +99,8 @@
         if connection is not None:
             connection.drop()
         self.end(AttemptEnd(status))
+
+    def recall(self) -> None:
+        """End it if its connection is still on its way up: nothing of it was written, nor will be."""
+        if self.dial is not None:
+            self.give_up(Status.NOT_SENT)
--- a/lupinlink/net/application_servers/dialling.py
+++ b/lupinlink/net/application_servers/dialling.py
@@ -26,6 +26,7 @@
         self._attempt: Attempt | None = attempt
         self._timer: Timer | None = None
         self._connector: Connector | None = None
+        self._began = servers.clock.now()
         self.handle = servers.connections.add(self)
 
     def start(self, reactor: Reactor) -> None:
@@ -44,7 +45,7 @@
 
     def made(self, connection: Rested) -> None:
         """It is up."""
-        self.pool.dialled()
+        self.pool.dialled(self._servers.clock.now() - self._began)
         attempt = self._settle()
         if attempt is None:
             connection.drop()
@@ -56,7 +57,7 @@
         attempt = self._settle()
         if attempt is not None:
             self._servers.counters["dials_failed"] += 1
-            self.pool.dialled(reason.getErrorMessage())
+            self.pool.dialled(why=reason.getErrorMessage())
             attempt.end(AttemptEnd(Status.UNREACHABLE))
 
     def abandon(self) -> None:
@@ -71,7 +72,7 @@
         self.abandon()
         if attempt is not None:
             self._servers.counters["dials_too_slow"] += 1
-            self.pool.dialled("too slow")
+            self.pool.dialled(why="too slow")
             attempt.end(AttemptEnd(Status.UNREACHABLE))
 
     def _settle(self) -> Attempt | None:
--- a/lupinlink/net/application_servers/pool.py
+++ b/lupinlink/net/application_servers/pool.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -32,11 +33,13 @@
     port: int
     started_ms: float
     current: bool = True  # False: that process is gone, or wants nothing more
+    trip_ms: float = math.inf  # there and back: of the connection that came up quickest
     reached: bool = True  # whether the last connection came up; its changes are logged, not each failure
     idle: list[Rested] = field(default_factory=list)  # the most recently used last
 
-    def dialled(self, why: str = "") -> None:
-        """A connection came up, or did not and why."""
+    def dialled(self, took_ms: float = math.inf, why: str = "") -> None:
+        """A connection came up in that time, or did not and why."""
+        self.trip_ms = min(self.trip_ms, took_ms)
         if self.reached == bool(why):
             self.reached = not why
             what = "application server out of reach" if why else "application server in reach again"
--- a/lupinlink/net/application_servers/pools.py
+++ b/lupinlink/net/application_servers/pools.py
@@ -2,15 +2,18 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+from functools import partial
+
 from twisted.internet.defer import Deferred
 
 from lupinlink.interface import Endpoint, EndpointState, Status
 from lupinlink.net import http1
 from lupinlink.net.application_servers.attempts import Attempt
+from lupinlink.net.application_servers.composing import compose
 from lupinlink.net.application_servers.dialling import Dial
 from lupinlink.net.application_servers.outcomes import read_report
 from lupinlink.net.application_servers.pool import Pool
-from lupinlink.net.bodies import SMALL_BYTES, Body
 from lupinlink.net.counters import Counters
 from lupinlink.net.slots import Slots
 from lupinlink.net.terms import AttemptEnd, Call
@@ -21,7 +24,6 @@
 IDLE_SHARE = 0.6  # of the application server's idle limit: a request must never meet its close half-way
 SWEEP_MS = 250.0
 PROBE_MS = 1000.0
-REPLACED = ("x-expires-in-ms", "host")
 
 
 class ApplicationServers:
@@ -65,28 +67,22 @@
         for name in [n for n in self._pools if n not in named] if full else ():
             self._pools.pop(name).void()
 
-    def start(self, server: str, call: Call, timeout_ms: float) -> Attempt:
-        """Send a pass on an idle connection, or on a new one."""
+    def start(
+        self, server: str, call: Call, timeout_ms: float, begin_by_ms: float, wanted: Callable[[], bool]
+    ) -> Attempt:
+        """Send an attempt on an idle connection, or on a new one."""
         pool = self._pools.get(server)
-        headers = [(n, v) for n, v in call.headers if n.lower() not in REPLACED]
         host = f"{pool.host}:{pool.port}" if pool is not None else server
-        body = call.body
-        waits = timeout_ms if body.whole else call.expires_ms  # which counts from the last byte
-        headers += [("Host", host), ("X-Expires-In-Ms", str(max(1, int(waits))))]
-        length = body.end if body.whole else http1.CHUNKED if body.length is None else body.length
-        data = http1.request_head(call.method, call.target, headers, length)
-        whole = body.whole and body.end <= SMALL_BYTES
-        if whole:
-            data += body.read(0, body.end)
-        elif body.whole:
-            body.length = body.end  # told now, however it was told before
-        return self._send(server, data, timeout_ms, None if whole else body, call.method == "HEAD")
+        until = self.clock.now() + timeout_ms
+        request = partial(compose, call, host)
+        return self._send(Attempt(self, server, request, until, begin_by_ms, wanted, call.method == "HEAD"))
 
     def probe(self, server: str) -> Deferred[AttemptEnd]:
         """Ask an application server how it fares."""
         target = "/metrics/load" if self.settings.reports_in_probes else "/alive"
         data = http1.request("GET", target, [("Host", server)])
-        return self._send(server, data, PROBE_MS).ended.addCallback(self._probed)
+        attempt = Attempt(self, server, lambda left: (data, None), self.clock.now() + PROBE_MS)
+        return self._send(attempt).ended.addCallback(self._probed)
 
     @staticmethod
     def _probed(end: AttemptEnd) -> AttemptEnd:
@@ -96,13 +92,9 @@
             end.report = read_report(end.reply.body.decode("latin-1"))
         return end
 
-    def _send(
-        self, server: str, data: bytes, timeout_ms: float, body: Body | None = None, only_head: bool = False
-    ) -> Attempt:
-        now = self.clock.now()
-        attempt = Attempt(self, server, data, now + timeout_ms, body, only_head)
-        pool = self._pools.get(server)
-        if pool is None or timeout_ms <= 0.0:
+    def _send(self, attempt: Attempt) -> Attempt:
+        pool, now = self._pools.get(attempt.server), self.clock.now()
+        if pool is None or not pool.current:
             attempt.end(AttemptEnd(Status.NOT_SENT))
             return attempt
         while pool.idle:
@@ -112,6 +104,9 @@
                 connection.carry(attempt)
                 return attempt
             connection.drop()
+        if not attempt.may_begin(0.0):
+            attempt.end(AttemptEnd(Status.NOT_SENT))
+            return attempt
         if self.connections.full:
             self._evict()
         if self.connections.full:
--- a/lupinlink/net/application_servers/sending.py
+++ b/lupinlink/net/application_servers/sending.py
@@ -56,13 +56,23 @@
     def connectionMade(self) -> None:
         self.transport.setTcpNoDelay(True)
         self.transport.bufferSize = READ_BYTES
+        self.idle_since = self._servers.clock.now()
         self._dial.made(self)
 
     def carry(self, attempt: Attempt) -> None:
-        """Send an attempt's request."""
+        """Send an attempt's request. No byte of one goes out but from here, and this is the last look before.
+
+        Its connection may have been long on its way up: has its server been drained or replaced since, has
+        its client gone, is there time left?
+        """
+        if not (self.pool.current and attempt.may_begin(self.pool.trip_ms)):
+            self._servers.counters["attempts_not_begun"] += 1
+            self._rest(reuse=True, used=False)
+            attempt.end(AttemptEnd(Status.NOT_SENT))
+            return
         self._attempt, attempt.connection = attempt, self
-        self._unsent, self._written = attempt.data, False
-        self._body, self._sent, self._starved = attempt.body, 0, False
+        self._unsent, self._body = attempt.request()
+        self._written, self._sent, self._starved = False, 0, False
         self._parser.asked_for_head = attempt.only_head
         if self._body is not None:
             self._body.more = self._more
@@ -153,11 +163,12 @@
         self._rest(reuse)
         attempt.end(end)
 
-    def _rest(self, reuse: bool) -> None:
+    def _rest(self, reuse: bool, used: bool = True) -> None:
         """Back to the pool, or closed."""
         self._go_on()
         if reuse and self.pool.current:
-            self.idle_since = self._servers.clock.now()
+            if used:
+                self.idle_since = self._servers.clock.now()
             self.pool.idle.append(self)
         else:
             self.drop()
--- a/lupinlink/net/clients/peer.py
+++ b/lupinlink/net/clients/peer.py
@@ -103,6 +103,12 @@
             return bool(self.transport.getHandle().recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
         return False
 
+    def has_left(self) -> bool:
+        """Whether its end waits to be read."""
+        with suppress(OSError, AttributeError):
+            return self.transport.getHandle().recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) == b""
+        return False
+
     @property
     def begun(self) -> bool:
         """Whether a part of a request is here."""
--- a/lupinlink/net/proxy.py
+++ b/lupinlink/net/proxy.py
@@ -116,12 +116,25 @@
         self.counters["attempts"] += 1
         index = len(taken.attempts)
         taken.server = action.endpoint
-        attempt = self._servers.start(action.endpoint, taken.call, timeout)
+        taken.out += 1  # before: it may be seen just there that its client has left
+        try:
+            attempt = self._servers.start(
+                action.endpoint, taken.call, timeout, action.begin_by, lambda: self._wanted(handle)
+            )
+        except Exception:
+            taken.out -= 1
+            raise
         taken.attempts.append(attempt)
-        taken.out += 1
         attempt.ended.addCallback(self._attempt_ended, handle, index, action.endpoint, now)
         attempt.ended.addErrback(self._attempt_broken, handle)
 
+    def _wanted(self, handle: int) -> bool:
+        """Whether its client still waits; an end that waits unread is one all the same."""
+        taken = self._requests.get(handle)
+        if taken is not None and taken.side is not None and taken.side.has_left():
+            self.gone(handle)
+        return taken is not None and taken.side is not None
+
     def _attempt_ended(self, end: AttemptEnd, handle: int, index: int, server: str, sent_at: float) -> None:
         self.counters[f"attempts_{end.status.name.lower()}"] += 1
         if self.reported is not None and end.report:
--- a/lupinlink/net/terms.py
+++ b/lupinlink/net/terms.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
 from typing import Protocol
@@ -72,6 +73,7 @@
 class ClientSide(Protocol):
     """Takes the one final answer of a call."""
 
+    def has_left(self) -> bool: ...
     def served(self, reply: Reply) -> None: ...
     def refused(self, retry_after_ms: float, over_quota: bool = False) -> None: ...
     def failed(self, why: Failure) -> None: ...
@@ -84,10 +86,15 @@
 
     def give_up(self, status: Status) -> None: ...
     def end_by(self, at_ms: float) -> None: ...
+    def recall(self) -> None: ...
 
 
 class ApplicationServerSide(Protocol):
     """Carries attempts and probes."""
 
-    def start(self, server: str, call: Call, timeout_ms: float) -> OpenAttempt: ...
+    def start(
+        self, server: str, call: Call, timeout_ms: float, begin_by_ms: float, wanted: Callable[[], bool]
+    ) -> OpenAttempt:
+        """``begin_by_ms``: no later may it arrive there; ``wanted``: asked just before it is written."""
+
     def probe(self, server: str) -> Deferred[AttemptEnd]: ...
--- a/lupinlink/node.py
+++ b/lupinlink/node.py
@@ -91,14 +91,16 @@
         used = {a.server.row.name for a in request.attempts}
         return [s for name, s in self.servers.items() if name not in used and s.usable(now)]
 
-    def start_attempt(self, request: Request, server: Server, timeout_ms: float, now: float) -> Attempt:
+    def start_attempt(self, request: Request, server: Server, by: float, now: float) -> Attempt:
         """Record and emit a send."""
         attempt = Attempt(server, now)
         request.attempts.append(attempt)
         server.out += 1
         server.tokens -= 1.0
         self.in_flight += 1
-        self.actions.append(api.Send(request.arrival.request_id, server.row.name, timeout_ms))
+        # The time-out is the client's own: a failure told at that instant is the final answer in time.
+        left = request.arrival.deadline - now
+        self.actions.append(api.Send(request.arrival.request_id, server.row.name, left, by))
         return attempt
 
     def close(self, request: Request, kept: int = -1) -> None:
--- /dev/null
+++ b/tests/test_crossing_attempts.py
@@ -0,0 +1,157 @@
+"""An attempt whose connection is long on its way up, against all that may come meanwhile."""
+
+from __future__ import annotations
+
+import json
+import socket
+import threading
+import time
+from typing import Any, ClassVar
+
+from tests.stage import (
+    NEVER_RAN,
+    OK,
+    WAIT,
+    ApplicationServer,
+    Stage,
+    chunk,
+    listing,
+    row,
+)
+
+OLD = OK.replace(b"ok", b"no")
+# The first SYN to a full queue is dropped, and the kernel sends the next 1 s later: so long a dial takes at
+# least, and up to 3 s where the gate opens late.
+LONG = {"AimMs": 9000.0, "HardLimitMs": 9000.0}
+LIMITS = {"AttemptsCap": 3, "Cancel": True, "RetryAfter": True, "MaxRetryAfterMs": 2000.0}
+
+
+class Gated(ApplicationServer):
+    """No connection to it comes up before ``open``."""
+
+    def __init__(self, answer: bytes | None = OK) -> None:
+        self.gate = threading.Event()
+        super().__init__(answer)
+        self.listener.listen(0)
+        self.fillers = [socket.socket() for _ in range(4)]
+        for filler in self.fillers:
+            filler.setblocking(False)
+            filler.connect_ex(self.listener.getsockname())
+
+    def _accept(self) -> None:
+        self.gate.wait()
+        super()._accept()
+
+    def open(self) -> None:
+        self.listener.listen()
+        for filler in self.fillers:
+            filler.close()
+        self.gate.set()
+
+    def close(self) -> None:
+        self.open()
+        super().close()
+
+
+class Slow(Stage):
+    settings: ClassVar[dict[str, Any]] = {
+        "Classes": [
+            {"Name": "look", "Effect": "pure", **LONG},
+            {"Name": "scan", "Effect": "token", "Group": "zone", "MemorySpanMs": 500.0, **LONG},
+        ],
+        "Limits": {**LIMITS, "DialTimeoutMs": 8000.0},
+    }
+
+    def tell(self, watch: socket.socket, *rows: dict[str, Any]) -> None:
+        watch.sendall(chunk(json.dumps(listing(42, False, *rows)) + "\n"))
+
+
+class Dialling(Slow):
+    def test_a_server_drained_meanwhile_gets_no_byte_of_it(self) -> None:
+        gated, other = self.peer(Gated(OLD)), self.peer(ApplicationServer())
+        self.start(row("s-1", gated))
+        watch, client = self.discovery.watch(), self.client()
+        self.send(client, ms=9000)
+        self.settle(server_connections_now=1)
+        self.tell(watch, row("s-1", gated, "terminating"), row("s-2", other))
+        self.settle(pools=2)
+        gated.open()
+        self.assertEqual(client.getresponse().read(), b"ok")
+        self.assertEqual(gated.seen.qsize(), 0)
+
+    def test_a_process_replaced_meanwhile_gets_no_byte_of_it(self) -> None:
+        gated, other = self.peer(Gated(OLD)), self.peer(ApplicationServer())
+        self.start(row("s-1", gated))
+        watch, client = self.discovery.watch(), self.client()
+        self.send(client, ms=9000)
+        self.settle(server_connections_now=1)
+        self.tell(watch, row("s-1", gated, boot_ms=int(time.time() * 1000)), row("s-2", other))
+        self.settle(pools=2)
+        gated.open()
+        self.assertIn(client.getresponse().read(), (b"ok", b"no"))
+        self.settle(attempts_not_begun=1)  # to the old process; the new one may have the next
+
+    def test_its_head_tells_the_time_that_is_left_when_it_is_written(self) -> None:
+        gated = self.peer(Gated())
+        self.start(row("s-1", gated))
+        client = self.client()
+        self.send(client, ms=9000)
+        self.settle(server_connections_now=1)
+        gated.open()
+        self.assertEqual(client.getresponse().read(), b"ok")
+        self.assertLess(int(gated.seen.get()[1]["x-expires-in-ms"]), 8000)
+
+    def test_a_repeat_whose_window_closes_meanwhile_is_not_sent(self) -> None:
+        first, gated, closing = self.peer(ApplicationServer()), self.peer(Gated()), threading.Event()
+        first.answer = lambda headers: b"" if closing.wait(WAIT) else None  # closes: it may have run
+        self.start(row("s-1", first))
+        watch, client = self.discovery.watch(), self.client()
+        self.send(client, "/scan/1", ms=9000)
+        self.settle(server_connections_now=1)
+        self.tell(watch, row("s-2", gated))
+        self.settle(pools=2)
+        closing.set()
+        self.settle(attempts_reset=1, attempts=2)
+        gated.open()  # its connection comes up 1 s after it was called for, the window is 0.5 s
+        self.settle(attempts_not_begun=1)
+        self.process.terminate()  # the request parks to its end; nothing more can become of it
+        self.assertGreaterEqual(client.getresponse().status, 500)
+        self.assertEqual(gated.seen.qsize(), 0)
+
+
+class Left(Slow):
+    settings: ClassVar[dict[str, Any]] = {
+        **Slow.settings, "Limits": {**LIMITS, "Cancel": False, "DialTimeoutMs": 8000.0}
+    }  # fmt: skip
+
+    def test_who_leaves_meanwhile_has_nothing_sent_also_where_no_attempt_may_be_cancelled(self) -> None:
+        gated = self.peer(Gated())
+        self.start(row("s-1", gated))
+        client = self.client()
+        self.send(client, "/look/left", ms=9000)
+        self.settle(server_connections_now=1)
+        client.close()
+        self.settle(clients_gone=1)
+        gated.open()
+        self.settle(requests_now=0)
+        self.assertEqual(self.ask(path="/look/next", ms=9000).read(), b"ok")
+        self.assertEqual(gated.seen.get()[0].split()[1], "/look/next")
+        self.assertEqual(gated.seen.qsize(), 0)
+
+    def test_an_end_that_waits_unread_lets_no_further_attempt_begin(self) -> None:
+        # What is sent ahead stops the reading, so the end behind it is not seen.
+        first, other = self.peer(ApplicationServer()), self.peer(ApplicationServer())
+        turning = threading.Event()
+        first.answer = lambda headers: NEVER_RAN if turning.wait(WAIT) else None
+        self.start(row("s-1", first))
+        watch = self.discovery.watch()
+        client = self.connect(b"GET /look/1 HTTP/1.1\r\nX-Trace-Id: t1\r\nX-Expires-In-Ms: 9000\r\n\r\n")
+        self.settle(server_connections_now=1)
+        client.sendall(b"GET /" + b"x" * 9000)
+        self.tell(watch, row("s-2", other))
+        self.settle(pools=2)
+        self.gauges()  # a turn later: by now it has read as much as it will
+        client.close()
+        turning.set()
+        self.settle(requests_now=0)
+        self.assertEqual((other.seen.qsize(), self.gauges()["clients_gone"]), (0, 1))
--- a/tests/test_net_parts.py
+++ b/tests/test_net_parts.py
@@ -4,6 +4,7 @@
 
 import math
 import unittest
+from collections.abc import Callable
 from itertools import pairwise
 from typing import Any
 
@@ -128,6 +129,9 @@
     def __init__(self) -> None:
         self.answers: list[str] = []
 
+    def has_left(self) -> bool:
+        return False
+
     def served(self, reply: Reply) -> None:
         self.answers.append("served")
 
@@ -150,13 +154,18 @@
     def end_by(self, at_ms: float) -> None:
         raise NotImplementedError
 
+    def recall(self) -> None:
+        raise NotImplementedError
+
 
 class Servers:
     def __init__(self) -> None:
         self.passes: list[Held] = []
         self.timeouts: list[float] = []
 
-    def start(self, server: str, call: Call, timeout_ms: float) -> Held:
+    def start(
+        self, server: str, call: Call, timeout_ms: float, begin_by_ms: float, wanted: Callable[[], bool]
+    ) -> Held:
         self.timeouts.append(timeout_ms)
         self.passes.append(Held())
         return self.passes[-1]
