Send nothing on for a client that has left; end our side first in every close

Cause: a connection from the kernel's queue may hold its request and its end both; _give sent the request on before the end was read. Reading was paused once over SENT_AHEAD bytes were pipelined, so the end of a client that sent much at once and went was never seen, and further attempts began for it. Where the settings allow no cancelling, ClientGone leaves an attempt out, also one that still dials: it went out after its client had left, or after the final answer. Peer.close() closed over unread bytes: the reset took the part of an answer along that had not left yet.

Change: _give looks at the socket (recv MSG_PEEK), and reads what lies before the end first. What comes too far ahead is read and dropped (DISCARDED) instead of left unread; beyond that the open request is answered 400. OpenRequests._release, the one place where nothing is owed any more, recalls every attempt that has not begun to be written (OpenAttempt.recall). close() and _hang_up() are one: our side ends, what still comes is dropped until the client's side ends or LINGER_MS is over. _flow_ended behind connectionLost no longer enters a phase.

Ruled out: a request that waits in the decisions is not sent on for a client that has left (ClientGone ends it); forced by a list that comes after its client has gone. An attempt that was sent goes on where the settings allow no cancelling.

Seen to fail with each mend taken out: the look in _give, the read before the look, reading on when too much was sent ahead, recall, loseWriteConnection in close().

--- a/lupinlink/lab/virtual.py
+++ b/lupinlink/lab/virtual.py
@@ -59,6 +59,10 @@
             self.side.given_up(self)
             self.finish(net.AttemptEnd(status))
 
+    def recall(self) -> None:
+        if self.number < 0:
+            self.give_up(Status.NOT_SENT)
+
     def finish(self, end: net.AttemptEnd) -> None:
         self.over = True
         self.side.out.pop(self, None)
@@ -104,18 +108,12 @@
         there = world.ways.between(self.zone, place.zone)
 
         def asked() -> None:
-            if (
-                process.alive
-                and not process.fallen
-                and not process.troubles.silent
-                and not process.troubles.hangs
-            ):
+            troubles = process.troubles
+            if process.alive and not process.fallen and not troubles.silent and not troubles.hangs:
                 process.overhead(process.machine.probe_work_ms)
                 back = world.ways.between(self.zone, place.zone)
-                report = _report(process.report())
-                world.clock.at(
-                    world.clock.now() + back, partial(finish, net.AttemptEnd(Status.OK, None, report))
-                )
+                end = net.AttemptEnd(Status.OK, None, _report(process.report()))
+                world.clock.at(world.clock.now() + back, partial(finish, end))
 
         def finish(end: net.AttemptEnd) -> None:
             if not ended.called:
@@ -161,9 +159,8 @@
         world, place = self.world, attempt.place
         now, name = world.clock.now(), attempt.try_name
         attempt.server = process
-        attempt.number = world.referee.sent(
-            name, place.name, place.zone, place.cell, now, crosses=place.zone != self.zone
-        )
+        crosses = place.zone != self.zone
+        attempt.number = world.referee.sent(name, place.name, place.zone, place.cell, now, crosses=crosses)
         there = world.ways.between(self.zone, place.zone)
         world.clock.at(now + there, partial(self._arrive, attempt, process))
 
@@ -295,6 +292,9 @@
     def failed(self, why: net.Failure) -> None:
         self._answer(Reply.FAILED, 0.0)
 
+    def has_left(self) -> bool:
+        return False
+
     def _answer(self, what: Reply, retry_after_ms: float, made_for: str = "") -> None:
         self.answered = True
         world, name, now = self.world, self.ask.name, self.world.clock.now()
--- a/lupinlink/net/application_servers/attempts.py
+++ b/lupinlink/net/application_servers/attempts.py
@@ -70,6 +70,11 @@
             self._servers.clock.drop(self._deadline)
             self.ended.callback(end)
 
+    def recall(self) -> None:
+        """Not to be sent after all: ends it unless it has begun to be written."""
+        if self.connection is None:
+            self.give_up(Status.NOT_SENT)
+
     def give_up(self, status: Status) -> None:
         """Stop waiting; the connection is closed before anything else can go out."""
         if not self._open:
--- a/lupinlink/net/clients/answers.py
+++ b/lupinlink/net/clients/answers.py
@@ -80,9 +80,7 @@
             self.transport.write(http1.answer_head(status, headers, length, close=not stay))
         else:
             self.transport.write(http1.answer(status, headers, body, close=not stay))
-        if receiving:
-            self._hang_up()
-        elif stay:
+        if stay:
             self._advance()
         else:
             self.close()
@@ -111,6 +109,8 @@
             self.transport.write(http1.chunk(data) if self._chunked else data)
 
     def _flow_ended(self) -> None:
+        if self._flow is None:
+            return
         if self._chunked:
             self.transport.write(http1.LAST_CHUNK)
         self._flow, self._waiting = None, False
--- a/lupinlink/net/clients/peer.py
+++ b/lupinlink/net/clients/peer.py
@@ -24,6 +24,7 @@
 from lupinlink.net.typed import READ_BYTES, Transport, unsent
 from lupinlink.net.wheel import Clockwork
 
+LOOKS = 4  # reads at most to find a client's end behind what it sent ahead; others wait meanwhile
 UNREAD_MS = 20000.0  # so long may a client read nothing of an answer that is passed on to it
 
 
@@ -97,11 +98,32 @@
         self.transport.bufferSize = READ_BYTES
         self.transport.registerProducer(self, True)
 
+    def _look(self) -> bool | None:
+        """Whether something has come that was not read yet; None: the client's end, or a break, is next."""
+        try:
+            return bool(self.transport.getHandle().recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)) or None
+        except BlockingIOError:
+            return False
+        except (OSError, AttributeError):  # or it is lost already
+            return None
+
     def unread(self) -> bool:
         """Whether something has come that was not read yet."""
-        with suppress(OSError, AttributeError):
-            return bool(self.transport.getHandle().recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
-        return False
+        return bool(self._look())
+
+    def has_left(self) -> bool:
+        """Whether its client has closed, as far as can be seen now.
+
+        Danger: its end may be here behind bytes that were not read yet. So these are read first, but for a
+        body on its way in: it goes its own way, and without its last byte its request never runs.
+        """
+        for _ in range(LOOKS):
+            if (more := self._look()) is None or self._deaf:
+                return True
+            if not more or self._unread or self._intake is not None:
+                break
+            self.transport.doRead()
+        return self._deaf
 
     @property
     def begun(self) -> bool:
@@ -150,25 +172,19 @@
             return float(int.from_bytes(waiting, sys.byteorder) + unsent(self.transport))
         return 0.0
 
-    def close(self) -> None:
-        """Close once all is written; the sweep aborts what does not get there."""
-        self._deaf = True
-        self._clients.enter(self, Phase.CLOSING)
-        self.transport.unregisterProducer()
-        self.transport.loseConnection()
-
     def reject(self, status: int, why: str) -> None:
         """Answer what is no proper request, and take nothing more from this connection."""
         self._clients.counters[f"rejected_{status}"] += 1
         text = [("Content-Type", "text/plain")]
         self.transport.write(http1.answer(status, text, f"{why}\n".encode(), close=True))
-        self._hang_up()
+        self.close()
 
-    def _hang_up(self) -> None:
-        """Take nothing more; the answer that was written goes out.
+    def close(self) -> None:
+        """Take nothing more; what was written goes out. The one orderly end of a connection.
 
-        Only our side ends: closing at once would reset the connection under a body that is still coming,
-        and the answer with it.
+        Only our side ends, and what still comes is read and dropped until the client's does: a close over
+        unread bytes resets the connection, and takes along an answer that is still on its way. The sweep
+        aborts what does not get there.
         """
         self._deaf = True
         self._clients.enter(self, Phase.CLOSING)
@@ -179,6 +195,11 @@
         self.transport.resumeProducing()
         self.transport.loseWriteConnection()
 
+    def make_way(self) -> None:
+        """Others need its place: the socket goes as well, once what was written has gone to the kernel."""
+        self.leave(overdue=False)
+        self.transport.loseConnection()
+
     def _read_on(self, why: str, on: bool) -> None:
         """Read it, or leave it unread for that reason until ``on``."""
         before = bool(self._unread)
--- a/lupinlink/net/clients/requests.py
+++ b/lupinlink/net/clients/requests.py
@@ -18,6 +18,7 @@
 SENT_AHEAD = 8 * 1024  # bytes of further requests that may wait behind one: clients send one at a time
 # Bytes read and dropped for the sake of a client that writes before it reads.
 DISCARDED = 2 * http1.MAX_MESSAGE
+TOO_MANY = "too many requests sent ahead"
 
 
 class Client(Answered):
@@ -30,15 +31,26 @@
 
     def dataReceived(self, data: bytes) -> None:
         self.heard_at = self._clients.clock.now()
-        if self._deaf:
-            # What still comes behind a last answer is of no use; enough of it was read for that to be seen.
-            self._discarded += len(data)
-            if self._discarded > DISCARDED:
-                self.transport.pauseProducing()
+        if self._deaf or self._overrun:
+            self._discard(len(data))
             return
         self._parser.feed(data)
         self._advance()
 
+    def _discard(self, count: int) -> None:
+        """What comes behind a last answer, or too far ahead of one, is of no use; its sender's end is.
+
+        Danger: left unread, a client that has gone would keep its request here, to be sent on for nobody.
+        """
+        self._discarded += count
+        if self._discarded <= DISCARDED:
+            return
+        if self._overrun and not self._deaf and self._flow is None:
+            self._discarded = 0
+            self.reject(400, TOO_MANY)  # this ends the request that is open, too
+        else:
+            self.transport.pauseProducing()
+
     def connectionLost(self, reason: Reason = connectionDone) -> None:
         self._deaf = True
         self._clients.lost(self)
@@ -84,7 +96,7 @@
                 message = self._parser.next()
                 ahead = message is not None and len(self._parser.buffer) > SENT_AHEAD
                 if self._overrun or ahead:
-                    raise http1.MessageError(400, "too many requests sent ahead")
+                    raise http1.MessageError(400, TOO_MANY)
                 if message is None:
                     if self._parser.head is not None:
                         self._receive(self._parser.head)
@@ -110,11 +122,9 @@
             begun = Phase.HEAD if self._intake is None else Phase.BODY
             rests = Phase.RESTING if self.asked else Phase.SILENT
             self._clients.enter(self, begun if self._parser.begun() else rests)
-        if self._intake is None:
-            held = (self._waiting or self._choked) and len(self._parser.buffer) > SENT_AHEAD
-            # It is told so once the request that is open has its answer.
-            self._overrun = self._overrun or held
-            self._read_on("ahead", not held)
+        if self._intake is None and (self._waiting or self._choked):
+            # It is told so once the request that is open has its answer; nothing that it sends is taken.
+            self._overrun = self._overrun or len(self._parser.buffer) > SENT_AHEAD
 
     def _take(self, message: http1.Message) -> None:
         self._know(message)
@@ -142,7 +152,12 @@
         self._minor, self._only_head = head.version, head.method == "HEAD"
 
     def _give(self, call: Call) -> None:
-        """To the decisions."""
+        """To the decisions, unless its client has closed already: for nobody, nothing is sent on."""
+        if call.body.whole and self.has_left():
+            self._clients.counters["left_unheard"] += 1
+            self._deaf = True  # its end is read next
+            call.body.drop()
+            return
         self._waiting, self._request = True, None
         request = self._clients.proxy.take(call, self)
         if self._waiting:
--- a/lupinlink/net/open_requests.py
+++ b/lupinlink/net/open_requests.py
@@ -190,9 +190,13 @@
             self.counters["internal_errors"] += 1
 
     def _release(self, handle: int) -> None:
+        """Nothing is owed any more: what has not begun to be sent never is, cancelling allowed or not."""
         taken = self._requests.get(handle)
-        if taken is not None and taken.side is None and not taken.out:
-            self._requests.remove(handle)
+        if taken is None or taken.side is not None:
+            return
+        for attempt in taken.attempts:
+            attempt.recall()  # the last to end releases it
+        if not taken.out and self._requests.remove(handle) is not None:
             self._identities.discard(taken.call.identity)
             taken.call.body.drop()
 
--- /dev/null
+++ b/tests/test_crossing_clients.py
@@ -0,0 +1,165 @@
+"""Clients that leave, or send on, in the very moment in which their request, answer or place is decided."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import threading
+from typing import Any, ClassVar
+
+from lupinlink.net.typed import READ_BYTES
+from tests.stage import NEVER_RAN, OK, SETTINGS, WAIT, ApplicationServer, Stage, chunk, listing, row
+
+HEAD = b"GET /look/1 HTTP/1.1\r\nX-Trace-Id: "
+AHEAD = b"".join(HEAD + b"%d\r\n\r\n" % i for i in range(600))  # more than may wait behind one request
+
+
+class Gated(ApplicationServer):
+    """Answers as told once its gate is open; ``sent`` tells that an answer has been written."""
+
+    def __init__(self, answer: bytes | None = OK) -> None:
+        self.gate, self.sent = threading.Event(), threading.Event()
+        super().__init__(answer)
+
+    def talk(self, connection: socket.socket) -> None:
+        told = self.answer
+
+        def gated(headers: dict[str, str]) -> bytes | None:
+            self.seen.put(("", headers, b""))
+            self.gate.wait(WAIT)
+            return told(headers)
+
+        stream = connection.makefile("rb")
+        while line := stream.readline():
+            if line == b"\r\n":
+                connection.sendall(gated({}) or b"")
+                self.sent.set()
+
+
+class Crossing(Stage):
+    """A proxy that can be made to stand still, so that several events are there when it goes on."""
+
+    def stand_still(self) -> None:
+        self.process.send_signal(signal.SIGSTOP)
+        os.waitpid(self.process.pid, os.WUNTRACED)
+
+    def go_on(self) -> None:
+        self.process.send_signal(signal.SIGCONT)
+
+
+class Leaving(Crossing):
+    def test_a_client_that_closed_before_its_request_was_read_has_none(self) -> None:
+        server = self.peer(ApplicationServer())
+        self.start(row("s-1", server))
+        self.assertEqual(self.ask().read(), b"ok")  # so that an attempt would go out at once
+        whole = b"POST /look/1 HTTP/1.1\r\nX-Trace-Id: gone\r\nContent-Length: 32000\r\n\r\n" + b"x" * 32000
+        exact = whole.replace(b"gone", b"gone".ljust(4 + 2 * READ_BYTES - len(whole), b"."))
+        # In the second case its end lies behind something that is not read along with the request.
+        for data in (HEAD + b"gone\r\n\r\n", exact + AHEAD[:4000]):
+            before = self.gauges()["attempts"]
+            self.stand_still()
+            self.connect(data).close()
+            client = self.client()
+            self.send(client)
+            self.go_on()
+            self.assertEqual(client.getresponse().read(), b"ok")
+            self.assertEqual(self.gauges()["attempts"], before + 1)  # the other's
+        self.assertEqual(self.gauges()["left_unheard"], 2)
+
+    def test_who_sent_too_much_ahead_and_left_gets_no_further_attempt(self) -> None:
+        servers = [self.peer(Gated(NEVER_RAN)) for _ in range(2)]
+        self.start(*(row(f"s-{i}", server) for i, server in enumerate(servers)))
+        client = self.connect(HEAD + b"a\r\n\r\n")
+        self.settle(attempts=1)
+        client.sendall(AHEAD)
+        client.close()
+        self.settle(clients_gone=1)  # seen, though nothing that it sent will be of use
+        for server in servers:
+            server.gate.set()
+        self.settle(requests_now=0)
+        self.assertEqual(self.gauges()["attempts"], 1)
+
+    def test_who_sends_too_much_ahead_is_told_so_behind_its_answer(self) -> None:
+        server = self.peer(Gated())
+        self.start(row("s-1", server))
+        client = self.connect(HEAD + b"a\r\n\r\n")
+        server.seen.get(timeout=WAIT)
+        client.sendall(AHEAD)
+        server.gate.set()
+        got = b"".join(iter(lambda: client.recv(4096), b""))
+        self.assertTrue(got.startswith(b"HTTP/1.1 200 "), got)
+        self.assertIn(b"ok", got)
+        self.assertEqual(got.count(b"HTTP/1.1 400 "), 1)
+
+
+class NoCancelling(Crossing):
+    settings: ClassVar[dict[str, Any]] = {
+        "Classes": [{"Name": "look", "AimMs": 400.0, "HardLimitMs": 60000.0, "Effect": "pure"}],
+        "Limits": {**SETTINGS["Limits"], "Cancel": False, "DialTimeoutMs": 60000.0},
+    }
+
+    def test_an_attempt_that_still_dials_ends_with_its_client(self) -> None:
+        far = socket.create_server(("127.0.0.1", 0), backlog=0)
+        self.addCleanup(far.close)
+        fill = []
+        for _ in range(4):  # its queue is full: the next dial stays on its way up
+            one = socket.socket()
+            one.setblocking(False)
+            one.connect_ex(far.getsockname())
+            fill.append(one)
+            self.addCleanup(one.close)
+        self.start(row("s-1", self.discovery, endpoint=f"127.0.0.1:{far.getsockname()[1]}"))
+        client = self.connect(HEAD + b"a\r\n\r\n")
+        self.settle(connections_opened=1)
+        client.close()
+        now = self.settle(requests_now=0)  # well before the dial's end or the request's
+        self.assertEqual((now["attempts_not_sent"], now["server_connections_now"]), (1, 0))
+
+    def test_an_attempt_that_was_sent_goes_on(self) -> None:
+        server = self.peer(Gated())
+        self.start(row("s-1", server))
+        client = self.connect(HEAD + b"a\r\n\r\n")
+        server.seen.get(timeout=WAIT)
+        client.close()
+        self.assertEqual(self.settle(clients_gone=1)["requests_now"], 1)
+        server.gate.set()
+        self.assertEqual(self.settle(requests_now=0)["attempts_ok"], 1)
+
+
+class Parked(Crossing):
+    def test_what_waits_for_a_server_is_not_sent_on_for_a_client_that_has_left(self) -> None:
+        server = self.peer(ApplicationServer())
+        self.start()
+        client = self.connect(HEAD + b"a\r\nX-Expires-In-Ms: 2000\r\n\r\n")
+        self.settle(requests_now=1)
+        client.close()
+        self.settle(requests_now=0)
+        text = json.dumps(listing(42, True, row("s-1", server)))
+        self.discovery.watch().sendall(chunk(text + "\n"))
+        self.settle(servers_ready=1)
+        self.assertEqual((self.ask().read(), server.seen.qsize()), (b"ok", 1))
+
+
+class Closing(Crossing):
+    def test_an_answer_comes_whole_and_its_connection_ends_though_more_is_sent_behind_it(self) -> None:
+        # A close over unread bytes resets the connection, and takes along what has not left by then.
+        body = b"y" * 60000
+        server = self.peer(Gated(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body))
+        self.start(row("s-1", server))
+        client = socket.socket()
+        self.addCleanup(client.close)
+        client.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, 4096
+        )  # most of the answer waits for its reading
+        client.connect(("127.0.0.1", self.port))
+        client.sendall(HEAD + b"a\r\nConnection: close\r\n\r\n")
+        server.seen.get(timeout=WAIT)
+        self.stand_still()
+        server.gate.set()
+        self.assertTrue(server.sent.wait(WAIT))
+        client.sendall(b"x" * 100 * 1024)  # more than is read at once
+        self.go_on()
+        got = b"".join(iter(lambda: client.recv(4096), b""))  # raises where it is reset
+        self.assertTrue(got.endswith(b"\r\n" + body), len(got))
--- a/tests/test_net_parts.py
+++ b/tests/test_net_parts.py
@@ -137,6 +137,9 @@
     def failed(self, why: Failure) -> None:
         self.answers.append(why.name)
 
+    def has_left(self) -> bool:
+        return False
+
 
 class Held:
     """A pass that ends when the test says so."""
@@ -147,6 +150,9 @@
     def give_up(self, status: Status) -> None:
         self.ended.callback(AttemptEnd(status))
 
+    def recall(self) -> None:
+        """It has been sent."""
+
     def end_by(self, at_ms: float) -> None:
         raise NotImplementedError
 
