Free the descriptor with the place of a client that has to make room

Cause: told 408, a silent client that had to make room kept its descriptor for up to LINGER_MS while its place was free again: with 128 sockets, 32 MB and 300 half heads 125 descriptors were open, where 81 are the clients' and the reserve's share, and the rest has to stay free for dials to servers.

Change: who makes room goes with its socket once what was written has gone to the kernel (69 descriptors in the same test); only who frees a place counts.

Seen to fail without the mend: tests/test_crossing_clients.py Places, 125 against 81.

--- a/lupinlink/net/clients/places.py
+++ b/lupinlink/net/clients/places.py
@@ -65,7 +65,7 @@
         """
         now, peeks = self._clock.now(), 0
         for phase in (Phase.CLOSING, Phase.SILENT, Phase.RESTING):
-            for client in self.phases[phase]:
+            for client in list(islice(self.phases[phase], PEEKS)):
                 if now - client.since < phase.grace_ms or peeks >= PEEKS:
                     break
                 if not client.connected:
@@ -83,11 +83,11 @@
     def _gives_way(self, client: Peer) -> bool:
         if client.unread():
             return False
-        client.leave(overdue=False)
-        # Its socket is freed a turn later, out of the reserve.
-        self.connections.remove(client.handle)
-        self._counters["made_room"] += 1
-        return True
+        client.make_way()
+        # Its socket is freed a turn later, out of the reserve; its place now, unless it had lost it before.
+        freed = self.connections.remove(client.handle) is not None
+        self._counters["made_room"] += freed
+        return freed
 
     def close_idle(self, unasked: bool) -> None:
         """Close what is between requests; ``unasked``: also who has not asked anything yet."""
--- a/tests/test_crossing_clients.py
+++ b/tests/test_crossing_clients.py
@@ -7,8 +7,10 @@
 import signal
 import socket
 import threading
+import time
 from typing import Any, ClassVar
 
+from lupinlink.net.handover.room import Limits, room
 from lupinlink.net.typed import READ_BYTES
 from tests.stage import NEVER_RAN, OK, SETTINGS, WAIT, ApplicationServer, Stage, chunk, listing, row
 
@@ -163,3 +165,20 @@
         self.go_on()
         got = b"".join(iter(lambda: client.recv(4096), b""))  # raises where it is reset
         self.assertTrue(got.endswith(b"\r\n" + body), len(got))
+
+
+class Places(Crossing):
+    limits: ClassVar[dict[str, Any]] = {"cores": 1.0, "memory_mb": 32, "sockets": 128}
+
+    def test_who_made_room_leaves_its_descriptor_too(self) -> None:
+        # Told that its request did not arrive, a silent client used to keep its descriptor beyond the cap.
+        server = self.peer(ApplicationServer())
+        self.start(row("s-1", server))
+        folder, most = f"/proc/{self.process.pid}/fd", 0
+        crowd = [self.connect(HEAD) for _ in range(300)]
+        until = time.monotonic() + WAIT
+        while self.gauges().get("made_room", 0) < 200:
+            self.assertLess(time.monotonic(), until)
+            most = max(most, len(os.listdir(folder)))
+        self.assertLessEqual(most, 128 - room(Limits(128, 32.0, 0)).servers)  # those stay free for servers
+        del crowd
