--- a/lupinlink/lab/virtual.py
+++ b/lupinlink/lab/virtual.py
@@ -159,9 +159,8 @@
         world, place = self.world, attempt.place
         now, name = world.clock.now(), attempt.try_name
         attempt.server = process
-        attempt.number = world.referee.sent(
-            name, place.name, place.zone, place.cell, now, crosses=place.zone != self.zone
-        )
+        crosses = place.zone != self.zone
+        attempt.number = world.referee.sent(name, place.name, place.zone, place.cell, now, crosses=crosses)
         there = world.ways.between(self.zone, place.zone)
         world.clock.at(now + there, partial(self._arrive, attempt, process))
 
--- a/tests/test_net_parts.py
+++ b/tests/test_net_parts.py
@@ -151,10 +151,10 @@
     def give_up(self, status: Status) -> None:
         self.ended.callback(AttemptEnd(status))
 
-    def end_by(self, at_ms: float) -> None:
-        raise NotImplementedError
-
     def recall(self) -> None:
+        """It has been sent."""
+
+    def end_by(self, at_ms: float) -> None:
         raise NotImplementedError
 
 
