--- a/tests/test_crossing_attempts.py
+++ b/tests/test_crossing_attempts.py
@@ -62,6 +62,11 @@
         "Limits": {**LIMITS, "DialTimeoutMs": 8000.0},
     }
 
+    def dialling(self) -> None:
+        """Wait until a first SYN has met the full queue: a dial is counted a turn before it goes out."""
+        self.settle(server_connections_now=1)
+        self.gauges()
+
     def tell(self, watch: socket.socket, *rows: dict[str, Any]) -> None:
         watch.sendall(chunk(json.dumps(listing(42, False, *rows)) + "\n"))
 
@@ -72,7 +77,7 @@
         self.start(row("s-1", gated))
         watch, client = self.discovery.watch(), self.client()
         self.send(client, ms=9000)
-        self.settle(server_connections_now=1)
+        self.dialling()
         self.tell(watch, row("s-1", gated, "terminating"), row("s-2", other))
         self.settle(pools=2)
         gated.open()
@@ -84,7 +89,7 @@
         self.start(row("s-1", gated))
         watch, client = self.discovery.watch(), self.client()
         self.send(client, ms=9000)
-        self.settle(server_connections_now=1)
+        self.dialling()
         self.tell(watch, row("s-1", gated, boot_ms=int(time.time() * 1000)), row("s-2", other))
         self.settle(pools=2)
         gated.open()
@@ -96,7 +101,7 @@
         self.start(row("s-1", gated))
         client = self.client()
         self.send(client, ms=9000)
-        self.settle(server_connections_now=1)
+        self.dialling()
         gated.open()
         self.assertEqual(client.getresponse().read(), b"ok")
         self.assertLess(int(gated.seen.get()[1]["x-expires-in-ms"]), 8000)
@@ -107,7 +112,7 @@
         self.start(row("s-1", first))
         watch, client = self.discovery.watch(), self.client()
         self.send(client, "/scan/1", ms=9000)
-        self.settle(server_connections_now=1)
+        self.dialling()
         self.tell(watch, row("s-2", gated))
         self.settle(pools=2)
         closing.set()
@@ -129,7 +134,7 @@
         self.start(row("s-1", gated))
         client = self.client()
         self.send(client, "/look/left", ms=9000)
-        self.settle(server_connections_now=1)
+        self.dialling()
         client.close()
         self.settle(clients_gone=1)
         gated.open()
@@ -146,7 +151,7 @@
         self.start(row("s-1", first))
         watch = self.discovery.watch()
         client = self.connect(b"GET /look/1 HTTP/1.1\r\nX-Trace-Id: t1\r\nX-Expires-In-Ms: 9000\r\n\r\n")
-        self.settle(server_connections_now=1)
+        self.dialling()
         client.sendall(b"GET /" + b"x" * 9000)
         self.tell(watch, row("s-2", other))
         self.settle(pools=2)
--- a/tests/test_same_actions.py
+++ b/tests/test_same_actions.py
@@ -10,7 +10,7 @@
 from tests.helpers import KEYED, SAFE, UNSAFE, Stand
 
 # Who means to change actions puts the new one here and says so in the commit.
-DIGEST = "77bcb277c4f16fac4a6930382c291346874692e9ff248554eeef85a301981c36"
+DIGEST = "f0e05a96aba185e085e95db7e172d2afa0715da002129c88ace90c5290d951f2"
 
 
 def played(seed: int, requests: int) -> list[str]:
