Let an answer that has come go before a time-out or a cancel; tests of its crossings

Cause: after a pause of the process the event loop runs timers before it reads: an answer that lay in the kernel was thrown away by its attempt's time-out or by the module's cancel, its connection closed, and the request failed or was sent once more.

Change: Attempt.give_up reads first what is here (catch_up). A connection can so be given back and taken again among timers that are already due together; _unfinished, _stalled and _look_at_flow therefore belong to the attempt or flow that they were set for.

Without catch_up two of the eight tests fail, with timers that belong to no attempt one does.

--- a/lupinlink/net/application_servers/attempts.py
+++ b/lupinlink/net/application_servers/attempts.py
@@ -30,6 +30,7 @@
     """The connection that an attempt travels on."""
 
     def drop(self) -> None: ...
+    def catch_up(self) -> None: ...
 
 
 class Way(Protocol):
@@ -89,7 +90,12 @@
             self.ended.callback(end)
 
     def give_up(self, status: Status) -> None:
-        """Stop waiting; the connection is closed before anything else can go out."""
+        """Stop waiting; the connection is closed before anything else can go out.
+
+        An answer that has come goes first: after a pause of this process its timers run before its reads.
+        """
+        if self._open and self.connection is not None:
+            self.connection.catch_up()
         if not self._open:
             return
         dial, connection = self.dial, self.connection
--- a/lupinlink/net/application_servers/connection.py
+++ b/lupinlink/net/application_servers/connection.py
@@ -10,7 +10,7 @@
 
 from lupinlink.interface import Status
 from lupinlink.net import http1
-from lupinlink.net.application_servers.attempts import Servers
+from lupinlink.net.application_servers.attempts import Attempt, Servers
 from lupinlink.net.application_servers.outcomes import kept, outcome, read_report
 from lupinlink.net.application_servers.pool import Pool
 from lupinlink.net.application_servers.sending import Opening, Sending
@@ -70,7 +70,8 @@
             if self._ripe():
                 self._begin_flow()
             else:
-                self._whole_by = self._servers.clock.after(WHOLE_MS, self._unfinished)
+                attempt = self._attempt
+                self._whole_by = self._servers.clock.after(WHOLE_MS, lambda: self._unfinished(attempt))
 
     def _early(self, message: http1.Message | None) -> None:
         """No answer precedes its request; nor can that one run now, with its end never to be written.
@@ -97,10 +98,10 @@
         head, attempt = self._parser.head, self._attempt
         assert head is not None and attempt is not None
         self._servers.counters["flows"] += 1
-        self._flow = Flow(self._parser.length, self._hold_back, self._go_on, self._abandon_flow)
+        self._flow = flow = Flow(self._parser.length, self._hold_back, self._go_on, self._abandon_flow)
         self._attempt, attempt.connection = None, None
         self._heard_at = self._servers.clock.now()
-        self._whole_by = self._servers.clock.after(FLOW_LOOK_MS, self._look_at_flow)
+        self._whole_by = self._servers.clock.after(FLOW_LOOK_MS, lambda: self._look_at_flow(flow))
         self.transport.bufferSize = FLOW_READ_BYTES
         report = read_report(head.get("endpoint-load-metrics"))
         attempt.end(AttemptEnd(Status.OK, Reply(kept(head), self._parser.drain(), self._flow), report))
@@ -128,7 +129,9 @@
             flow.data(message.body)
             flow.ended()
 
-    def _look_at_flow(self) -> None:
+    def _look_at_flow(self, flow: Flow) -> None:
+        if self._flow is not flow:
+            return
         self._whole_by = None
         now = self._servers.clock.now()
         if self._held_back:
@@ -136,7 +139,7 @@
         if now - self._heard_at > FLOW_STILL_MS:
             self._end_flow(None)
         else:
-            self._whole_by = self._servers.clock.after(FLOW_LOOK_MS, self._look_at_flow)
+            self._whole_by = self._servers.clock.after(FLOW_LOOK_MS, lambda: self._look_at_flow(flow))
 
     def _hold_back(self) -> None:
         if self._flow is not None and not self._held_back:
@@ -149,9 +152,9 @@
             self._flow = None
             self.drop()
 
-    def _unfinished(self) -> None:
-        self._servers.counters["unfinished_answers"] += 1
-        if self._attempt is not None:
+    def _unfinished(self, attempt: Attempt | None) -> None:
+        if attempt is not None and self._attempt is attempt:
+            self._servers.counters["unfinished_answers"] += 1
             self._finish(AttemptEnd(Status.RESET), reuse=False)
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
--- a/lupinlink/net/application_servers/sending.py
+++ b/lupinlink/net/application_servers/sending.py
@@ -113,15 +113,17 @@
         self._settle()
         if out:
             self.transport.write(out)
-            self._whole_by = self._servers.clock.after(STALL_MS, self._stalled)
+            attempt = self._attempt
+            self._whole_by = self._servers.clock.after(STALL_MS, lambda: self._stalled(attempt))
         elif last:
             self.resumeProducing()
         else:
             self._starved = True
         body.sent(self._sent)
 
-    def _stalled(self) -> None:
-        if self._attempt is not None and not self._written:
+    def _stalled(self, attempt: Attempt | None) -> None:
+        # Timers that come due together all run: by now it may carry another.
+        if attempt is not None and self._attempt is attempt and not self._written:
             self._servers.counters["uploads_stalled"] += 1
             self._finish(AttemptEnd(Status.NOT_SENT), reuse=False)
 
@@ -142,13 +144,21 @@
 
         Danger: bytes that came behind the last answer would be taken for the answer to the next request.
         """
+        return self._waits() is not None
+
+    def catch_up(self) -> None:
+        """Read what is here of an answer already."""
+        while self._attempt is not None and self._waits():
+            self.transport.doRead()
+
+    def _waits(self) -> bytes | None:
+        """The next byte that waits to be read; empty: its end does; None: nothing."""
         try:
-            self.transport.getHandle().recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+            return self.transport.getHandle().recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
         except BlockingIOError:
-            return False
+            return None
         except OSError:
-            pass
-        return True
+            return b""
 
     def _settle(self) -> None:
         if self._whole_by is not None:
--- /dev/null
+++ b/tests/test_crossing_answers.py
@@ -0,0 +1,201 @@
+"""An answer's bytes, its connection's end and a time-out in one turn: on real sockets, in a forced order.
+
+The order in which one turn of the event loop meets them cannot be forced from outside the process, so the
+loop is the test's own and is turned by hand.
+"""
+
+from __future__ import annotations
+
+import select
+import socket
+import struct
+import unittest
+from collections.abc import Callable
+from typing import Any
+
+from twisted.internet.epollreactor import EPollReactor
+
+from lupinlink.interface import Endpoint, Status
+from lupinlink.net.application_servers import ApplicationServers
+from lupinlink.net.application_servers.attempts import Attempt
+from lupinlink.net.bodies import SMALL_BYTES, Body
+from lupinlink.net.counters import Counters
+from lupinlink.net.terms import AttemptEnd, Call
+from lupinlink.net.wheel import Clockwork
+from lupinlink.settings import RequestClass, Settings
+from tests.peers import OK, WAIT
+
+LONG_MS = WAIT * 1000.0
+NOW = struct.pack("ii", 1, 0)  # SO_LINGER: a close resets
+
+
+class Crossings(unittest.TestCase):
+    def setUp(self) -> None:
+        self.reactor: Any = EPollReactor()  # type: ignore[no-untyped-call]
+        self.addCleanup(self.close_loop)
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(self.listener.close)
+        told = Settings(classes=(RequestClass(300.0, 1000.0),), dial_timeout_ms=LONG_MS)
+        self.clock = Clockwork(self.reactor)
+        self.servers = ApplicationServers(self.reactor, self.clock, told, 8, Counters())
+        self.learn()
+
+    def learn(self) -> None:
+        self.servers.learn([(Endpoint("s-1"), *self.listener.getsockname())], True)
+
+    def close_all(self) -> None:
+        self.servers.close()
+        self.turn_until(lambda: not len(self.servers.connections))
+
+    def close_loop(self) -> None:
+        self.reactor.disconnectAll()
+        for call in self.reactor.getDelayedCalls():
+            call.cancel()
+        self.reactor.iterate(0)
+        for end in (self.reactor.waker.i, self.reactor.waker.o):
+            if hasattr(end, "close"):
+                end.close()
+
+    def attempt(self, body: bytes = b"", method: str = "POST") -> tuple[Attempt, list[AttemptEnd]]:
+        call = Call("t", 0, 0, LONG_MS, False, method, "/x", [], Body.of(body))
+        attempt = self.servers.start("s-1", call, LONG_MS, self.clock.now() + LONG_MS, lambda: True)
+        ends: list[AttemptEnd] = []
+        attempt.ended.addCallback(ends.append)
+        return attempt, ends
+
+    def turn_until(self, seen: Callable[[], object]) -> None:
+        until = self.clock.now() + LONG_MS
+        while not seen():
+            self.assertLess(self.clock.now(), until)
+            self.reactor.iterate(0.01)
+
+    def accepted(self) -> socket.socket:
+        """The server's end of the connection, which has the whole request."""
+        self.turn_until(lambda: select.select([self.listener], [], [], 0)[0])
+        server, _ = self.listener.accept()
+        self.addCleanup(server.close)
+        server.settimeout(WAIT)
+        self.asked(server)
+        return server
+
+    def asked(self, server: socket.socket) -> None:
+        got = b""
+        while not got.endswith(b"\r\n\r\n"):
+            self.turn_until(lambda: select.select([server], [], [], 0)[0])
+            got += (piece := server.recv(65536))
+            self.assertTrue(piece, got)
+
+    def kept(self) -> tuple[socket.socket, Any]:
+        """A connection that stands idle in the pool: the server's end, and ours."""
+        _, ends = self.attempt()
+        server = self.accepted()
+        server.sendall(OK)
+        self.turn_until(lambda: ends)
+        self.assertEqual(ends[0].status, Status.OK)
+        (pool,) = self.servers._pools.values()
+        return server, pool.idle[0]
+
+    def unread(self, connection: Any) -> None:
+        """What the server sent is here, and not read."""
+        self.assertTrue(select.select([connection.transport.getHandle()], [], [], WAIT)[0])
+
+    def test_an_answer_that_is_here_goes_before_a_time_out_and_a_cancel(self) -> None:
+        server, connection = self.kept()
+        for status in (Status.TIMEOUT, Status.CANCELLED):
+            attempt, ends = self.attempt()
+            self.asked(server)
+            server.sendall(OK)
+            self.unread(connection)
+            attempt.give_up(status)
+            self.assertEqual([end.status for end in ends], [Status.OK])
+            self.assertEqual(self.servers.gauges()["server_connections_idle"], 1)
+
+    def test_a_time_out_of_the_last_attempt_does_not_end_the_next_on_its_connection(self) -> None:
+        # Timers that have come due together all run, also one that was dropped by the one before it.
+        server, connection = self.kept()
+        attempt, ends = self.attempt()
+        self.asked(server)
+        server.sendall(OK[:-1])
+        self.turn_until(lambda: connection._whole_by is not None)
+        late = connection._whole_by.call
+        server.sendall(OK[-1:])
+        self.unread(connection)
+        attempt.give_up(Status.TIMEOUT)
+        _, next_ends = self.attempt()
+        late()
+        self.asked(server)
+        server.sendall(OK)
+        self.turn_until(lambda: next_ends)
+        self.assertEqual([end.status for end in ends + next_ends], [Status.OK, Status.OK])
+
+    def test_half_an_answer_is_given_up_and_its_end_is_on_the_wire_before_the_next(self) -> None:
+        server, connection = self.kept()
+        attempt, ends = self.attempt()
+        self.asked(server)
+        server.sendall(OK[:-1])
+        self.unread(connection)
+        ended_there: list[bytes] = []
+        attempt.ended.addCallback(lambda end: ended_there.append(server.recv(1)))  # without a turn between
+        attempt.give_up(Status.TIMEOUT)
+        server.sendall(OK[-1:])
+        self.reactor.iterate(0)
+        self.assertEqual(([end.status for end in ends], ended_there), ([Status.TIMEOUT], [b""]))
+
+    def test_an_end_between_the_look_and_the_write_proves_that_it_never_ran(self) -> None:
+        server, connection = self.kept()
+        _, ends = self.attempt()  # looked and found it open; the write goes out with the next turn
+        server.shutdown(socket.SHUT_WR)
+        self.unread(connection)
+        self.turn_until(lambda: ends)
+        self.assertEqual((ends[0].status, server.recv(1)), (Status.UNREACHABLE, b""))
+
+    def test_late_bytes_between_the_look_and_the_write_are_no_answer(self) -> None:
+        server, connection = self.kept()
+        _, ends = self.attempt()
+        server.sendall(OK)  # a second answer to the request before
+        self.unread(connection)
+        self.turn_until(lambda: ends)
+        self.assertEqual((ends[0].status, server.recv(1)), (Status.NOT_SENT, b""))
+
+    def test_late_bytes_or_an_end_before_the_look_let_no_request_meet_them(self) -> None:
+        for cut in (OK, OK[:5], b""):
+            server, connection = self.kept()
+            if cut:
+                server.sendall(cut)
+            else:
+                server.shutdown(socket.SHUT_WR)
+            self.unread(connection)
+            _, ends = self.attempt()
+            other = self.accepted()
+            other.sendall(OK)
+            self.turn_until(ends.copy)
+            self.assertEqual((ends[0].status, server.recv(1)), (Status.OK, b""))
+            self.close_all()
+            self.learn()
+
+    def test_a_break_before_the_kernel_has_the_last_byte_proves_that_it_never_ran(self) -> None:
+        server, connection = self.kept()
+        connection.transport.getHandle().setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        server.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        body = b"x" * (3 * SMALL_BYTES)
+        _, ends = self.attempt(body)
+        self.turn_until(lambda: select.select([server], [], [], 0)[0])
+        got = server.recv(1024)
+        server.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NOW)
+        server.close()
+        self.turn_until(lambda: ends)
+        self.assertLess(len(got), len(body))
+        self.assertEqual(ends[0].status, Status.UNREACHABLE)
+
+    def test_a_break_once_the_kernel_has_all_of_it_proves_nothing(self) -> None:
+        server, _ = self.kept()
+        _, ends = self.attempt()
+        self.turn_until(lambda: select.select([server], [], [], 0)[0])  # it has come, and nobody reads it
+        server.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NOW)
+        server.close()
+        self.turn_until(lambda: ends)
+        self.assertEqual(ends[0].status, Status.RESET)
+
+
+if __name__ == "__main__":
+    unittest.main()
