--- a/tests/test_crossing_attempts.py
+++ b/tests/test_crossing_attempts.py
@@ -4,6 +4,7 @@
 
 import json
 import socket
+import struct
 import threading
 import time
 from typing import Any, ClassVar
@@ -16,6 +17,7 @@
     Stage,
     chunk,
     listing,
+    read_request,
     row,
 )
 
@@ -155,3 +157,46 @@
         turning.set()
         self.settle(requests_now=0)
         self.assertEqual((other.seen.qsize(), self.gauges()["clients_gone"]), (0, 1))
+
+
+class Reset(Stage):
+    """An answer without a length ends with its connection: a reset is no end."""
+
+    class Server(ApplicationServer):
+        def __init__(self, body: bytes) -> None:
+            self.body, self.gate = body, threading.Event()
+            super().__init__()
+
+        def talk(self, connection: socket.socket) -> None:
+            if read_request(connection.makefile("rb")) is not None:
+                connection.sendall(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + self.body)
+                self.met.put(self)
+                self.gate.wait(WAIT)
+                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+
+    def test_who_has_a_part_of_it_sees_a_break(self) -> None:
+        server = self.peer(self.Server(b"x" * 100_000))
+        self.start(row("s-1", server))
+        head = b"GET /look/1 HTTP/1.%d\r\nX-Trace-Id: t%d\r\nX-Expires-In-Ms: 2000\r\n\r\n"
+        for minor in (0, 1):  # one takes the end of the connection for that of the answer, one is told chunks
+            server.gate.clear()
+            client, got = self.connect(head % (minor, minor)), b""
+            client.settimeout(WAIT)
+            while got.count(b"x") < 100_000:
+                got += client.recv(65536)
+            server.gate.set()
+            with self.assertRaises(ConnectionResetError):
+                while piece := client.recv(65536):
+                    self.assertNotIn(b"0\r\n\r\n", piece)
+
+    def test_none_of_a_short_one_is_served(self) -> None:
+        server = self.peer(self.Server(b"half"))
+        self.start(row("s-1", server))
+        client = self.client()
+        self.send(client)
+        server.met.get(timeout=WAIT)
+        for _ in range(2):
+            self.gauges()  # a turn later: it has read the half
+        server.gate.set()
+        self.assertNotEqual(client.getresponse().status, 200)
+        self.assertEqual(self.gauges()["attempts_reset"], 1)
