Let the waits for discovery grow again, to 2.25 s: fixed short ones crowd calls out

So the wait grows again, drawn and jittered as before, to 2.25 s (a call that is given up after 2.6 s then ends at 4.85 s of 6), the first call comes within 3 s, and a call that got no answer at all waits as a failed one; only a watch that had answered and fell silent is asked anew at once.

--- a/lupinlink/brain/balancer.py
+++ b/lupinlink/brain/balancer.py
@@ -11,13 +11,13 @@
 OVERDUE_AGAIN, LOST_DEVS, SILENT_MOST = 1.5, 20.0, 3  # so many times the age again; lost beyond; it hangs
 PARK_MS, ANSWER_MARGIN_MS = 50.0, 15.0  # a request with no server looks again; answered this long before end
 RETRY_AFTER = 0.5  # advice to a refused client in aims, drawn from half of it on: no common return
-BACKOFF_MS, ASK_MS = 500.0, 2000.0  # mean wait after a failed call: two of 2 s fit 6 s; first one within
+BACKOFF_MS, ASK_MS = 500.0, 3000.0  # wait after a failed call; longest before one: it and a call fit into 6 s
 
 
 class Balancer(Learning):
     """One node's decisions: takes events, returns actions. Clock and random source are the caller's."""
 
-    retry_tokens = RETRY_BURST / 2
+    retry_tokens, backoff = RETRY_BURST / 2, BACKOFF_MS
 
     def started(self, now: float) -> None:
         """Phases are drawn: nodes started together must not revise, or call discovery, in step."""
@@ -29,9 +29,9 @@
 
     def list_news(self, failed: bool, now: float) -> None:
         self.split.due_at = now  # a drain must act on the very next pick
-        if failed:  # asked again after a drawn wait, no growing one: a change counts as told whatever failed
-            wait = min(BACKOFF_MS, self.settings.must_ask_ms / 8.0)
-            self.after(wait * self.rng.uniform(0.5, 1.5), self.subscribe)
+        self.backoff = min(2 * self.backoff, ASK_MS, self.settings.must_ask_ms / 2) if failed else BACKOFF_MS
+        if failed:  # asked again with growing, jittered waits: no storm of calls
+            self.after(self.backoff * self.rng.uniform(0.25, 0.75), self.subscribe)
 
     def listed(self, server: Server) -> None:
         """A new process: the first token is drawn, so that the nodes do not all meet it cold at once."""
--- a/lupinlink/net/farm.py
+++ b/lupinlink/net/farm.py
@@ -162,9 +162,9 @@
             self._live = None
         else:
             return  # replaced
-        if self._pushed or why == SILENCE:
+        if self._pushed or (why == SILENCE and watch.answered):
             # Danger: much of the time after which news counts as told went by in silence. A wait that keeps
-            # proxies apart is not needed either: each had its own beat.
+            # proxies apart is not needed either: each had its own beat. A call that got no answer waits.
             self.clock.after(0.0 if why == SILENCE else AGENT_AGAIN_MS, self._open)
         elif self._asked is None and not self._failed:
             self._failed = True
--- a/lupinlink/net/watch.py
+++ b/lupinlink/net/watch.py
@@ -42,6 +42,7 @@
     def __init__(self, hearer: Hearer, clock: Clockwork, address: tuple[str, int], whole: bool) -> None:
         self.address = address
         self.ended: Deferred[str] = Deferred()  # fires with the reason
+        self.answered = False  # its head has come
         self._hearer, self._clock, self._whole = hearer, clock, whole
         self._parser = http1.AnswerParser(MAX_LIST, sys.maxsize)
         self._objects = Objects()
@@ -104,6 +105,7 @@
         if head.status != 200:
             raise ListError(f"discovery answered {head.status}")
         if begins:
+            self.answered = True
             self.heard()
         if self._whole:
             if whole is not None:
