--- a/lupinlink/brain/choice.py
+++ b/lupinlink/brain/choice.py
@@ -17,8 +17,7 @@
 FADE_MS = 4000.0  # a figure this old counts for 1/e of itself: the share fades to even
 TABLE_MS, TABLE_MIN_MS = 200.0, 20.0  # weights are drawn up anew this often, or this soon after trouble
 REPORT_GAIN, LATENCY_GAIN, OVERDUE_GAIN = 0.6, 0.3, 0.5  # reports count all nodes', a latency much chance
-SIZE_RATE, KIND_RATE, SIZE_MAX = 0.04, 0.3, 1.5  # share a second of a log load taken for size; bound
-LOAD_MAX = 3.0  # bound on a log load: no figure, however absurd, rules a server in or out for good
+SIZE_RATE, KIND_RATE, SIZE_MAX, LOAD_MAX = 0.04, 0.3, 1.5, 3.0  # of a log load a second; bounds on logs
 LEVEL_GAIN, GROUP_GAIN = 0.02, 0.05  # of one figure for the usual of all, and of its group
 OWN_SHARPNESS, PICK_TRIES = 4.0, 8  # power of this node's own requests in flight over size; most draws
 GOLDEN = 0.6180339887498949  # step of draws: turns come evenly spread
@@ -73,8 +72,8 @@
         log = -SHARPNESS * self.trust * (usual + (server.load - usual) * self.fade(server, now))
         if server.row.zone != self.settings.zone:
             log -= PRICE_SCALE * self.settings.cross_zone_price * (1.0 - self.spill)
-        sound = (1.0 - server.failing) ** 2 * self.slow_start.allows(server, now)  # a cold one by its tokens
-        return math.exp(log) * sound * self.size(server) + 1e-9
+        sound = (1.0 - server.failing) ** 2
+        return math.exp(log) * sound * self.slow_start.warmth(server, now) * self.size(server) + 1e-9
 
     def pick(self, now: float, node: Node, key: str, fits: Callable[[Server], bool]) -> Server | None:
         """One weighted draw in O(log n), or by the request's key; a scan only when few servers fit."""
--- a/lupinlink/brain/health.py
+++ b/lupinlink/brain/health.py
@@ -34,8 +34,9 @@
 
     def allows(self, server: Server, now: float) -> bool:
         """Danger: nodes that cannot see each other spend at once what each saved: whole tokens go stale."""
-        kept = max(LEAST_KEPT, self.settings.fall_multiple / server.boost - 1.0) * self.settings.fall_ms
-        rate = max(self.per_server * self.warmth(server, now), self.slack)
+        more = min(server.boost, self.settings.fall_multiple / (1.0 + LEAST_KEPT))
+        kept = max(LEAST_KEPT, self.settings.fall_multiple / server.boost / more - 1) * self.settings.fall_ms
+        rate = max(self.per_server * self.warmth(server, now) * more, self.slack)
         tokens, server.tokens_at = server.tokens + (now - server.tokens_at) * rate, now
         server.tokens = tokens if tokens < 1.0 else tokens % 1.0 + (tokens % 1.0 <= rate * kept)
         return server.tokens >= 1.0 or self.least(server, now) >= 1.0
