Bound the look for an answer before a time-out

Cause: catch_up looked (MSG_PEEK) and read until nothing was seen any more; where a look sees what no read gives yet, it would never end.

Change: at most as many reads as an answer takes that is held whole. Its test ends with StopIteration where the loop has no bound (not run without it: by reading).

--- a/lupinlink/net/application_servers/sending.py
+++ b/lupinlink/net/application_servers/sending.py
@@ -14,7 +14,7 @@
 from lupinlink.net import http1
 from lupinlink.net.application_servers.attempts import Attempt, Servers
 from lupinlink.net.application_servers.pool import Pool, Rested
-from lupinlink.net.bodies import Body
+from lupinlink.net.bodies import SMALL_BYTES, Body
 from lupinlink.net.terms import AttemptEnd
 from lupinlink.net.typed import READ_BYTES, Transport
 from lupinlink.net.wheel import Timer
@@ -147,8 +147,13 @@
         return self._waits() is not None
 
     def catch_up(self) -> None:
-        """Read what is here of an answer already."""
-        while self._attempt is not None and self._waits():
+        """Read what is here of an answer already, at most so much as one that is not passed on may hold.
+
+        Danger: what is seen here may still not be given to a read. Nothing may be tried until it is.
+        """
+        for _ in range(SMALL_BYTES // READ_BYTES + 1):
+            if self._attempt is None or not self._waits():
+                break
             self.transport.doRead()
 
     def _waits(self) -> bytes | None:
--- a/tests/test_crossing_answers.py
+++ b/tests/test_crossing_answers.py
@@ -128,6 +128,16 @@
         self.turn_until(lambda: next_ends)
         self.assertEqual([end.status for end in ends + next_ends], [Status.OK, Status.OK])
 
+    def test_what_is_seen_but_cannot_be_read_holds_nothing_up(self) -> None:
+        # A look that sees what no read gives must not be repeated until one does.
+        server, connection = self.kept()
+        attempt, ends = self.attempt()
+        self.asked(server)
+        looks = iter([b"x"] * 100)
+        connection._waits = lambda: next(looks)  # StopIteration: it looked on and on
+        attempt.give_up(Status.TIMEOUT)
+        self.assertEqual([end.status for end in ends], [Status.TIMEOUT])
+
     def test_half_an_answer_is_given_up_and_its_end_is_on_the_wire_before_the_next(self) -> None:
         server, connection = self.kept()
         attempt, ends = self.attempt()
