Hold requests of a new process that discovery has told nothing from 5 to 7 s after its start

Change: may_send keeps everything while nothing has been heard, from 5 s (6, less a start of 1 s) to 7 s after the start; held requests look again every 50 ms up to their aim. The head of a watch's answer ends it (farm.answers): discovery is there, and what has changed comes with it. Only where lists are asked for. Tests: test_told.Asking forces it, and fails without (1 sent, 0 wanted).

--- a/lupinlink/brain/balancer.py
+++ b/lupinlink/brain/balancer.py
@@ -6,29 +6,29 @@
 from lupinlink.brain.repeats import begin_by, may_follow, may_refuse
 from lupinlink.interface import Attempt, Cancel, Effect, Fail, Outcome, Refuse, Request, Server, Status
 
-RETRY_RATIO, RETRY_BURST = 0.2, 20.0  # retry budget: tokens for each arrival, and their most
+RETRY_RATIO, RETRY_BURST, RETRY_AFTER = 0.2, 20.0, 0.5  # tokens an arrival, their most; advice in aims
 OVERDUE_DEVS, OVERDUE_LEAST = 2.0, 0.5  # later than so many deviations, and so many aims, is news
 OVERDUE_AGAIN, LOST_DEVS, SILENT_MOST = 1.5, 20.0, 3  # so many times the age again; lost beyond; it hangs
 PARK_MS, ANSWER_MARGIN_MS = 50.0, 15.0  # a request with no server looks again; answered this long before end
-RETRY_AFTER = 0.5  # advice to a refused client in aims, drawn from half of it on: no common return
+UNTOLD_MS, BLIND_MS, HEARD = 5000.0, 7000.0, float("-inf")  # since a start of 1 s: all is told; tries on
 BACKOFF_MS, WAIT_MS, ASK_MS = 500.0, 3000.0, 4000.0  # after a failed call; most; and of a first: 6 s, less 2
 
 
 class Balancer(Learning):
     """One node's decisions: takes events, returns actions. Clock and random source are the caller's."""
 
-    retry_tokens, backoff = RETRY_BURST / 2, BACKOFF_MS
+    retry_tokens, backoff, born = RETRY_BURST / 2, BACKOFF_MS, HEARD
 
     def started(self, now: float) -> None:
         """Danger: nodes started together must not revise, nor call discovery, in step: evenly, by rank."""
-        own, self.period.start = self.settings, now
+        own, self.period.start, self.born = self.settings, now, now if self.settings.subscribe else HEARD
         self.after(self.rng.uniform(0.2, 1.0) * self.span, self.end_period)
         if own.subscribe:
             spread = min(BACKOFF_MS * max(2, own.peers / 4), ASK_MS, 0.4 * own.must_ask_ms)
             self.after(1.0 + spread * (own.rank * GOLDEN % 1.0), self.subscribe)
 
     def list_news(self, failed: bool, now: float) -> None:
-        self.split.due_at = now  # a drain must act on the very next pick
+        self.split.due_at, self.born = now, self.born if failed or now == self.born else HEARD  # act at once
         self.backoff = min(2 * self.backoff * failed or BACKOFF_MS, WAIT_MS, self.settings.must_ask_ms / 2)
         if failed:  # asked again with growing, jittered waits: no storm of calls
             self.after(self.backoff * self.rng.uniform(0.25, 0.75), self.subscribe)
@@ -55,7 +55,7 @@
     def may_send(self, request: Request, server: Server, now: float) -> bool:
         """The guard of the four rules for every send: one answer, one effect, drains, cold servers."""
         spent = now >= request.arrival.deadline or len(request.attempts) >= self.settings.max_attempts
-        if request.done or spent or not server.ready:
+        if request.done or spent or not server.ready or UNTOLD_MS <= now - self.born < BLIND_MS:
             return False
         for a in request.attempts:  # no second copies: they cost more than they save (docs/design.md)
             spent = spent or a.status is None or not may_follow(a, request.cls, server.row, now)
--- a/lupinlink/net/farm.py
+++ b/lupinlink/net/farm.py
@@ -108,6 +108,11 @@
             if old is not None:
                 old.end("another watch has told")
 
+    def answers(self, watch: Watch) -> None:
+        """Discovery is there, and tells what has changed: the module need not hold back for it."""
+        if watch is self._asked:
+            self.news(MembershipKind.DELTA, [])
+
     def stop(self) -> None:
         """Watch no longer, and tell nobody."""
         self.news = lambda kind, rows: None
--- a/lupinlink/net/watch.py
+++ b/lupinlink/net/watch.py
@@ -29,6 +29,10 @@
 
     version: int
 
+    def answers(self, watch: Watch) -> None:
+        """Its head is here: what has changed comes next, or nothing has."""
+        ...
+
     def take(self, watch: Watch, raw: Any, full: bool = False) -> None:
         """One object of it."""
         ...
@@ -107,6 +111,8 @@
         if begins:
             self.answered = True
             self.heard()
+            if not self._whole:
+                self._hearer.answers(self)
         if self._whole:
             if whole is not None:
                 self._take_list(whole)
--- a/tests/test_told.py
+++ b/tests/test_told.py
@@ -11,7 +11,17 @@
 from typing import Any, ClassVar
 
 from lupinlink.brain.health import SlowStart
-from lupinlink.interface import Action, Endpoint, Group, MembershipKind, Server, Settings, Subscribe
+from lupinlink.interface import (
+    Action,
+    Endpoint,
+    EndpointState,
+    Group,
+    MembershipKind,
+    Send,
+    Server,
+    Settings,
+    Subscribe,
+)
 from lupinlink.net.lists import MAX_LIST, ListError, Objects
 from lupinlink.net.watch import SILENCE_MS
 from tests import test_reload
@@ -30,6 +40,10 @@
     def calls(actions: list[Action]) -> int:
         return sum(isinstance(action, Subscribe) for action in actions)
 
+    @staticmethod
+    def sends(actions: list[Action]) -> int:
+        return sum(isinstance(action, Send) for action in actions)
+
     def test_the_first_call_of_each_of_many_comes_in_time_for_an_answer(self) -> None:
         # zone+mass 90217: proxies started anew at 10.5 s asked after 10.6 to 12.1 s, of the 10 s allowed,
         # and sent to servers that counted as gone.
@@ -50,6 +64,23 @@
                     crowd = sum(begin <= t < begin + part for t in killed)
                     self.assertLess(crowd, len(killed) / 7.5 * 1.5)
 
+    def test_a_new_process_that_was_told_nothing_in_time_holds_its_requests_for_a_while(self) -> None:
+        # herd+mass 7: discovery had too many callers, and answered the last first calls 5.6 s after a start.
+        stand = Stand(Settings(classes=(SAFE,), subscribe=True, must_ask_ms=10000.0))
+        stand.until(4999.0)
+        self.assertEqual(self.sends(stand.ask("before", left=900.0)), 1)
+        stand.members([], MembershipKind.FAILED)  # a call that failed tells nothing
+        stand.until(5001.0)
+        self.assertEqual(self.sends(stand.ask("held", left=900.0)), 0)
+        stand.members([Endpoint("b", state=EndpointState.DRAINING)], MembershipKind.DELTA)
+        sent = [action for action in stand.until(5060.0) if isinstance(action, Send)]
+        self.assertEqual([(send.request_id, send.endpoint != "b") for send in sent], [("held", True)])
+        dark = Stand(Settings(classes=(SAFE,), subscribe=True, must_ask_ms=10000.0))
+        dark.until(6999.0)
+        self.assertEqual(self.sends(dark.ask("held", left=20.0)), 0)
+        dark.until(7001.0)  # discovery is away: it serves by what it knows
+        self.assertEqual(self.sends(dark.ask("served", left=900.0)), 1)
+
     def test_a_wait_and_a_call_fit_in_that_time_however_many_have_failed(self) -> None:
         for must_ask in (4000.0, 10000.0, 60000.0):
             settings = Settings(classes=(SAFE,), subscribe=True, must_ask_ms=must_ask, peers=200)
