--- a/tests/test_crossing_shutdown.py
+++ b/tests/test_crossing_shutdown.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import signal
 import socket
 import time
@@ -72,26 +73,44 @@
 
 
 class Queue(unittest.TestCase):
-    def test_who_waits_in_the_kernels_queue_is_taken_before_the_process_ends(self) -> None:
-        """The connection is there as the timers run, the listener comes next in that turn."""
+    """The kernel's queue as the timers of a turn run; the listener comes next in that turn."""
+
+    def setUp(self) -> None:
         reactor, settings = cast(Any, Clock()), Settings(classes=(RequestClass(300.0, 1000.0),))
-        clock, lifecycle, counters = Clockwork(reactor), Lifecycle(1000.0), Counters()
-        proxy = cast(Any, SimpleNamespace(open=0, end_all=lambda: None))
-        clients = Clients(proxy, cast(Any, None), clock, settings, lifecycle, 8, 8.0, counters)
-        listening = socket.create_server(("127.0.0.1", 0))
-        self.addCleanup(listening.close)
-        listener = cast(Any, Listener.on(listening, clients, Sockets()))
+        self.clock, self.lifecycle = Clockwork(reactor), Lifecycle(1000.0)
+        self.proxy = cast(Any, SimpleNamespace(open=0, end_all=lambda: None))
+        self.clients = Clients(
+            self.proxy, cast(Any, None), self.clock, settings, self.lifecycle, 8, 8.0, Counters()
+        )
+        self.listening = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(self.listening.close)
+        listener = cast(Any, Listener.on(self.listening, self.clients, Sockets()))
         listener.startListening()
         self.addCleanup(listener.socket.close)
-        clients.port = listener
-        lifecycle.serve()
-        lifecycle.stop(clock.now() - lifecycle.last_ms)  # long quiet, and time to leave
-        late, left = socket.create_connection(listening.getsockname(), WAIT), list[bool]()
+        self.clients.port = listener
+        self.lifecycle.serve()
+        late = socket.create_connection(self.listening.getsockname(), WAIT)
         self.addCleanup(late.close)
-        parts = cast(Any, SimpleNamespace(clock=clock, lifecycle=lifecycle, proxy=proxy, clients=clients))
-        leavers = Leavers(parts, lambda: left.append(True))
-        leavers.watch()
+
+    def empty(self) -> None:
+        self.listening.accept()[0].close()
+
+    def test_who_waits_there_is_taken_before_the_process_ends(self) -> None:
+        self.lifecycle.stop(self.clock.now() - self.lifecycle.last_ms)  # long quiet, and time to leave
+        left = list[bool]()
+        Leavers(cast(Any, self), lambda: left.append(True)).watch()
         self.assertEqual(left, [])
-        listening.accept()[0].close()  # once nobody waits there any more, it leaves
-        Leavers(parts, lambda: left.append(True)).watch()
+        self.empty()
+        Leavers(cast(Any, self), lambda: left.append(True)).watch()
         self.assertEqual(left, [True])
+
+    def test_a_crowd_makes_held_ones_of_new_clients_only_until_the_queue_is_seen_empty(self) -> None:
+        self.clients.crowded = True  # the listener is left unread
+        self.clients._sweep()
+        self.assertEqual(self.clients.unwatched_since, -math.inf)  # who waits may have waited from before
+        self.empty()
+        self.clients.crowded = True
+        before = self.clock.now()
+        self.clients._sweep()
+        assert self.clients.unwatched_since is not None
+        self.assertGreaterEqual(self.clients.unwatched_since, before)
