Let one schedule decide when discovery is called and whether its list is relied on

Root cause of the drain rule broken in small fleets: two owners planned the calls to discovery (a back-off in brain/balancer.list_news, reopening in net/farm._ended and _open), one call at a time, and neither knew how old the list was. Only the first 5 to 7 s of a process held anything back, and a head without an object ended that.

Now brain/discovery plans every call and says when the list is not relied on; its times come from one place, brain/discovery_times, with the longest chains written out. A connection that is late gets another call beside it, so that a doomed call blocks no good one. Requests are held from 5.65 s after the last confirmation on, unless discovery is away, and for 6 s at most. net/farm and net/watch only carry calls out and report. A head alone confirms nothing; an object or an empty line does.

--- a/lupinlink/brain/balancer.py
+++ b/lupinlink/brain/balancer.py
@@ -1,37 +1,88 @@
 """What becomes of each request: admitted, sent, tried again, called off or turned away."""
 
-from lupinlink.brain.choice import GOLDEN, LATENCY, OVERDUE_GAIN
+import math
+from random import Random
+
+from lupinlink.brain.choice import LATENCY, OVERDUE_GAIN
+from lupinlink.brain.discovery import DiscoverySchedule
 from lupinlink.brain.health import MAX_EJECTED
 from lupinlink.brain.learning import Learning
 from lupinlink.brain.repeats import begin_by, may_follow, may_refuse
-from lupinlink.interface import Attempt, Cancel, Effect, Fail, Outcome, Refuse, Request, Server, Status
+from lupinlink.interface import (
+    Attempt,
+    Cancel,
+    DiscoveryCallFailed,
+    DiscoveryCallLate,
+    DiscoveryCallReached,
+    DiscoveryEvent,
+    DiscoveryMoved,
+    DiscoveryWatchEnded,
+    Effect,
+    Fail,
+    Membership,
+    MembershipKind,
+    Outcome,
+    Refuse,
+    Request,
+    Server,
+    Settings,
+    Status,
+)
 
 RETRY_RATIO, RETRY_BURST, RETRY_AFTER = 0.2, 20.0, 0.5  # tokens an arrival, their most; advice in aims
 OVERDUE_DEVS, OVERDUE_LEAST = 2.0, 0.5  # later than so many deviations, and so many aims, is news
 OVERDUE_AGAIN, LOST_DEVS, SILENT_MOST = 1.5, 20.0, 3  # so many times the age again; lost beyond; it hangs
 PARK_MS, ANSWER_MARGIN_MS = 50.0, 15.0  # a request with no server looks again; answered this long before end
-UNTOLD_MS, BLIND_MS, HEARD = 5000.0, 7000.0, float("-inf")  # since a start of 1 s: all is told; tries on
-BACKOFF_MS, WAIT_MS, ASK_MS = 500.0, 3000.0, 4000.0  # after a failed call; most; and of a first: 6 s, less 2
 
 
 class Balancer(Learning):
     """One node's decisions: takes events, returns actions. Clock and random source are the caller's."""
 
-    retry_tokens, backoff, born = RETRY_BURST / 2, BACKOFF_MS, HEARD
+    retry_tokens = RETRY_BURST / 2
+
+    def __init__(self, settings: Settings, rng: Random) -> None:
+        super().__init__(settings, rng)
+        self.discovery = DiscoverySchedule(settings, rng)
 
     def started(self, now: float) -> None:
-        """Danger: nodes started together must not revise, nor call discovery, in step: evenly, by rank."""
-        own, self.period.start, self.born = self.settings, now, now if self.settings.subscribe else HEARD
+        """Danger: nodes started together must not revise, nor call discovery, in step."""
+        self.period.start = now
         self.after(self.rng.uniform(0.2, 1.0) * self.span, self.end_period)
-        if own.subscribe:
-            spread = min(BACKOFF_MS * max(2, own.peers / 4), ASK_MS, 0.4 * own.must_ask_ms)
-            self.after(1.0 + spread * (own.rank * GOLDEN % 1.0), self.subscribe)
-
-    def list_news(self, failed: bool, now: float) -> None:
-        self.split.due_at, self.born = now, self.born if failed or now == self.born else HEARD  # act at once
-        self.backoff = min(2 * self.backoff * failed or BACKOFF_MS, WAIT_MS, self.settings.must_ask_ms / 2)
-        if failed:  # asked again with growing, jittered waits: no storm of calls
-            self.after(self.backoff * self.rng.uniform(0.25, 0.75), self.subscribe)
+        if self.settings.subscribe:
+            self.discovery.started(now)
+            self.plan_call(now)
+
+    def list_news(self, event: Membership, now: float) -> None:
+        """Act at once on what changed."""
+        self.split.due_at = now
+        if event.kind == MembershipKind.FAILED:  # the simulator's word for a call or a watch that ended
+            self.discovery_news(DiscoveryCallFailed(reached=False, answered=False, took_ms=0.0), now)
+        elif event.kind != MembershipKind.CACHED and event.current:
+            self.discovery.confirmed()
+
+    def discovery_news(self, event: DiscoveryEvent, now: float) -> None:
+        """Hand it to the schedule, which may plan the next call."""
+        match event:
+            case DiscoveryMoved():
+                self.discovery.moved(now, event.at_start)
+            case DiscoveryCallLate():
+                self.discovery.call_late(now)
+            case DiscoveryCallReached():
+                self.discovery.call_reached()
+            case DiscoveryCallFailed():
+                self.discovery.call_failed(now, event.reached, event.answered, event.took_ms)
+            case DiscoveryWatchEnded():
+                self.discovery.watch_ended(now, event.heard_at, event.silent)
+        self.plan_call(now)
+
+    def plan_call(self, now: float) -> None:
+        """Wake up when the schedule's next call is due; a wake-up that it has since put off finds nothing."""
+        if self.discovery.call_at < math.inf:
+            self.after(max(0.0, self.discovery.call_at - now), self.call_discovery)
+
+    def call_discovery(self, now: float) -> None:
+        if self.discovery.call_due(now):
+            self.subscribe(now)
 
     def listed(self, server: Server) -> None:
         """A new process: the first token is drawn, so that the nodes do not all meet it cold at once."""
@@ -55,7 +106,7 @@
     def may_send(self, request: Request, server: Server, now: float) -> bool:
         """The guard of the four rules for every send: one answer, one effect, drains, cold servers."""
         spent = now >= request.arrival.deadline or len(request.attempts) >= self.settings.max_attempts
-        if request.done or spent or not server.ready or UNTOLD_MS <= now - self.born < BLIND_MS:
+        if request.done or spent or not server.ready or self.discovery.holds(now):
             return False
         for a in request.attempts:  # no second copies: they cost more than they save (docs/design.md)
             spent = spent or a.status is None or not may_follow(a, request.cls, server.row, now)
--- /dev/null
+++ b/lupinlink/brain/discovery.py
@@ -0,0 +1,144 @@
+"""When discovery is called, and whether the list that it gave can be relied on. Pure: time is handed in.
+
+This is the one owner of both questions. The network code carries calls out and reports what became of them.
+"""
+
+from __future__ import annotations
+
+import math
+from random import Random
+
+from lupinlink.brain.discovery_times import ANSWER_MS, WAIT_SHARES, DiscoveryTimes
+from lupinlink.settings import Settings
+
+GOLDEN = 0.6180339887498949  # steps of this share spread any number of ranks evenly
+NEVER = math.inf
+QUICK_MS = ANSWER_MS / 2  # discovery that is down turns calls away sooner, a crowded one later than this
+AWAY_AFTER_MS = 1000.0  # neither: calls turned away at once for so long are no single failures any more
+AWAY_LATE_CALLS = 4  # neither: so many calls in a row whose connections are late are no single failures
+MOST_CALLS = 3  # at a time
+
+
+class DiscoverySchedule:
+    """Plans the calls until a watch stands, and knows how old the last confirmed list is."""
+
+    def __init__(self, settings: Settings, rng: Random) -> None:
+        self.times = DiscoveryTimes.of(settings)
+        self.call_at = NEVER  # when the next call is due
+        self._settings, self._rng = settings, rng
+        self._watching = False  # a watch stands and has told
+        self._calls = 0  # that are out
+        self._hold_from = NEVER  # from here on changes may count as told that did not come
+        self._wait_ms = self.times.wait_ms
+        self._refused_since = NEVER  # the first of the calls in a row that were turned away at once
+        self._late_calls = 0  # in a row, with no connection between them
+        self._away = False  # discovery cannot be reached
+
+    def started(self, now: float) -> None:
+        """This process knows only an old list. First calls are spread evenly, by rank."""
+        share = self._settings.rank * GOLDEN % 1.0
+        self.call_at = now + 1.0 + self.times.first_call_ms * share
+        self._hold_from = now + self.times.start_hold_after_ms
+
+    def moved(self, now: float, at_start: bool) -> None:
+        """Discovery is at another address from now on; what the former one tells confirms nothing.
+
+        ``at_start``: it is the first one, of an agent that pushes lists.
+        """
+        self._reset()
+        self._watching = False
+        after_ms = self.times.start_hold_after_ms if at_start else self.times.move_hold_after_ms
+        self._hold_from = now + after_ms
+        self.call_at = now
+
+    def confirmed(self) -> None:
+        """A watch has told: the list is that of discovery. One that nobody called for shows nothing."""
+        if not self._watching and not self._calls:
+            return
+        self._reset()
+        self._watching = True
+        self.call_at = self._hold_from = NEVER
+
+    def call_due(self, now: float) -> bool:
+        """Whether to call now; the call counts as made."""
+        if now < self.call_at:
+            return False
+        self.call_at = NEVER
+        if self._calls >= MOST_CALLS:
+            return False  # the first of them that is given up plans the next
+        self._calls += 1
+        return True
+
+    def watch_ended(self, now: float, heard_at: float, silent: bool) -> None:
+        """The watch is over; ``heard_at``: its last sign of life.
+
+        After a silence much of the time has gone by in which changes have to be heard, so the call follows at
+        once. Watches that end together must not call together.
+        """
+        self._reset()
+        self._watching = False
+        self._hold_from = heard_at + self.times.hold_after_ms
+        self.call_at = now if silent else now + self._drawn_wait()
+
+    def call_late(self, now: float) -> None:
+        """A call waits for too long already: another one is made beside it.
+
+        Many in a row: discovery cannot be reached, and what it has counts as told only after its return.
+        """
+        if self._watching:
+            return
+        self.call_at = now
+        self._late_calls += 1
+        if self._late_calls >= AWAY_LATE_CALLS:
+            self._cannot_be_reached(now - self.times.redial_ms)
+
+    def call_reached(self) -> None:
+        """The connection of a call came up."""
+        self._late_calls = 0
+        self._away = False
+
+    def call_failed(self, now: float, reached: bool, answered: bool, took_ms: float) -> None:
+        """A call told nothing; ``reached``: its connection came up, ``answered``: a good head came."""
+        self._calls = max(0, self._calls - 1)
+        if self._watching:
+            return
+        if not answered and took_ms < QUICK_MS:
+            self._refused(now)
+        elif reached:
+            self._refused_since = NEVER
+        elif self._calls:
+            return  # its connection never came up, and others were begun beside it since
+        silent = answered and took_ms >= QUICK_MS  # a head has cost discovery its turn; a wait saves nothing
+        self.call_at = min(self.call_at, now if silent else now + self._drawn_wait())
+
+    def holds(self, now: float) -> bool:
+        """Whether requests have to wait: discovery can be reached, but may have more than it has told.
+
+        Where it is away the known list serves on, and so it does once this has lasted for too long.
+        """
+        if self._away or now < self._hold_from:
+            return False
+        return now < self._hold_from + self.times.hold_most_ms
+
+    def _refused(self, now: float) -> None:
+        """Turned away at once: a single failure, or, where that goes on, discovery is down."""
+        self._refused_since = min(self._refused_since, now)
+        if now - self._refused_since >= AWAY_AFTER_MS:
+            self._cannot_be_reached(now)
+
+    def _cannot_be_reached(self, at: float) -> None:
+        """What discovery has counts as told only after its return, which is later than this."""
+        self._away = True
+        self._hold_from = at + self.times.hold_after_ms
+
+    def _drawn_wait(self) -> float:
+        """A wait that grows with each failure and keeps processes apart."""
+        self._wait_ms = min(2.0 * self._wait_ms, self.times.wait_most_ms)
+        return self._wait_ms * self._rng.uniform(*WAIT_SHARES)
+
+    def _reset(self) -> None:
+        """Nothing that failed before counts any more."""
+        self._calls = self._late_calls = 0
+        self._away = False
+        self._refused_since = NEVER
+        self._wait_ms = self.times.wait_ms
--- /dev/null
+++ b/lupinlink/brain/discovery_times.py
@@ -0,0 +1,107 @@
+"""The times of the calls to discovery, all derived here from the protocol and the settings.
+
+The protocol counts a change of the list as told at the latest ``TOLD_MS`` after discovery had it and could be
+reached, whatever call failed. So the longest chain without a fresh list has to be shorter than that:
+
+    a call is accepted and never answered   ``answer_ms``
+    then the wait before the next call      ``wait_most_ms``
+    then the call that delivers             ``ANSWER_MS``
+
+``failed_call_chain_ms`` adds it up, and ``silent_watch_chain_ms`` does so for a watch that falls silent and
+is followed by a call whose connection never comes up. Longer chains (several calls in a row that are accepted
+and fail) cannot be ruled out: from ``hold_after_ms`` on the list is then not relied on.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from lupinlink.settings import Settings
+
+TOLD_MS = 6000.0  # protocol: what discovery has counts as told after this time
+ANSWER_MS = 2000.0  # protocol: a call is answered within this time, or fails
+HEARTBEAT_MS = 2000.0  # protocol: a watch on which nothing changes brings an empty line this often
+PAUSE_MS = 150.0  # protocol: a process may be held up for so long between its clock and its write
+MOVED_MS = 4000.0  # protocol: where lists are pushed, what a new agent has counts so long after SIGHUP
+LATE_MS = 200.0  # machine: scheduling, the network's way and timers that fire a tick late, beyond a pause
+SILENCE_SLACK_MS = 600.0  # machine: so late may an empty line come before its watch is taken for broken
+REDIAL_MS = 750.0  # neither: a connection comes up in milliseconds; one so late gets another beside it
+AGENT_REDIAL_MS = 150.0  # protocol: a local agent answers at once, and its news counts at once
+AGENT_ANSWER_MS = 450.0  # so a call is given up when three were made after it
+AGENT_WAIT_MS = 200.0  # the same, after a connection that ended; a quarter to three quarters of it
+AGENT_QUIET_MS = 100.0  # an answer of an agent that brings nothing for so long has nothing to bring
+WAIT_MS = 500.0  # neither: discovery takes some calls a second; how many is not told
+WAIT_MOST_MS = 2000.0  # the wait doubles up to this; less where the settings ask for calls more often
+WAIT_SHARES = (0.25, 0.75)  # the share of it that is waited is drawn, so that processes keep apart
+START_MS = 1000.0  # machine: a process is up for less than this when it makes its plans
+STARTERS_MS = 500.0  # neither: of the first call's span for each four processes, and twice that at least
+FIRST_CALL_MS = 4000.0  # ``TOLD_MS`` less a call that is answered
+FIRST_CALL_SHARE = 0.4  # of the asking time, where that is shorter
+
+
+@dataclass(slots=True, frozen=True)
+class DiscoveryTimes:
+    """What one process goes by; milliseconds."""
+
+    silence_ms: float  # a watch that shows no sign of life for so long is broken
+    quiet_ms: float  # an answer that has brought nothing for so long has nothing to bring
+    answer_ms: float  # a call is given up so long after its connection came up, or was begun
+    redial_ms: float  # so long may a call wait before another one is made beside it
+    wait_ms: float  # before the next call, at first; doubled with each failure
+    wait_most_ms: float  # and at most
+    first_call_ms: float  # the first calls of all processes that start together are spread over this
+    hold_after_ms: float  # without news for so long, the list is no longer relied on
+    start_hold_after_ms: float  # the same for a process that was told nothing since its start
+    move_hold_after_ms: float  # and after a move to another discovery
+    hold_most_ms: float  # and so long at most: then discovery cannot tell, and what is known has to serve
+
+    @classmethod
+    def of(cls, settings: Settings) -> DiscoveryTimes:
+        """The times under these settings."""
+        return cls._asked(settings) if settings.subscribe else cls._pushed()
+
+    @classmethod
+    def _asked(cls, settings: Settings) -> DiscoveryTimes:
+        asking_ms = settings.must_ask_ms
+        first_call_ms = min(
+            STARTERS_MS * max(2.0, settings.peers / 4), FIRST_CALL_MS, FIRST_CALL_SHARE * asking_ms
+        )
+        hold_after_ms = min(TOLD_MS, asking_ms) - PAUSE_MS - LATE_MS
+        return cls(
+            silence_ms=HEARTBEAT_MS + SILENCE_SLACK_MS,
+            quiet_ms=HEARTBEAT_MS + SILENCE_SLACK_MS,
+            answer_ms=ANSWER_MS + LATE_MS,
+            redial_ms=REDIAL_MS,
+            wait_ms=WAIT_MS,
+            wait_most_ms=min(WAIT_MOST_MS, asking_ms / 2),
+            first_call_ms=first_call_ms,
+            hold_after_ms=hold_after_ms,
+            start_hold_after_ms=min(first_call_ms + ANSWER_MS, TOLD_MS - START_MS, hold_after_ms),
+            move_hold_after_ms=hold_after_ms,
+            hold_most_ms=TOLD_MS,
+        )
+
+    @classmethod
+    def _pushed(cls) -> DiscoveryTimes:
+        """A local agent: it costs nothing to ask, and what it has counts at once."""
+        return cls(
+            silence_ms=HEARTBEAT_MS + SILENCE_SLACK_MS,
+            quiet_ms=AGENT_QUIET_MS,
+            answer_ms=AGENT_ANSWER_MS,
+            redial_ms=AGENT_REDIAL_MS,
+            wait_ms=AGENT_WAIT_MS,
+            wait_most_ms=AGENT_WAIT_MS,
+            first_call_ms=0.0,
+            hold_after_ms=TOLD_MS - PAUSE_MS - LATE_MS,
+            start_hold_after_ms=0.0,
+            move_hold_after_ms=MOVED_MS - PAUSE_MS - LATE_MS,
+            hold_most_ms=START_MS,
+        )
+
+    def failed_call_chain_ms(self) -> float:
+        """From discovery's return to its news: a call without an answer, the wait, the call that delivers."""
+        return self.answer_ms + WAIT_SHARES[1] * self.wait_most_ms + ANSWER_MS
+
+    def silent_watch_chain_ms(self) -> float:
+        """From a watch's last sign of life to the news: a dial that never comes up, another beside it."""
+        return self.silence_ms + self.redial_ms + ANSWER_MS
--- a/lupinlink/interface.py
+++ b/lupinlink/interface.py
@@ -33,6 +33,41 @@
 
     kind: MembershipKind
     endpoints: list[Endpoint] = field(default_factory=list)
+    current: bool = True  # it shows what discovery has now; False: of a discovery that was moved away from
+
+
+@dataclass(slots=True)
+class DiscoveryMoved:
+    """Discovery is at another address from now on; where lists are pushed, also at the start."""
+
+    at_start: bool = False
+
+
+@dataclass(slots=True)
+class DiscoveryCallLate:
+    """A call to discovery still waits, for its connection or, where lists are pushed, for its answer."""
+
+
+@dataclass(slots=True)
+class DiscoveryCallReached:
+    """The connection of a call to discovery came up."""
+
+
+@dataclass(slots=True)
+class DiscoveryCallFailed:
+    """A call to discovery ended and told nothing."""
+
+    reached: bool  # its connection came up
+    answered: bool  # a good head came
+    took_ms: float
+
+
+@dataclass(slots=True)
+class DiscoveryWatchEnded:
+    """The watch that had told is over."""
+
+    heard_at: float  # its last sign of life
+    silent: bool
 
 
 @dataclass(slots=True)
@@ -82,7 +117,12 @@
     report: dict[str, float] | None = None
 
 
-Event = Membership | Arrival | Outcome | StreamStarted | ClientGone | TimerFired | ProbeResult
+DiscoveryEvent = (
+    DiscoveryMoved | DiscoveryCallLate | DiscoveryCallReached | DiscoveryCallFailed | DiscoveryWatchEnded
+)
+Event = (
+    Membership | Arrival | Outcome | StreamStarted | ClientGone | TimerFired | ProbeResult | DiscoveryEvent
+)
 
 
 @dataclass(slots=True)
--- a/lupinlink/net/farm.py
+++ b/lupinlink/net/farm.py
@@ -7,24 +7,37 @@
 from dataclasses import replace
 from typing import Any
 
-from lupinlink.interface import Endpoint, EndpointState, MembershipKind
+from lupinlink.brain.discovery_times import DiscoveryTimes
+from lupinlink.interface import (
+    DiscoveryCallFailed,
+    DiscoveryCallLate,
+    DiscoveryCallReached,
+    DiscoveryEvent,
+    DiscoveryMoved,
+    DiscoveryWatchEnded,
+    Endpoint,
+    EndpointState,
+    Membership,
+    MembershipKind,
+)
 from lupinlink.net.application_servers import ApplicationServers
 from lupinlink.net.counters import Counters
 from lupinlink.net.lists import ListError as ListError
 from lupinlink.net.lists import read_list
 from lupinlink.net.typed import Reactor
-from lupinlink.net.watch import SILENCE, SILENCE_MS, Watch
+from lupinlink.net.watch import Watch, WatchEnd
 from lupinlink.net.wheel import Clockwork
 from lupinlink.settings import Settings
 
 log = logging.getLogger(__name__)
-# Where lists are pushed, what discovery's agent has counts at once, and a server has to be left alone 250 ms
-# after that: an agent that is back has to be met well within.
-AGENT_AGAIN_MS = 100.0
 
 
 class Farm:
-    """Keeps the list; a change goes to the pools and to the module at once."""
+    """Keeps the list; a change goes to the pools and to the module at once.
+
+    When discovery is called is the module's decision (``brain/discovery``); here calls are carried out, and
+    what became of each is reported.
+    """
 
     def __init__(
         self,
@@ -40,14 +53,14 @@
         self._discovery = discovery
         self.version = 0
         self.ready = 0  # application servers that take work
-        self.news: Callable[[MembershipKind, list[Endpoint]], None] = lambda kind, rows: None
+        self.tell: Callable[[Membership | DiscoveryEvent], None] = lambda event: None
         self._states: dict[str, EndpointState] = {}
         self._raw: dict[str, Any] = {}  # the entries as discovery wrote them, for a successor
+        self._times = DiscoveryTimes.of(settings)
         self._live: Watch | None = None  # the watch that has told last
-        self._asked: Watch | None = None  # a watch that has told nothing yet
+        self._asked: list[Watch] = []  # calls that have told nothing yet
         self._foreign = False  # the list is still that of another discovery
-        self._failed = False  # the module was told so and has not asked again
-        self._pushed = not settings.subscribe  # the module never asks: a watch has to stand at all times
+        self._pushed = not settings.subscribe  # the address is that of an agent on this machine
         self._withheld: frozenset[str] = frozenset()  # taken out of use here, whatever discovery says
         self._stopped = False
 
@@ -63,24 +76,21 @@
             known = {"rev": 0, "all": True, "targets": []}
         self._apply(known, MembershipKind.CACHED)
         if self._pushed:
-            self.watch()
+            self.tell(DiscoveryMoved(at_start=True))
 
     def snapshot(self) -> dict[str, Any]:
         """The list as it stands, in discovery's form."""
         return {"rev": self.version, "all": True, "targets": list(self._raw.values())}
 
-    def watch(self) -> None:
-        """The module asks for changes from now on; it is told when that ends."""
-        self._failed = False
-        self._open()
-
-    def _open(self) -> None:
-        """One call at a time. The module still asks when its own wait is over: else calls would add up."""
-        if self._asked is None and (self._live is None or self._foreign) and not self._stopped:
-            self._counters["watches"] += 1
-            watch = self._asked = Watch(self, self.clock, self._discovery, self._foreign)
-            watch.ended.addCallback(self._ended, watch)
-            watch.dial(self._reactor)
+    def call(self) -> None:
+        """Call discovery: its list, if it is another one than before, and a watch on what changes."""
+        if self._stopped or (self._live is not None and not self._foreign):
+            return
+        self._counters["watches"] += 1
+        watch = Watch(self, self.clock, self._times, self._discovery, self._foreign, self._pushed)
+        self._asked.append(watch)
+        watch.ended.addCallback(self._ended, watch)
+        watch.dial(self._reactor)
 
     def move(self, discovery: tuple[str, int]) -> None:
         """Discovery is at another address from now on.
@@ -90,36 +100,60 @@
         if discovery == self._discovery:
             return
         self._discovery, self._foreign = discovery, True
-        asked, self._asked = self._asked, None
-        if self._live is None:
-            self._live = asked
-        elif asked is not None:
-            asked.end("moved")
-        self._open()
+        if self._live is None and self._asked:
+            self._live = max(self._asked, key=lambda call: call.answered)
+            self._asked.remove(self._live)
+        self._drop_calls("moved")
+        self.tell(DiscoveryMoved())
+
+    def late(self, watch: Watch) -> None:
+        """A call still waits."""
+        if watch in self._asked:
+            self.tell(DiscoveryCallLate())
+
+    def reached(self, watch: Watch) -> None:
+        """The connection of a call came up."""
+        if watch in self._asked:
+            self.tell(DiscoveryCallReached())
+
+    def unchanged(self, watch: Watch) -> None:
+        """Nothing has changed since the list that we have."""
+        if watch in self._asked and not self._foreign:
+            self._stands(watch)
+            self.tell(Membership(MembershipKind.DELTA))
 
     def take(self, watch: Watch, raw: Any, full: bool = False) -> None:
         """One object of a watch. The first one of a new watch ends the old one, and nothing sooner."""
-        if watch is not self._asked and watch is not self._live:
+        new = watch in self._asked
+        if not new and watch is not self._live:
             return
         full = full or (isinstance(raw, dict) and raw.get("all") is True)
-        self._apply(raw, MembershipKind.FULL if full else MembershipKind.DELTA)
-        if watch is self._asked:
-            old, self._live, self._asked, self._foreign = self._live, watch, None, False
-            if old is not None:
-                old.end("another watch has told")
-
-    def answers(self, watch: Watch) -> None:
-        """Discovery is there, and tells what has changed: the module need not hold back for it."""
-        if watch is self._asked:
-            self.news(MembershipKind.DELTA, [])
+        kind = MembershipKind.FULL if full else MembershipKind.DELTA
+        self._apply(raw, kind, current=new or not self._foreign)
+        if new:
+            self._foreign = False
+            self._stands(watch)
+
+    def _stands(self, watch: Watch) -> None:
+        """This watch has told: the one before it and all other calls are over."""
+        old, self._live = self._live, watch
+        self._asked.remove(watch)
+        self._drop_calls("another watch has told")
+        if old is not None:
+            old.end("another watch has told")
+
+    def _drop_calls(self, why: str) -> None:
+        calls, self._asked = self._asked, []
+        for call in calls:
+            call.end(why)
 
     def stop(self) -> None:
         """Watch no longer, and tell nobody."""
-        self.news = lambda kind, rows: None
+        self.tell = lambda event: None
         self._stopped = True
-        for watch in (self._live, self._asked):
-            if watch is not None:
-                watch.end("stopping")
+        self._drop_calls("stopping")
+        if self._live is not None:
+            self._live.end("stopping")
 
     def withhold(self, names: frozenset[str]) -> None:
         """Take these out of use here, whatever discovery says of them: it only narrows what is sent to."""
@@ -127,9 +161,9 @@
         self._withheld = names
         if changed:
             rows = {"rev": self.version, "all": False, "targets": changed}
-            self._apply(rows, MembershipKind.DELTA)
+            self._apply(rows, MembershipKind.DELTA, current=False)
 
-    def _apply(self, raw: Any, kind: MembershipKind) -> None:
+    def _apply(self, raw: Any, kind: MembershipKind, current: bool = True) -> None:
         version, _, rows = read_list(raw, self._settings)
         if self._withheld:
             rows = [(self._narrowed(row), host, port) for row, host, port in rows]
@@ -145,32 +179,31 @@
         self.ready = sum(state == EndpointState.READY for state in self._states.values())
         self._counters["lists"] += 1
         self._servers.learn(rows, full)
-        self.news(kind, [row for row, _, _ in rows])
+        self.tell(Membership(kind, [row for row, _, _ in rows], current))
 
     def _narrowed(self, row: Endpoint) -> Endpoint:
         if row.name in self._withheld and row.state == EndpointState.READY:
             return replace(row, state=EndpointState.DRAINING)
         return row
 
-    def _ended(self, why: str, watch: Watch) -> None:
-        kv = {"why": why, "rev": self.version, "at": watch.address[0]}
-        if why == SILENCE:
+    def _ended(self, end: WatchEnd, watch: Watch) -> None:
+        self._log_end(end, watch)
+        if watch in self._asked:
+            self._asked.remove(watch)
+            self.tell(DiscoveryCallFailed(end.reached, end.answered, end.took_ms))
+        elif watch is self._live:
+            self._live = None
+            if not self._foreign:
+                self.tell(DiscoveryWatchEnded(end.heard_at, end.silent))
+
+    def _log_end(self, end: WatchEnd, watch: Watch) -> None:
+        kv = {"why": end.why, "rev": self.version, "at": watch.address[0]}
+        self._counters["watches_ended"] += 1
+        if end.silent and end.answered:
             # An operator has to see it: from here on this proxy may not know what everybody else knows.
             self._counters["watches_silent"] += 1
-            log.warning("watch fell silent, asked anew", extra={"kv": {**kv, "for_ms": int(SILENCE_MS)}})
+            log.warning(
+                "watch fell silent, asked anew", extra={"kv": {**kv, "for_ms": int(self._times.silence_ms)}}
+            )
         else:
             log.info("watch ended", extra={"kv": kv})
-        self._counters["watches_ended"] += 1
-        if watch is self._asked:
-            self._asked = None
-        elif watch is self._live:
-            self._live = None
-        else:
-            return  # replaced
-        if self._pushed or (why == SILENCE and watch.answered):
-            # Danger: much of the time after which news counts as told went by in silence. A wait that keeps
-            # proxies apart is not needed either: each had its own beat. A call that got no answer waits.
-            self.clock.after(0.0 if why == SILENCE else AGENT_AGAIN_MS, self._open)
-        elif self._asked is None and not self._failed:
-            self._failed = True
-            self.news(MembershipKind.FAILED, [])
--- a/lupinlink/net/parts.py
+++ b/lupinlink/net/parts.py
@@ -36,7 +36,7 @@
     lifecycle = Lifecycle(max(cls.deadline_ms for cls in settings.classes))
     servers = ApplicationServers(reactor, clock, settings, room.servers, counters)
     farm = Farm(reactor, clock, config.discovery, settings, servers, counters)
-    proxy = Proxy(settings, config.seed, clock, servers, farm.watch, counters)
-    farm.news = proxy.news
+    proxy = Proxy(settings, config.seed, clock, servers, farm.call, counters)
+    farm.tell = proxy.tell
     clients = Clients(proxy, farm, clock, settings, lifecycle, room.clients, room.spare_mb, counters)
     return Parts(reactor, clock, counters, lifecycle, servers, farm, proxy, clients)
--- a/lupinlink/net/watch.py
+++ b/lupinlink/net/watch.py
@@ -5,6 +5,7 @@
 import json
 import sys
 from contextlib import suppress
+from dataclasses import dataclass
 from typing import Any
 from typing import Protocol as Face
 
@@ -13,24 +14,40 @@
 from twisted.internet.protocol import ClientFactory, Protocol, connectionDone
 from twisted.python.failure import Failure
 
+from lupinlink.brain.discovery_times import DiscoveryTimes
 from lupinlink.net import http1
 from lupinlink.net.lists import MAX_LIST, ListError, Objects
 from lupinlink.net.typed import Connector, Reactor, Transport
 from lupinlink.net.wheel import Clockwork, Timer
 
-# An empty line is due every 2 s, and a call waits that long at most: without a sign of life for so long,
-# the watch is dead. What it would have told counts as told 6 s late at most, and a slow call comes on top.
-SILENCE_MS = 2600.0
-SILENCE = "silence"  # as the reason of an end
 
+@dataclass(slots=True, frozen=True)
+class WatchEnd:
+    """Why a call or a watch is over, and what had come of it until then."""
 
-class Hearer(Face):
+    why: str
+    silent: bool  # it showed no sign of life for too long
+    reached: bool  # its connection came up
+    answered: bool  # a good head came
+    took_ms: float  # since it was begun
+    heard_at: float  # its last sign of life
+
+
+class Listener(Face):
     """Who a watch tells."""
 
     version: int
 
-    def answers(self, watch: Watch) -> None:
-        """Its head is here: what has changed comes next, or nothing has."""
+    def late(self, watch: Watch) -> None:
+        """It still waits, for its connection or, where lists are pushed, for its answer."""
+        ...
+
+    def reached(self, watch: Watch) -> None:
+        """Its connection came up."""
+        ...
+
+    def unchanged(self, watch: Watch) -> None:
+        """It shows that nothing has changed: an empty line came, and no object before it."""
         ...
 
     def take(self, watch: Watch, raw: Any, full: bool = False) -> None:
@@ -39,24 +56,39 @@
 
 
 class Watch(Protocol):
-    """One watch, from its dial to its end; each end comes once."""
+    """One call to discovery and the watch that it becomes, from its dial to its one end."""
 
     transport: Transport  # type: ignore[assignment]
 
-    def __init__(self, hearer: Hearer, clock: Clockwork, address: tuple[str, int], whole: bool) -> None:
+    def __init__(
+        self,
+        listener: Listener,
+        clock: Clockwork,
+        times: DiscoveryTimes,
+        address: tuple[str, int],
+        whole: bool,
+        pushed: bool,
+    ) -> None:
+        """``whole``: ask for the whole list first; ``pushed``: a local agent answers at once."""
         self.address = address
-        self.ended: Deferred[str] = Deferred()  # fires with the reason
-        self.answered = False  # its head has come
-        self._hearer, self._clock, self._whole = hearer, clock, whole
+        self.ended: Deferred[WatchEnd] = Deferred()
+        self._listener, self._clock, self._times = listener, clock, times
+        self._whole, self._pushed = whole, pushed
         self._parser = http1.AnswerParser(MAX_LIST, sys.maxsize)
         self._objects = Objects()
-        self._silence: Timer | None = None
+        self._began = self._heard_at = clock.now()
+        self._reached = False
+        self.answered = False  # a good head has come
+        self._told = False  # an object or an empty line has come
+        self._expiry: Timer | None = None  # what it waits for has to come by then
+        self._late: Timer | None = None
         self._connector: Connector | None = None
         self._over = False
 
     def dial(self, reactor: Reactor) -> None:
-        """Go out; the silence timer covers the dial as well, so Twisted's own time-out is off."""
-        self.heard()
+        """Go out; our timers cover the dial as well, so Twisted's own time-out is off."""
+        self._expect(self._times.answer_ms)
+        self._late = self._clock.after(self._times.redial_ms, self._is_late)
         connector = reactor.connectTCP(*self.address, WatchDial(self), timeout=None)
         if self._over:
             connector.disconnect()
@@ -65,26 +97,51 @@
 
     def connectionMade(self) -> None:
         self.transport.setTcpNoDelay(True)
+        self._reached = True
+        self._expect(self._times.answer_ms)
+        if not self._pushed:
+            self._drop_late()
+        self._listener.reached(self)
         self._ask()
 
     def _ask(self) -> None:
         # Another discovery need not go on from the versions of the last one: its whole list comes first.
-        query = "" if self._whole else f"?watch=1&from={self._hearer.version}"
+        query = "" if self._whole else f"?watch=1&from={self._listener.version}"
         headers = [("Host", self.address[0])] + ([] if self._whole else [("Connection", "close")])
         self.transport.write(http1.request("GET", f"/discovery/hosts{query}", headers))
 
-    def heard(self) -> None:
+    def _heard(self) -> None:
         """A sign of life: a head, an empty line, an object's beginning or its end.
 
         Danger: bytes alone are none. What drips for ever tells nothing, and would keep a dead watch.
         """
-        if self._silence is not None:
-            self._silence.drop()
-        self._silence = self._clock.after(SILENCE_MS, self._silent)
+        self._heard_at = self._clock.now()
+        self._expect(self._times.silence_ms)
 
-    def _silent(self) -> None:
+    def _expect(self, within_ms: float) -> None:
+        """The next sign of life has to come within that time."""
+        if self._expiry is not None:
+            self._expiry.drop()
+        self._expiry = self._clock.after(within_ms, self._expired)
+
+    def _expired(self) -> None:
         # Danger: after a pause of this process news may lie unread, and counts as told. One more turn reads.
-        self._silence = self._clock.after(0.0, lambda: self.end(SILENCE))
+        self._expiry = self._clock.after(0.0, lambda: self._end("silence", silent=True))
+
+    def _is_late(self) -> None:
+        self._late = None
+        self._listener.late(self)
+
+    def _drop_late(self) -> None:
+        if self._late is not None:
+            self._late.drop()
+            self._late = None
+
+    def _quiet(self) -> None:
+        """An agent answers at once with what it has; so it has nothing."""
+        if not self._over and not self._told:
+            self._told = True
+            self._listener.unchanged(self)
 
     def dataReceived(self, data: bytes) -> None:
         if self._over:
@@ -110,9 +167,10 @@
             raise ListError(f"discovery answered {head.status}")
         if begins:
             self.answered = True
-            self.heard()
-            if not self._whole:
-                self._hearer.answers(self)
+            self._drop_late()
+            self._heard()
+            if not self._whole and self._pushed:
+                self._clock.after(self._times.quiet_ms, self._quiet)
         if self._whole:
             if whole is not None:
                 self._take_list(whole)
@@ -120,19 +178,24 @@
         # Line by line: an object counts as told though the next one is broken.
         for line in (whole.body if whole is not None else self._parser.drain()).splitlines(keepends=True):
             signs = self._objects.signs
-            for one in self._objects.feed(line):
+            found = self._objects.feed(line)
+            for one in found:
                 if not self._over:
-                    self._hearer.take(self, one)
+                    self._told = True
+                    self._listener.take(self, one)
             if self._objects.signs != signs and not self._over:
-                self.heard()
+                self._heard()
+                if not self._told and not line.strip():
+                    self._told = True
+                    self._listener.unchanged(self)
         if whole is not None:
             self.end("discovery ended it")
 
     def _take_list(self, whole: http1.Message) -> None:
-        self._hearer.take(self, json.loads(whole.body), full=True)
+        self._listener.take(self, json.loads(whole.body), full=True)
         self._whole = False
         if whole.keeps_open():
-            self.heard()
+            self._expect(self._times.answer_ms)
             self._ask()
         else:
             self.end("the list came, the watch is still to be asked for")
@@ -142,21 +205,26 @@
         whole = self._parser.eof() if isinstance(reason.value, ConnectionDone) and not self._over else None
         if whole is not None and self._whole and whole.status == 200:
             with suppress(ValueError, RecursionError):
-                self._hearer.take(self, json.loads(whole.body), full=True)
+                self._listener.take(self, json.loads(whole.body), full=True)
         self.end("connection ended")
 
     def end(self, why: str) -> None:
         """No more of this one, whichever side ends it."""
+        self._end(why)
+
+    def _end(self, why: str, silent: bool = False) -> None:
         if self._over:
             return
         self._over = True
-        if self._silence is not None:
-            self._silence.drop()
+        self._drop_late()
+        if self._expiry is not None:
+            self._expiry.drop()
         if self.transport is not None:
             self.transport.abortConnection()
         elif self._connector is not None:
             self._connector.disconnect()
-        self.ended.callback(why)
+        took_ms = self._clock.now() - self._began
+        self.ended.callback(WatchEnd(why, silent, self._reached, self.answered, took_ms, self._heard_at))
 
 
 class WatchDial(ClientFactory):
--- a/lupinlink/node.py
+++ b/lupinlink/node.py
@@ -32,6 +32,11 @@
             api.StreamStarted: self._on_stream,
             api.Membership: self._on_membership,
             api.ProbeResult: self._on_probe,
+            api.DiscoveryMoved: self._on_discovery,
+            api.DiscoveryCallLate: self._on_discovery,
+            api.DiscoveryCallReached: self._on_discovery,
+            api.DiscoveryCallFailed: self._on_discovery,
+            api.DiscoveryWatchEnded: self._on_discovery,
         }
 
     def started(self, now: float) -> None:
@@ -50,8 +55,12 @@
         """A server is new to this node or its process has restarted."""
         raise NotImplementedError
 
-    def list_news(self, failed: bool, now: float) -> None:
-        """Discovery spoke; ``failed``: a call failed or the subscription broke."""
+    def list_news(self, event: api.Membership, now: float) -> None:
+        """Discovery spoke, or (``FAILED``) a call failed or the subscription broke."""
+        raise NotImplementedError
+
+    def discovery_news(self, event: api.DiscoveryEvent, now: float) -> None:
+        """What became of a call to discovery or of the watch."""
         raise NotImplementedError
 
     def probed(self, server: Server, event: api.ProbeResult, now: float) -> None:
@@ -162,7 +171,7 @@
         if event.kind != MembershipKind.FAILED:
             self._forget({row.name for row in event.endpoints}, event.kind != MembershipKind.DELTA)
         self.ready = sum(s.ready for s in self.servers.values())
-        self.list_news(event.kind == MembershipKind.FAILED, now)
+        self.list_news(event, now)
 
     def _forget(self, named: set[str], full: bool) -> None:
         """Drop the servers that are gone once nothing is out there: a long day sees ever new ones."""
@@ -172,6 +181,9 @@
             if server.row.state == EndpointState.GONE and not server.out:
                 del self.servers[name]
 
+    def _on_discovery(self, now: float, event: api.DiscoveryEvent) -> None:
+        self.discovery_news(event, now)
+
     def _on_probe(self, now: float, event: api.ProbeResult) -> None:
         if event.endpoint in self.servers:
             self.probed(self.servers[event.endpoint], event, now)
