Add scripts of discovery faults on a virtual clock, and an oracle of "told"

Cause: requests go to draining or removed backends after the grace period when calls to discovery fail in a row. No test showed it: the real parts were never run against discovery's faults with a judge of their own.

Change: tests only, nothing of the program. told_oracle: when a change counts as told to a process, and how late each attempt's first byte was (pure). memory_net, memory_reactor: Twisted's reactor and TCP in memory on a virtual clock, with peeks, reads and writes out of turn, and pauses of the process in a read of its clock. simulated_discovery, discovery_calls, backend_list: the list, outages and faults of calls. discovery_drive: plays a script on net.parts. test_drain_scripts: drawn scripts (60 a test; LUPINLINK_EXAMPLES raises it). test_drain_faults: each order of faults that fails, by itself. drain_survey: python -m tests.drain_survey N.

--- /dev/null
+++ b/tests/backend_list.py
@@ -0,0 +1,82 @@
+"""The true list of backends that a simulated discovery has, with its versions."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+from tests.drain_script import Change, Going, Script
+
+NUMBERED_FROM = (41, 5041)  # each address of discovery has version numbers of its own
+READY = "in_service"
+SPARE = 2  # backends that stay
+Entry = dict[str, Any]
+
+
+def backend(number: int) -> Entry:
+    """A backend's entry."""
+    return {"uid": f"s-{number}", "endpoint": f"10.1.0.{number}:7070", "az": "a", "model": "m",
+            "pod_group": number, "state": READY, "capacity_hint": 1.0, "boot_ms": 0}  # fmt: skip
+
+
+class BackendList:
+    """The truth; backend number n goes with the n-th change."""
+
+    def __init__(self, script: Script) -> None:
+        self._script = script
+        self._truth = {f"s-{i}": backend(i) for i in range(1, len(script.changes) + SPARE + 1)}
+        self._going = set(list(self._truth)[: len(script.changes)])
+        self._changed = dict.fromkeys(self._truth, 0)  # the revision in which each last changed
+        self._left: dict[str, Entry] = {}  # entries that are off the list
+        self.revision = 0
+
+    def text(self, news: Entry) -> bytes:
+        """One object as it goes on the wire."""
+        return (json.dumps(news, indent=2 if self._script.indented else None) + "\n").encode()
+
+    def whole(self, where: int) -> Entry:
+        """The whole list, with the version numbers of that address."""
+        rows = [e for e in self._truth.values() if e["state"] == READY or not self._script.leaves_out]
+        return {"rev": NUMBERED_FROM[where] + self.revision, "all": True, "targets": rows}
+
+    def since(self, where: int, version: int, whole: bool = False) -> Entry:
+        """What has changed since; the whole list where that version is not known."""
+        revision = version - NUMBERED_FROM[where]
+        if whole or not 0 <= revision <= self.revision:
+            return self.whole(where)
+        names = [name for name, changed in self._changed.items() if changed > revision]
+        rows = [self._truth.get(name) or self._left[name] for name in names]
+        return {"rev": NUMBERED_FROM[where] + self.revision, "all": False, "targets": rows}
+
+    def last(self, where: int) -> Entry:
+        """The last change."""
+        return self.since(where, NUMBERED_FROM[where] + self.revision - 1)
+
+    def change(self, number: int, change: Change) -> str:
+        """Make it; the backend that goes."""
+        name = f"s-{number}"
+        self.revision += 1
+        self._changed[name] = self.revision
+        if change.going is Going.DRAIN:
+            self._truth[name] = {**self._truth[name], "state": "terminating"}
+        else:
+            self._left[name] = {**self._truth.pop(name), "state": "terminated"}
+        if change.going is Going.REPLACEMENT:
+            fresh = backend(100 + number)
+            self._truth[fresh["uid"]], self._changed[fresh["uid"]] = fresh, self.revision
+        return name
+
+    def goings(self, news: Entry) -> set[str]:
+        """The backends that this object tells to be going or gone."""
+        told = {entry["uid"] for entry in news["targets"] if entry["state"] != READY}
+        if news["all"]:
+            told |= self._going - {entry["uid"] for entry in news["targets"]}
+        return told
+
+
+def taken_in(known: Entry, news: Entry) -> Entry:
+    """The list as someone has it who had that one and is told this."""
+    rows = {} if news["all"] else {entry["uid"]: entry for entry in known["targets"]}
+    rows.update((entry["uid"], entry) for entry in news["targets"])
+    kept = [entry for entry in rows.values() if entry["state"] != "terminated"]
+    return {"rev": news["rev"], "all": True, "targets": kept}
--- /dev/null
+++ b/tests/discovery_calls.py
@@ -0,0 +1,175 @@
+"""Calls of the program to the simulated discovery: how each is answered, or is not."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+from tests.backend_list import BackendList, Entry
+from tests.drain_script import CallFault, Fault, Script
+from tests.memory_net import Link, VirtualClock
+from tests.peers import chunk
+from tests.told_oracle import OpenWatch, Process
+
+BEAT_MS, PIECE_MS, DRIP_MS = 2000.0, 300.0, 1000.0
+DRIPS = 30
+HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+UNAVAILABLE = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
+ANSWERED = CallFault(Fault.OK)
+
+
+class Discovery(Protocol):
+    """What a call has to know of discovery."""
+
+    script: Script
+    clock: VirtualClock
+    backends: BackendList
+    quiet: bool
+
+    def wrote(self, process: Process, news: Entry) -> None: ...
+    def lost(self, process: Process, news: Entry, at: float) -> None: ...
+    def read(self, news: Entry) -> None: ...
+
+
+@dataclass(frozen=True)
+class Written:
+    """An object on a connection."""
+
+    end: int  # the offset of its last byte
+    at: float
+    news: Entry
+
+
+class Call:
+    """One connection of the program to discovery, from its dial on."""
+
+    def __init__(self, discovery: Discovery, link: Link, where: int, fault: CallFault, of: Process) -> None:
+        self.link, self.where, self.fault, self._of = link, where, fault, of
+        self._discovery, self._clock = discovery, discovery.clock
+        self.watch: OpenWatch | None = None  # once it has told, as it should
+        self._asked = b""
+        self._free_at = 0.0  # when the last object will have been written
+        self._unread: list[Written] = []
+        link.received, link.on_read, link.on_close = self._received, self._was_read, self.closed
+
+    def _received(self, data: bytes) -> None:
+        self._asked += data
+        if b"\r\n\r\n" in self._asked:
+            line, self._asked = self._asked.split(b"\r\n", 1)[0].decode(), b""
+            fault, self.fault = self.fault, ANSWERED
+            self._later(fault.delay, lambda: self._answer(line.split(" ")[1], fault.fault))
+
+    def _later(self, delay: float, act: Callable[[], None]) -> None:
+        if delay:
+            self._clock.at(self._clock.now + delay, lambda: act() if self.link.open else None)
+        else:
+            act()
+
+    def _answer(self, target: str, fault: Fault) -> None:
+        if fault is Fault.ERROR:
+            self.link.put(UNAVAILABLE)
+            self.link.end()
+        elif fault is Fault.RESET:
+            self.reset()
+        elif fault is not Fault.MUTE:
+            self._tell(target, fault)
+
+    def _tell(self, target: str, fault: Fault) -> None:
+        if "watch=1" in target:
+            self.link.put(HEAD)
+            self._begin_watch(int(target.rsplit("from=", 1)[1]), fault)
+            return
+        body = self._discovery.backends.text(self._discovery.backends.whole(self.where))
+        self.link.put(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body))
+        if fault is Fault.ENDS:
+            self.link.end()
+        elif fault is Fault.DRIP:
+            self._drip(body[: DRIPS - len(body)] if len(body) > DRIPS else body[:-1])
+        elif fault is not Fault.HEAD_ONLY:
+            self.link.put(body)
+            self._told(self._discovery.backends.whole(self.where))
+
+    def _begin_watch(self, since: int, fault: Fault) -> None:
+        if fault is Fault.ENDS:
+            self.link.put(b"0\r\n\r\n")
+            self.link.end()
+        elif fault is Fault.DRIP:
+            self._drip(b'{"rev": ' + b" " * DRIPS)
+        elif fault is not Fault.HEAD_ONLY:
+            news = self._discovery.backends.since(self.where, since, fault is Fault.WHOLE)
+            if fault is Fault.BROKEN:
+                self.link.put(chunk(self._discovery.backends.text(news).decode()))
+                self._told(news)
+                self.link.put(chunk("{broken}\n"))
+                return
+            self.watch = OpenWatch(self._clock.now)
+            self._of.watches.append(self.watch)
+            if news["targets"] or self._discovery.script.first_empty:
+                self.write(news)
+            self._beat_later()
+
+    def _drip(self, text: bytes) -> None:
+        self.link.put(chunk(text[:1].decode()))
+        if len(text) > 1:
+            self._later(DRIP_MS, lambda: self._drip(text[1:]))
+
+    @property
+    def live(self) -> bool:
+        """Whether it tells what changes."""
+        return self.watch is not None and self.link.open and self.watch.silent_at > self._clock.now
+
+    def write(self, news: Entry) -> None:
+        """One object; in two pieces where the script says so, one object after the other."""
+        text = self._discovery.backends.text(news)
+        if not self._discovery.script.pieces:
+            self._put_last(text, news)
+            return
+        begin, cut = max(self._clock.now, self._free_at), len(text) // 2
+        self._free_at = begin + PIECE_MS
+        self._clock.at(begin, lambda: self._put(text[:cut]))
+        self._clock.at(self._free_at, lambda: self._put_last(text[cut:], news))
+
+    def _put(self, text: bytes) -> None:
+        if self.live:
+            self.link.put(chunk(text.decode()))
+
+    def _put_last(self, text: bytes, news: Entry) -> None:
+        if self.live:
+            self._put(text)
+            self._told(news)
+
+    def _told(self, news: Entry) -> None:
+        self._discovery.wrote(self._of, news)
+        self._unread.append(Written(self.link.written, self._clock.now, news))
+
+    def _was_read(self, total: int) -> None:
+        while self._unread and self._unread[0].end <= total:
+            self._discovery.read(self._unread.pop(0).news)
+
+    def _beat_later(self) -> None:
+        # All beat together, so that a script can say what comes just after an empty line.
+        self._clock.at((self._clock.now // BEAT_MS + 1.0) * BEAT_MS, self._beat)
+
+    def _beat(self) -> None:
+        if self.live:
+            if self._clock.now >= self._free_at and not self._discovery.quiet:
+                self._put(b"\n")
+            self._beat_later()
+
+    def reset(self) -> None:
+        """Reset it; what lies unread is gone with it."""
+        self.link.reset()
+        unread, self._unread = self._unread, []
+        for one in unread:
+            self._discovery.lost(self._of, one.news, one.at)
+
+    def silence(self) -> None:
+        """It tells no more, and stays open."""
+        if self.watch is not None and self.link.open:
+            self.watch.silent_at = min(self.watch.silent_at, self._clock.now)
+
+    def closed(self) -> None:
+        """The program has closed it."""
+        if self.watch is not None:
+            self.watch.closed_at = min(self.watch.closed_at, self._clock.now)
--- /dev/null
+++ b/tests/discovery_drive.py
@@ -0,0 +1,206 @@
+"""Drives the program's real parts through a script, on a virtual clock and connections in memory."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field, replace
+from itertools import pairwise
+from unittest import mock
+
+from lupinlink.net.bodies import Body
+from lupinlink.net.handover.room import Room
+from lupinlink.net.parts import Parts, build
+from lupinlink.net.terms import Call, Failure, Reply
+from lupinlink.settings import Config, Effect, RequestClass, Settings, Tenant
+from tests.drain_script import Script
+from tests.memory_net import Link, VirtualClock
+from tests.memory_reactor import MemoryReactor
+from tests.peers import OK
+from tests.simulated_discovery import ADDRESSES, SimulatedDiscovery
+from tests.told_oracle import LATEST_MS, Lateness, Outage, ToldOracle, after_outages
+
+SPARSE_MS, USUAL_MS, DENSE_MS = 400.0, 50.0, 25.0  # between requests: usually, and around "told"
+USUAL, DENSE = (
+    (-500.0, 8000.0),
+    (100.0, 1500.0),
+)  # where these hold, from when a change counts as told by time
+AGAIN_MS, WATCHED_MS = 12000.0, 2000.0  # so long after the last event requests are sent again
+MOST_MS = 300_000.0
+ROUNDING_MS = 0.01  # of virtual times
+GAP_MS = 450.0  # without an attempt for so long, requests are held back
+SETTINGS = Settings(
+    classes=(RequestClass(400.0, 2000.0, effect=Effect.SAFE),), tenants=(Tenant(1000.0, "t"),),
+    max_attempts=3, may_cancel=True, max_retry_after_ms=2000.0, zones=("a",), kinds=("m",),
+)  # fmt: skip
+
+
+@dataclass
+class Result:
+    """What a drive has shown."""
+
+    latenesses: list[Lateness]  # the worst first
+    held_ms: float  # in all, while there were requests and no attempt began
+    longest_hold_ms: float
+    attempts: int
+    answers: dict[str, int] = field(default_factory=dict)
+    sent_again: bool = True  # at the end
+
+    @property
+    def worst_ms(self) -> float:
+        """The worst lateness; above 0 the rule is broken."""
+        return self.latenesses[0].ms - ROUNDING_MS if self.latenesses else -LATEST_MS
+
+    def __str__(self) -> str:
+        late = [lateness for lateness in self.latenesses if lateness.ms > ROUNDING_MS]
+        worst = f"{len(late)} late, worst {late[0]}" if late else "none late"
+        return f"{worst}; held {self.held_ms:.0f} ms, longest {self.longest_hold_ms:.0f}; {self.answers}"
+
+
+class Side:
+    """A client."""
+
+    def __init__(self, answers: dict[str, int]) -> None:
+        self._answers = answers
+
+    def _count(self, what: str) -> None:
+        self._answers[what] = self._answers.get(what, 0) + 1
+
+    def served(self, reply: Reply) -> None:
+        self._count("served")
+
+    def refused(self, retry_after_ms: float, over_quota: bool = False) -> None:
+        self._count("refused")
+
+    def failed(self, why: Failure) -> None:
+        self._count(f"failed: {why.value}")
+
+    def has_left(self) -> bool:
+        return False
+
+
+class Drive:
+    """One script."""
+
+    def __init__(self, script: Script) -> None:
+        self._script, self.clock = script, VirtualClock()
+        outages = tuple(Outage(outage.begin, outage.end) for outage in script.outages)
+        self.oracle = ToldOracle(outages, script.pushed)
+        self._discovery = SimulatedDiscovery(script, self.clock, self.oracle)
+        self._where, self._number = 0, 0
+        self._answers: dict[str, int] = {}
+        self._parts: Parts | None = None
+        self._reactor: MemoryReactor | None = None
+        self._fed: list[float] = []
+        told_by_time = [after_outages(change.at, outages) + LATEST_MS for change in script.changes]
+        told_by_time += [at + LATEST_MS for at in script.silences]
+        self._told_by_time = told_by_time
+        self._last_event = script.last_event
+        for pause in script.pauses:
+            self.clock.pause(pause.at, pause.ms, pause.reads)
+        self._plan = [(at, self._move) for at in script.moves]
+        for restart in script.restarts:
+            self._plan += [(restart.at, self._die), (restart.at + restart.away, self._start)]
+        self._plan.sort(key=lambda step: step[0])
+
+    def run(self) -> Result:
+        """Play it to its end."""
+        with mock.patch("lupinlink.net.wheel.time", self.clock):
+            self._start()
+            next_request = 0.0
+            while self.clock.now < self._end():
+                while self._plan and self._plan[0][0] <= self.clock.now:
+                    self._plan.pop(0)[1]()
+                if next_request <= self.clock.now:
+                    next_request = self.clock.now + self._feed()
+                if self._reactor is None or not self._reactor.turn():
+                    self._jump(next_request)
+        return self._result()
+
+    def _end(self) -> float:
+        last = max(self._last_event, self._discovery.last_fault_at)
+        return min(last + AGAIN_MS + WATCHED_MS, MOST_MS)
+
+    def _jump(self, next_request: float) -> None:
+        times = [next_request, self._end()]
+        times += [at for at, _ in self._plan[:1]]
+        timer = self._reactor.next_at() if self._reactor is not None else None
+        event = self.clock.next_at()
+        times += [timer * 1000.0] if timer is not None else []
+        times += [event] if event is not None else []
+        self.clock.advance(max(self.clock.now + 1e-6, min(times)))
+
+    def _feed(self) -> float:
+        """One request; when the next is due."""
+        if self._parts is not None:
+            self._number += 1
+            self._fed.append(self.clock.now)
+            call = Call(str(self._number), 0, 0, 1000.0, False, "GET", "/look", [], Body.of(b""))
+            self._parts.proxy.take(call, Side(self._answers))
+        since = [self.clock.now - at for at in self._told_by_time]
+        if any(DENSE[0] <= one < DENSE[1] for one in since):
+            return DENSE_MS
+        return USUAL_MS if any(USUAL[0] <= one < USUAL[1] for one in since) else SPARSE_MS
+
+    # The process.
+
+    def _start(self) -> None:
+        known = self._discovery.known
+        self._discovery.process = self.oracle.started(self.clock.now, self._discovery.known_goings())
+        settings = replace(
+            SETTINGS, peers=self._script.peers, rank=self._script.rank % self._script.peers,
+            must_ask_ms=self._script.must_ask_ms, subscribe=not self._script.pushed,
+        )  # fmt: skip
+        address = ADDRESSES[self._where]
+        config = Config("n1", ("10.0.0.1", 1), address, self._script.seed, 1024, 192.0, known, settings)
+        self._reactor = MemoryReactor(self.clock, self._dial)
+        self._parts = build(config, self._reactor, Room(100, 100, 32.0))  # type: ignore[arg-type]
+        self._parts.farm.start(known)
+
+    def _die(self) -> None:
+        if self._reactor is not None:
+            self._reactor.die()
+        self._reactor = self._parts = None
+
+    def _move(self) -> None:
+        self._where = 1 - self._where
+        self.oracle.moved(self.clock.now)
+        if self._parts is not None:
+            self._parts.farm.move(ADDRESSES[self._where])
+
+    # The network.
+
+    def _dial(self, host: str, port: int) -> Link:
+        if (host, port) in ADDRESSES:
+            return self._discovery.dial(ADDRESSES.index((host, port)))
+        return self._backend(f"s-{host.rsplit('.', 1)[1]}")
+
+    def _backend(self, name: str) -> Link:
+        """A connection to a backend, that answers each request at once."""
+        link, request = Link(), bytearray()
+
+        def received(data: bytes) -> None:
+            if not request:
+                self.oracle.attempt(self.clock.now, name)
+            request.extend(data)
+            if b"\r\n\r\n" in request:
+                request.clear()
+                link.put(OK)
+
+        link.received, link.up = received, True
+        return link
+
+    def _result(self) -> Result:
+        times = [0.0, *self.oracle.attempts_at(), self.clock.now]
+        gaps = [after - before for before, after in pairwise(times) if after - before > GAP_MS]
+        away = sum(restart.away for restart in self._script.restarts)
+        watched = self.clock.now - WATCHED_MS
+        fed = sum(at >= watched for at in self._fed)
+        sent = sum(at >= watched for at in times[:-1])
+        return Result(
+            self.oracle.latenesses(), max(0.0, sum(gaps) - away), max(gaps, default=0.0), len(times) - 2,
+            self._answers, sent >= fed / 2,
+        )  # fmt: skip
+
+
+def drive(script: Script) -> Result:
+    """Play a script."""
+    return Drive(script).run()
--- /dev/null
+++ b/tests/drain_survey.py
@@ -0,0 +1,109 @@
+"""Plays many drawn scripts and sums them up: ``python -m tests.drain_survey N [SEED] [pushed]``."""
+
+from __future__ import annotations
+
+import logging
+import sys
+import time
+from collections import Counter
+from dataclasses import fields, replace
+from typing import Any
+
+from hypothesis import HealthCheck, Phase, given, seed, settings
+from hypothesis import strategies as st
+
+from tests.discovery_drive import Result, drive
+from tests.drain_script import CallFault, Fault, Run, Script, asked, pushed
+
+EVENTS = ("pauses", "restarts", "moves", "runs", "silences", "outages", "changes")
+FLAGS = ("pieces", "indented", "leaves_out", "first_empty", "must_ask_ms", "peers", "rank")
+SHRUNK = 12  # failing scripts that are made small and shown
+
+
+def smaller(script: Script) -> list[Script]:
+    """The script less one thing, in each way."""
+    found = []
+    for name in EVENTS:
+        items = getattr(script, name)
+        found += [replace(script, **{name: items[:i] + items[i + 1 :]}) for i in range(len(items))]
+    for i, run in enumerate(script.runs):
+        for j in range(len(run.faults)):
+            faults = run.faults[:j] + run.faults[j + 1 :]
+            if faults:
+                found.append(
+                    replace(script, runs=(*script.runs[:i], Run(run.at, faults), *script.runs[i + 1 :]))
+                )
+    defaults: dict[str, Any] = {f.name: f.default for f in fields(script)}
+    found += [replace(script, **{n: defaults[n]}) for n in FLAGS if getattr(script, n) != defaults[n]]
+    return found
+
+
+def shrunk(script: Script) -> Script:
+    """The least that still fails."""
+    for _ in range(100):
+        for less in smaller(script):
+            if less.changes and fails(drive(less)):
+                script = less
+                break
+        else:
+            return script
+    return script
+
+
+def fails(result: Result) -> bool:
+    return result.worst_ms > 0.0 or not result.sent_again
+
+
+def way(script: Script) -> str:
+    """What it is made of, in a few words."""
+    words = [f"outage {outage.kind.value}" for outage in script.outages]
+    words += ["silence"] * len(script.silences) + ["move"] * len(script.moves)
+    words += ["restart"] * len(script.restarts) + ["pause"] * len(script.pauses)
+    words += [
+        f"{fault.fault.value}" for run in script.runs for fault in run.faults if fault != CallFault(Fault.OK)
+    ]
+    return " + ".join(words) or "nothing"
+
+
+def survey(strategy: st.SearchStrategy[Script], examples: int, first: int = 1) -> list[tuple[Script, Result]]:
+    """Play so many."""
+    played: list[tuple[Script, Result]] = []
+
+    @seed(first)
+    @settings(
+        max_examples=examples, deadline=None, database=None, phases=[Phase.generate],
+        suppress_health_check=list(HealthCheck),
+    )  # fmt: skip
+    @given(strategy)
+    def play(script: Script) -> None:
+        played.append((script, drive(script)))
+
+    play()
+    return played
+
+
+def main(words: list[str]) -> None:
+    """Print what so many scripts have shown."""
+    logging.disable(logging.ERROR)  # the program tells each end of a watch
+    began = time.monotonic()
+    strategy = pushed if "pushed" in words else asked
+    words = [word for word in words if word != "pushed"]
+    played = survey(strategy, int(words[0]), *map(int, words[1:2]))
+    late = [(s, r) for s, r in played if r.worst_ms > 0.0]
+    stuck = sum(not r.sent_again for _, r in played)
+    worst = max(r.worst_ms for _, r in played)
+    print(f"scripts={len(played)} late={len(late)} worst_ms={worst:.0f} not_sent_again={stuck}")
+    held = sorted(r.held_ms for _, r in played)
+    print(f"held_ms mean={sum(held) / len(held):.0f} median={held[len(held) // 2]:.0f} most={held[-1]:.0f} "
+          f"longest_hold={max(r.longest_hold_ms for _, r in played):.0f}")  # fmt: skip
+    answers = sum((Counter(r.answers) for _, r in played), Counter())
+    print(f"answers={dict(answers)} took_s={time.monotonic() - began:.0f}")
+    failing = [(s, r) for s, r in played if fails(r)]
+    failing.sort(key=lambda pair: -pair[1].worst_ms)
+    for script, result in failing[:: max(1, len(failing) // SHRUNK)][:SHRUNK]:
+        least = shrunk(script)
+        print(f"way: {way(least)} | {drive(least)} | {least} (from {result.worst_ms:.0f})")
+
+
+if __name__ == "__main__":
+    main(sys.argv[1:])
--- /dev/null
+++ b/tests/simulated_discovery.py
@@ -0,0 +1,144 @@
+"""Discovery on a virtual clock: its list, watches on it, and the outages and faults that a script names."""
+
+from __future__ import annotations
+
+from tests.backend_list import BackendList, Entry, taken_in
+from tests.discovery_calls import ANSWERED, Call
+from tests.drain_script import Away, CallFault, Change, Fault, OutageOf, Script
+from tests.memory_net import Link, VirtualClock
+from tests.told_oracle import Process, ToldOracle
+
+LATE_DIAL_MS = 1500.0
+ADDRESSES = ("10.9.0.1", 7100), ("10.9.0.2", 7100)  # the second after SIGHUP
+
+
+class SimulatedDiscovery:
+    """All calls, and what they meet; ``known`` is the list as the process has read it."""
+
+    def __init__(self, script: Script, clock: VirtualClock, oracle: ToldOracle) -> None:
+        self.script, self.clock, self._oracle = script, clock, oracle
+        self.backends = BackendList(script)
+        self.known = self.backends.whole(0)
+        self.process: Process  # whose calls come from now on
+        self.quiet = (
+            False  # pushed lists: the agent answers with what it has, learns nothing, and is silent then
+        )
+        self.last_fault_at = 0.0
+        self._calls: list[Call] = []
+        self._runs, self._faults = list(script.runs), list[CallFault]()
+        self._unlearnt: list[tuple[int, Change]] = []
+        for number, change in enumerate(script.changes, 1):
+            clock.at(change.at, lambda n=number, c=change: self._change(n, c))  # type: ignore[misc]
+        for outage in script.outages:
+            clock.at(outage.begin, lambda o=outage: self._begin(o))  # type: ignore[misc]
+            if script.pushed:
+                clock.at(outage.end, self._learn)
+        for at in script.silences:
+            clock.at(at, self._fall_silent)
+
+    def known_goings(self) -> frozenset[str]:
+        """The goings that a process started now has in its list."""
+        return frozenset(self.backends.goings(self.known))
+
+    def wrote(self, process: Process, news: Entry) -> None:
+        """An object was written whole to that process."""
+        for name in self.backends.goings(news):
+            self._oracle.wrote(process, name, self.clock.now)
+
+    def lost(self, process: Process, news: Entry, at: float) -> None:
+        """What was written then was discarded by a reset, unread."""
+        for name in self.backends.goings(news):
+            self._oracle.unread(process, name, at)
+
+    def read(self, news: Entry) -> None:
+        """The process has read it."""
+        self.known = taken_in(self.known, news)
+
+    def _change(self, number: int, change: Change) -> None:
+        if self.quiet:
+            self._unlearnt.append((number, change))
+            return
+        self._oracle.had(self.backends.change(number, change), self.clock.now)
+        for call in self._calls:
+            if call.live:
+                call.write(self.backends.last(call.where))
+
+    def _learn(self) -> None:
+        """The agent hears of changes again."""
+        self.quiet = False
+        unlearnt, self._unlearnt = self._unlearnt, []
+        for number, change in unlearnt:
+            self._change(number, change)
+
+    def _fall_silent(self) -> None:
+        for call in self._calls:
+            call.silence()
+
+    # Calls, and what they meet.
+
+    def dial(self, where: int) -> Link:
+        """A call of the process."""
+        link = Link()
+        outage = self._outage()
+        if self.script.pushed:
+            self._accept(link, where, ANSWERED)
+        elif outage is not None:
+            self._meet(outage, link, where)
+        else:
+            self._greet(link, where, self._next_fault())
+        return link
+
+    def _outage(self) -> OutageOf | None:
+        now = self.clock.now
+        return next((outage for outage in self.script.outages if outage.begin <= now < outage.end), None)
+
+    def _next_fault(self) -> CallFault:
+        if self._runs and not self._faults and self._runs[0].at <= self.clock.now:
+            self._faults = [*self._runs.pop(0).faults, ANSWERED]  # no row of faults runs into the next
+        fault = self._faults.pop(0) if self._faults else ANSWERED
+        if fault is not ANSWERED:
+            self.last_fault_at = self.clock.now
+        return fault
+
+    def _greet(self, link: Link, where: int, fault: CallFault) -> None:
+        if fault.fault is Fault.LATE_DIAL:
+            self.clock.at(self.clock.now + LATE_DIAL_MS, lambda: self._greet_late(link, where))
+        elif fault.fault is not Fault.NO_DIAL:
+            self._accept(link, where, fault)
+
+    def _greet_late(self, link: Link, where: int) -> None:
+        outage = self._outage()
+        if outage is not None:
+            self._meet(outage, link, where)
+        else:
+            self._accept(link, where, ANSWERED)
+
+    def _accept(self, link: Link, where: int, fault: CallFault) -> None:
+        if not (link.closed or link.dead):
+            self._calls.append(Call(self, link, where, fault, self.process))
+            link.up = True
+
+    def _meet(self, outage: OutageOf, link: Link, where: int) -> None:
+        if outage.kind is Away.REFUSE:
+            link.refused = True
+        elif outage.kind is Away.ERROR:
+            self._accept(link, where, CallFault(Fault.ERROR, outage.delay))
+        elif outage.kind is Away.RESET:
+            self._accept(link, where, ANSWERED)
+            link.reset()
+        else:
+            link.dead = True
+
+    def _begin(self, outage: OutageOf) -> None:
+        if self.script.pushed:
+            self.quiet = True
+            return
+        for call in self._calls:
+            call.silence()
+            if outage.kind is Away.CUT:
+                call.link.dead = True
+            elif outage.kind is Away.RESET:
+                call.reset()
+            else:
+                call.link.end()
+        self._calls.clear()
--- /dev/null
+++ b/tests/test_drain_scripts.py
@@ -0,0 +1,68 @@
+"""No request goes to a backend more than 250 ms after its going counts as told, whatever fails and when.
+
+The real parts run on a virtual clock through drawn scripts of faults; ``LUPINLINK_EXAMPLES`` sets how many.
+"""
+
+from __future__ import annotations
+
+import logging
+import os
+import unittest
+from typing import ClassVar
+
+from hypothesis import HealthCheck, Phase, given, note, settings
+
+from tests.discovery_drive import drive
+from tests.drain_script import Script, asked, pushed
+
+EXAMPLES = int(os.environ.get("LUPINLINK_EXAMPLES", "60"))
+plan = settings(
+    max_examples=EXAMPLES, deadline=None, derandomize=True, database=None,
+    phases=[Phase.generate, Phase.shrink], suppress_health_check=list(HealthCheck),
+)  # fmt: skip
+
+
+class Driven(unittest.TestCase):
+    """A test that plays scripts."""
+
+    worst_ms: ClassVar[float]
+    scripts: ClassVar[int]
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        logging.disable(logging.ERROR)  # the program tells each end of a watch
+        cls.worst_ms, cls.scripts = float("-inf"), 0
+
+    @classmethod
+    def tearDownClass(cls) -> None:
+        logging.disable(logging.NOTSET)
+        print(f"{cls.__name__}: {cls.scripts} scripts, worst lateness {cls.worst_ms:.0f} ms")
+
+    def play(self, script: Script) -> None:
+        """None late, and requests are sent again at the end."""
+        result = drive(script)
+        type(self).scripts += 1
+        type(self).worst_ms = max(self.worst_ms, result.worst_ms)
+        note(f"{script}: {result}")
+        self.assertLessEqual(
+            result.worst_ms, 0.0, f"{result} (worst of {self.scripts} scripts: {self.worst_ms:.0f})"
+        )
+        self.assertTrue(result.sent_again, f"requests are held for good: {result}")
+
+
+class Drawn(Driven):
+    """Drawn scripts."""
+
+    @plan
+    @given(asked)
+    def test_where_discovery_is_asked(self, script: Script) -> None:
+        self.play(script)
+
+    @plan
+    @given(pushed)
+    def test_where_lists_are_pushed(self, script: Script) -> None:
+        self.play(script)
+
+
+if __name__ == "__main__":
+    unittest.main()
