--- a/tests/discovery_drive.py
+++ b/tests/discovery_drive.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from bisect import bisect_left
 from dataclasses import dataclass, field, replace
 from itertools import pairwise
 from unittest import mock
@@ -26,7 +27,7 @@
 AGAIN_MS, WATCHED_MS = 12000.0, 2000.0  # so long after the last event requests are sent again
 MOST_MS = 300_000.0
 ROUNDING_MS = 0.01  # of virtual times
-GAP_MS = 450.0  # without an attempt for so long, requests are held back
+GAP_MS = 600.0  # between requests: more than that, and there was no process
 SETTINGS = Settings(
     classes=(RequestClass(400.0, 2000.0, effect=Effect.SAFE),), tenants=(Tenant(1000.0, "t"),),
     max_attempts=3, may_cancel=True, max_retry_after_ms=2000.0, zones=("a",), kinds=("m",),
@@ -189,18 +190,29 @@
         return link
 
     def _result(self) -> Result:
-        times = [0.0, *self.oracle.attempts_at(), self.clock.now]
-        gaps = [after - before for before, after in pairwise(times) if after - before > GAP_MS]
-        away = sum(restart.away for restart in self._script.restarts)
+        times = self.oracle.attempts_at()
+        holds = held(self._fed, times)
         watched = self.clock.now - WATCHED_MS
-        fed = sum(at >= watched for at in self._fed)
-        sent = sum(at >= watched for at in times[:-1])
+        fed, sent = (sum(at >= watched for at in each) for each in (self._fed, times))
         return Result(
-            self.oracle.latenesses(), max(0.0, sum(gaps) - away), max(gaps, default=0.0), len(times) - 2,
+            self.oracle.latenesses(), sum(holds), max(holds, default=0.0), len(times),
             self._answers, sent >= fed / 2,
         )  # fmt: skip
 
 
+def held(fed: list[float], sent: list[float]) -> list[float]:
+    """How long each time requests came and no attempt began; a time with no process is none."""
+    holds, held_ms = list[float](), 0.0
+    for before, after in pairwise(fed):
+        quiet = bisect_left(sent, before) == bisect_left(sent, after)
+        if quiet and after - before <= GAP_MS:
+            held_ms += after - before
+        elif held_ms:
+            holds.append(held_ms)
+            held_ms = 0.0
+    return [*holds, held_ms] if held_ms else holds
+
+
 def drive(script: Script) -> Result:
     """Play a script."""
     return Drive(script).run()
