Keep the simulated discovery from an empty line within an object in two pieces

Cause: an object whose second piece fell on a beat got an empty line first, which rightly ends the watch; the drive then blamed the program. Change: no beat until the last piece is out.

--- a/tests/discovery_calls.py
+++ b/tests/discovery_calls.py
@@ -153,7 +153,7 @@
 
     def _beat(self) -> None:
         if self.live:
-            if self._clock.now >= self._free_at and not self._discovery.quiet:
+            if self._clock.now > self._free_at and not self._discovery.quiet:
                 self._put(b"\n")
             self._beat_later()
 
