Take what can be read of discovery's lists, and only narrow by older ones

Cause: one entry that could not be read (no address, a state that is no string, a bad start) dropped the whole object, the drains in it included, and ended the watch. An object computed earlier that came later, or from a replica that lags, was taken as news: it made draining and removed backends ready again.

Change: net/list_entries reads one entry, net/lists gives a typed ListObject. An entry that can be named but not read counts as draining under the address known so far; one without a name is skipped; one warning an object, counter list_entries_rejected. net/backend_list (pure) owns the list: objects older than it only take backends out, unless they tell of a later start; after 6 s of only older ones a whole list is taken as it is, and the farm asks for it. A whole list of another discovery (SIGHUP) is taken as it is, as before. A successor is handed the fields of the protocol, set right, and no others. `check` still says no to a list with a bad entry. test_commands: the two new modules are in the list of what `serve` loads. test_crossing_calls: its recorded clock can be read.

--- a/lupinlink/commands/check.py
+++ b/lupinlink/commands/check.py
@@ -28,18 +28,20 @@
 def main(argv: list[str]) -> int:
     """Check one configuration; returns the exit code."""
     args = docopt(__doc__ or "", argv=argv)
-    from lupinlink.net.lists import read_list
+    from lupinlink.net.lists import ListError, read_list
 
     try:
         config = load_config(os.environ, args["--config"])
-        _, _, rows = read_list(config.known or {"rev": 0, "all": True, "targets": []}, config.settings)
+        known = read_list(config.known or {"rev": 0, "all": True, "targets": []}, config.settings)
+        if known.rejected:
+            raise ListError(f"known: {known.rejected} entries can't be read, the first: {known.fault}")
     except ValueError as exc:
         return told_off(exc)
     if args["--policy"] and not _policy_is_good(args["--policy"], config.settings):
         return 1
     host, port = config.listen
     classes = len(config.settings.classes)
-    print(f"{config.name}: listens on {host}:{port}, {classes} classes, {len(rows)} known")
+    print(f"{config.name}: listens on {host}:{port}, {classes} classes, {len(known.entries)} known")
     return 0
 
 
--- a/lupinlink/net/farm.py
+++ b/lupinlink/net/farm.py
@@ -3,15 +3,17 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import replace
 from typing import Any
 
 from lupinlink.interface import Endpoint, EndpointState, MembershipKind
 from lupinlink.net.application_servers import ApplicationServers
+from lupinlink.net.backend_list import OLDER_LIST_MS, BackendList
 from lupinlink.net.counters import Counters
+from lupinlink.net.list_entries import ListEntry
 from lupinlink.net.lists import ListError as ListError
-from lupinlink.net.lists import read_list
+from lupinlink.net.lists import ListObject, read_list
 from lupinlink.net.typed import Reactor
 from lupinlink.net.watch import SILENCE, SILENCE_MS, Watch
 from lupinlink.net.wheel import Clockwork
@@ -41,18 +43,19 @@
         self.version = 0
         self.ready = 0  # application servers that take work
         self.news: Callable[[MembershipKind, list[Endpoint]], None] = lambda kind, rows: None
-        self._states: dict[str, EndpointState] = {}
-        self._raw: dict[str, Any] = {}  # the entries as discovery wrote them, for a successor
+        self._list = BackendList()  # as discovery has it: what is withheld here is ready there
+        self._looking = False  # whether older objects leave the list behind is looked at soon
         self._live: Watch | None = None  # the watch that has told last
         self._asked: Watch | None = None  # a watch that has told nothing yet
-        self._foreign = False  # the list is still that of another discovery
+        self._foreign = False  # the whole list has to be asked for first
+        self._renumbered = False  # the list is still that of another discovery, with its own versions
         self._failed = False  # the module was told so and has not asked again
         self._pushed = not settings.subscribe  # the module never asks: a watch has to stand at all times
         self._withheld: frozenset[str] = frozenset()  # taken out of use here, whatever discovery says
         self._stopped = False
 
     def __len__(self) -> int:
-        return len(self._states)
+        return len(self._list)
 
     def start(self, known: Mapping[str, Any]) -> None:
         """The list as this proxy last had it; it may be out of date.
@@ -67,7 +70,8 @@
 
     def snapshot(self) -> dict[str, Any]:
         """The list as it stands, in discovery's form."""
-        return {"rev": self.version, "all": True, "targets": list(self._raw.values())}
+        targets = [entry.written() for entry in self._list.entries() if entry.host]
+        return {"rev": self.version, "all": True, "targets": targets}
 
     def watch(self) -> None:
         """The module asks for changes from now on; it is told when that ends."""
@@ -89,7 +93,7 @@
         """
         if discovery == self._discovery:
             return
-        self._discovery, self._foreign = discovery, True
+        self._discovery, self._foreign, self._renumbered = discovery, True, True
         asked, self._asked = self._asked, None
         if self._live is None:
             self._live = asked
@@ -102,8 +106,10 @@
         if watch is not self._asked and watch is not self._live:
             return
         full = full or (isinstance(raw, dict) and raw.get("all") is True)
-        self._apply(raw, MembershipKind.FULL if full else MembershipKind.DELTA)
+        fresh = self._renumbered and watch is self._asked
+        self._apply(raw, MembershipKind.FULL if full else MembershipKind.DELTA, fresh)
         if watch is self._asked:
+            self._renumbered = False
             old, self._live, self._asked, self._foreign = self._live, watch, None, False
             if old is not None:
                 old.end("another watch has told")
@@ -123,34 +129,49 @@
 
     def withhold(self, names: frozenset[str]) -> None:
         """Take these out of use here, whatever discovery says of them: it only narrows what is sent to."""
-        changed = [self._raw[name] for name in self._withheld ^ names if name in self._raw]
+        changed = self._list.entries(self._withheld ^ names)
         self._withheld = names
         if changed:
-            rows = {"rev": self.version, "all": False, "targets": changed}
-            self._apply(rows, MembershipKind.DELTA)
-
-    def _apply(self, raw: Any, kind: MembershipKind) -> None:
-        version, _, rows = read_list(raw, self._settings)
-        if self._withheld:
-            rows = [(self._narrowed(row), host, port) for row, host, port in rows]
-        full = kind != MembershipKind.DELTA
-        self.version = version
-        if full:
-            self._states.clear()
-            self._raw.clear()
-        self._states.update((row.name, row.state) for row, _, _ in rows)
-        self._raw.update((str(item["uid"]), item) for item in raw["targets"])
-        for name in [n for n, state in self._states.items() if state == EndpointState.GONE]:
-            del self._states[name], self._raw[name]
-        self.ready = sum(state == EndpointState.READY for state in self._states.values())
+            self._tell(MembershipKind.DELTA, changed)
+
+    def _apply(self, raw: Any, kind: MembershipKind, fresh: bool = False) -> None:
+        told = read_list(raw, self._settings)
+        if told.rejected:
+            self._warn(told, kind)
+        now = self.clock.now()
+        change = self._list.apply(told, kind, now, fresh)
+        self.version = self._list.version
+        self._tell(change.kind, change.entries)
+        if self._list.behind and not self._looking:
+            self._looking = True
+            self.clock.after(OLDER_LIST_MS + 1.0, self._ask_whole)
+
+    def _warn(self, told: ListObject, kind: MembershipKind) -> None:
+        self._counters["list_entries_rejected"] += told.rejected
+        kv = {"count": told.rejected, "first": told.fault, "rev": told.version, "list": kind.name.lower()}
+        log.warning("entries of a list can't be read", extra={"kv": kv})
+
+    def _tell(self, kind: MembershipKind, entries: Iterable[ListEntry]) -> None:
+        """The pools and the module, at once."""
+        rows = [(self._narrowed(entry.endpoint), entry.host, entry.port) for entry in entries]
+        listed = self._list.entries()
+        self.ready = sum(entry.ready and entry.endpoint.name not in self._withheld for entry in listed)
         self._counters["lists"] += 1
-        self._servers.learn(rows, full)
+        self._servers.learn(rows, kind != MembershipKind.DELTA)
         self.news(kind, [row for row, _, _ in rows])
 
+    def _ask_whole(self) -> None:
+        """Older objects left the list behind: ask for the whole one; the old watch is heard until then."""
+        self._looking = False
+        if self._list.behind and not self._foreign and not self._stopped:
+            log.warning("older lists came, the whole one is asked for", extra={"kv": {"rev": self.version}})
+            self._foreign = True
+            self._open()
+
     def _narrowed(self, row: Endpoint) -> Endpoint:
-        if row.name in self._withheld and row.state == EndpointState.READY:
-            return replace(row, state=EndpointState.DRAINING)
-        return row
+        """A copy for the module, which writes in its rows; not ready if it is withheld here."""
+        withheld = row.name in self._withheld and row.state == EndpointState.READY
+        return replace(row, state=EndpointState.DRAINING if withheld else row.state)
 
     def _ended(self, why: str, watch: Watch) -> None:
         kv = {"why": why, "rev": self.version, "at": watch.address[0]}
--- a/lupinlink/net/lists.py
+++ b/lupinlink/net/lists.py
@@ -3,19 +3,18 @@
 from __future__ import annotations
 
 import json
+from dataclasses import dataclass
 from typing import Any
 
 from lupinlink.errors import LupinError
-from lupinlink.interface import Endpoint, EndpointState
-from lupinlink.settings import Settings, address
+from lupinlink.interface import EndpointState
+from lupinlink.net.list_entries import STATES as STATES
+from lupinlink.net.list_entries import ListEntry, read_entry
+from lupinlink.net.list_entries import number as number
+from lupinlink.settings import Settings
 
 MAX_LIST = 1024 * 1024
-STATES = {
-    "in_service": EndpointState.READY,
-    "terminating": EndpointState.DRAINING,
-    "terminated": EndpointState.GONE,
-}
-Row = tuple[Endpoint, str, int]
+MAX_VERSION = 2**63  # a version from here on is none
 
 
 class ListError(LupinError, ValueError):
@@ -26,32 +25,51 @@
     remedy = "look at what discovery answers to GET /discovery/hosts; the last good list stays in force"
 
 
-def read_list(raw: Any, settings: Settings) -> tuple[int, bool, list[Row]]:
-    """One object of discovery: version, whether it is the whole list, and the entries."""
-    try:
-        rows = []
-        for item in raw["targets"]:
-            # A state that is not known is no invitation to send new work.
-            state = STATES.get(item["state"], EndpointState.DRAINING)
-            row = Endpoint(
-                name=str(item["uid"]),
-                zone=number(settings.zones, item.get("az")),
-                kind=number(settings.kinds, item.get("model")),
-                cell=int(item.get("pod_group") or 0),
-                state=state,
-                size_hint=float(1.0 if item.get("capacity_hint") is None else item["capacity_hint"]),
-                started_ms=float(item.get("boot_ms") or 0.0),
-            )
-            host, port = address(str(item["endpoint"]), "endpoint")
-            rows.append((row, host, port))
-        return int(raw["rev"]), bool(raw["all"]), rows
-    except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as exc:
-        raise ListError(f"{type(exc).__name__}: {exc}") from exc
-
-
-def number(names: tuple[str, ...], name: object) -> int:
-    """The settings' number of a zone or kind; all unknown ones are one more of their own."""
-    return names.index(name) if name in names else len(names)
+@dataclass(frozen=True, slots=True)
+class ListObject:
+    """One object of discovery: a whole list, or what has changed."""
+
+    version: int | None  # None: it could not be read
+    full: bool  # whether it is the whole list
+    entries: tuple[ListEntry, ...]  # one a name
+    rejected: int = 0  # entries that could not be read, in whole or in part
+    fault: str = ""  # of the first of them
+
+
+def read_list(raw: object, settings: Settings) -> ListObject:
+    """Read one object; raises ListError only if nothing of it can be used."""
+    if not isinstance(raw, dict):
+        raise ListError("no object")
+    items = raw.get("targets")
+    if not isinstance(items, list):
+        raise ListError("no list of targets")
+    entries: dict[str, ListEntry] = {}
+    faults = []
+    for item in items:
+        entry = read_entry(item, settings)
+        if entry is None:
+            faults.append("uid: no name")
+            continue
+        name = entry.endpoint.name
+        if entry.fault:
+            faults.append(entry.fault)
+        if name in entries:
+            faults.append("uid: named twice")
+            if entry.ready and not entries[name].ready:
+                entry = entry.with_state(EndpointState.DRAINING)
+        entries[name] = entry
+    full = raw.get("all") is True
+    if full and items and not entries:
+        raise ListError(f"a whole list of {len(items)} entries that names no backend")
+    fault = faults[0] if faults else ""
+    return ListObject(_version(raw.get("rev")), full, tuple(entries.values()), len(faults), fault)
+
+
+def _version(rev: object) -> int | None:
+    """A version; None for what is no whole number."""
+    if isinstance(rev, bool) or not isinstance(rev, int):
+        return None
+    return rev if abs(rev) < MAX_VERSION else None
 
 
 class Objects:
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -28,13 +28,13 @@
     "limits.returns lupinlink net net.application_servers net.application_servers.attempts "
     "net.application_servers.composing net.application_servers.connection "
     "net.application_servers.dialling net.application_servers.outcomes net.application_servers.pool "
-    "net.application_servers.pools net.application_servers.sending net.bodies net.clients "
+    "net.application_servers.pools net.application_servers.sending net.backend_list net.bodies net.clients "
     "net.clients.accepting net.clients.answers net.clients.calls net.clients.peer net.clients.phases "
     "net.clients.places net.clients.requests net.counters net.deadlines net.farm net.handover "
     "net.handover.channel net.handover.messages net.handover.room net.handover.upgrade net.http1 "
-    "net.leavers net.lifecycle net.lists net.log net.management net.open_requests net.parts net.premises "
-    "net.process net.proxy net.service net.slots net.terms net.typed net.watch net.wheel node records "
-    "settings settings.config settings.model settings.parser spread spread.aperture spread.keys"
+    "net.leavers net.lifecycle net.list_entries net.lists net.log net.management net.open_requests net.parts "
+    "net.premises net.process net.proxy net.service net.slots net.terms net.typed net.watch net.wheel "
+    "node records settings settings.config settings.model settings.parser spread spread.aperture spread.keys"
 )
 
 
--- a/tests/test_crossing_calls.py
+++ b/tests/test_crossing_calls.py
@@ -34,6 +34,9 @@
 
     def disconnect(self) -> None: ...
 
+    def now(self) -> float:
+        return 0.0
+
     def after(self, delay_ms: float, call: Callable[[], None]) -> Timer:
         self.waits.append((delay_ms, Timer(0, call)))
         return self.waits[-1][1]
--- /dev/null
+++ b/tests/told_lists.py
@@ -0,0 +1,129 @@
+"""A farm of two backends whose watch is driven with bytes, for the tests of what discovery's lists do."""
+
+from __future__ import annotations
+
+import json
+import unittest
+from collections.abc import Callable
+from typing import Any, cast
+
+from lupinlink.interface import Endpoint, EndpointState, MembershipKind
+from lupinlink.net.application_servers import ApplicationServers
+from lupinlink.net.counters import Counters
+from lupinlink.net.farm import Farm
+from lupinlink.net.typed import Reactor
+from lupinlink.net.watch import Watch, WatchDial
+from lupinlink.net.wheel import Clockwork, Timer
+from lupinlink.settings import Settings
+from tests.helpers import SAFE
+from tests.stage import chunk
+
+HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+WRONG: tuple[Any, ...] = (None, True, -1, 1.5, float("nan"), float("inf"), 10**400, "", "\x00", "\ud800", [],
+                          [[]], {}, {"a": 1})  # fmt: skip
+
+
+def entry(uid: Any, state: Any = "in_service", **more: Any) -> dict[str, Any]:
+    """One entry as discovery writes it."""
+    return {"uid": uid, "endpoint": "127.0.0.1:7070", "az": "a", "model": "m", "pod_group": 0, "state": state,
+            "capacity_hint": 1.0, "boot_ms": 0, **more}  # fmt: skip
+
+
+def without(field: str, uid: str = "s-1") -> dict[str, Any]:
+    """An entry that lacks a field."""
+    return {name: value for name, value in entry(uid).items() if name != field}
+
+
+def whole_answer(body: bytes) -> bytes:
+    """The answer to a call for the whole list; the connection ends with it."""
+    return b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: %d\r\n\r\n" % len(body) + body
+
+
+class Recorded:
+    """A reactor and a clock that only take down what they are asked."""
+
+    def __init__(self) -> None:
+        self.dials: list[Watch] = []
+        self.waits: list[tuple[float, Timer]] = []
+        self.time = 0.0
+
+    def connectTCP(self, host: str, port: int, factory: WatchDial, timeout: object) -> Recorded:  # noqa: N802
+        self.dials.append(factory.buildProtocol(None))
+        return self
+
+    def disconnect(self) -> None: ...
+
+    def now(self) -> float:
+        return self.time
+
+    def after(self, delay_ms: float, call: Callable[[], None]) -> Timer:
+        self.waits.append((self.time + delay_ms, Timer(0, call)))
+        return self.waits[-1][1]
+
+    def until(self, time: float) -> None:
+        """All timers that come due by then; those that they set wait."""
+        self.time = time
+        due = [timer for at, timer in self.waits if at <= time]
+        self.waits = [wait for wait in self.waits if wait[0] > time]
+        for timer in due:
+            if timer.call is not None:
+                timer.call()
+
+
+class Told(unittest.TestCase):
+    """A farm that holds s-1 and s-2 ready at version 41, and a watch that was asked for."""
+
+    def setUp(self) -> None:
+        self.seen = Recorded()
+        self.module: dict[str, Endpoint] = {}
+        self.news: list[MembershipKind] = []
+        clock, reactor = cast(Clockwork, self.seen), cast(Reactor, self.seen)
+        settings = Settings(classes=(SAFE,), subscribe=True)
+        self.counters = Counters()
+        self.servers = ApplicationServers(reactor, clock, settings, 8, self.counters)
+        self.farm = Farm(reactor, clock, ("127.0.0.1", 1), settings, self.servers, self.counters)
+        self.farm.news = self.learn
+        self.seen.waits.clear()
+        self.begin(entry("s-1"), entry("s-2"))
+        self.farm.watch()
+
+    def begin(self, *entries: Any) -> None:
+        self.farm.start({"rev": 41, "all": True, "targets": list(entries)})
+
+    def learn(self, kind: MembershipKind, rows: list[Endpoint]) -> None:
+        """As the module does."""
+        self.news.append(kind)
+        if kind in (MembershipKind.CACHED, MembershipKind.FULL):
+            self.module.clear()
+        self.module.update((row.name, row) for row in rows)
+
+    @property
+    def watch(self) -> Watch:
+        return self.seen.dials[-1]
+
+    def tell(self, raw: Any, head: bytes = HEAD) -> None:
+        """One object on a watch, which opens with it."""
+        opened = self.watch.answered
+        self.watch.dataReceived((b"" if opened else head) + chunk(json.dumps(raw) + "\n"))
+
+    def told(self, rev: Any, *entries: Any, full: Any = False) -> None:
+        self.tell({"rev": rev, "all": full, "targets": list(entries)})
+
+    def ready(self) -> list[str]:
+        """Who is ready for the module, the pools and the counts alike."""
+        found = sorted(name for name, row in self.module.items() if row.state == EndpointState.READY)
+        pools = self.servers._pools
+        self.assertEqual(found, sorted(name for name, pool in pools.items() if pool.current))
+        self.assertEqual(self.farm.ready, len(found))
+        return found
+
+    def stands(self) -> None:
+        """The watch goes on."""
+        self.assertFalse(self.watch.ended.called)
+
+    def ended(self, asked: int = 1) -> None:
+        """The watch has ended, the module was told so and asks anew; what was known holds."""
+        self.assertTrue(self.watch.ended.called)
+        self.assertEqual((self.news[-1], len(self.seen.dials)), (MembershipKind.FAILED, asked))
+        self.farm.watch()
+        self.assertEqual(len(self.seen.dials), asked + 1)
