Call discovery beside calls that bring nothing while requests are held

Seen in test_drain_processes: two heads that come late and bring nothing (each 1.9 s and 2.6 s of silence) outlast the 6 s for which requests are held. While they are held another call is now made beside those that are out, three at most, spaced by the size of the fleet (125 ms a process, 0.75 s at least).

--- a/lupinlink/brain/discovery.py
+++ b/lupinlink/brain/discovery.py
@@ -24,7 +24,8 @@
 
     def __init__(self, settings: Settings, rng: Random) -> None:
         self.times = DiscoveryTimes.of(settings)
-        self.call_at = NEVER  # when the next call is due
+        self._next_at = NEVER  # when the next call is due
+        self._beside_at = NEVER  # when one more is due beside those that are out, if requests are held then
         self._settings, self._rng = settings, rng
         self._watching = False  # a watch stands and has told
         self._calls = 0  # that are out
@@ -34,10 +35,15 @@
         self._late_calls = 0  # in a row, with no connection between them
         self._away = False  # discovery cannot be reached
 
+    @property
+    def call_at(self) -> float:
+        """When to ask again whether a call is due."""
+        return min(self._next_at, self._beside_at)
+
     def started(self, now: float) -> None:
         """This process knows only an old list. First calls are spread evenly, by rank."""
         share = self._settings.rank * GOLDEN % 1.0
-        self.call_at = now + 1.0 + self.times.first_call_ms * share
+        self._next_at = now + 1.0 + self.times.first_call_ms * share
         self._hold_from = now + self.times.start_hold_after_ms
 
     def moved(self, now: float, at_start: bool) -> None:
@@ -49,7 +55,7 @@
         self._watching = False
         after_ms = self.times.start_hold_after_ms if at_start else self.times.move_hold_after_ms
         self._hold_from = now + after_ms
-        self.call_at = now
+        self._next_at = now
 
     def confirmed(self) -> None:
         """A watch has told: the list is that of discovery. One that nobody called for shows nothing."""
@@ -57,16 +63,21 @@
             return
         self._reset()
         self._watching = True
-        self.call_at = self._hold_from = NEVER
+        self._next_at = self._beside_at = self._hold_from = NEVER
 
     def call_due(self, now: float) -> bool:
         """Whether to call now; the call counts as made."""
-        if now < self.call_at:
-            return False
-        self.call_at = NEVER
-        if self._calls >= MOST_CALLS:
-            return False  # the first of them that is given up plans the next
+        due = now >= self._next_at
+        beside = now >= self._beside_at and self.holds(now)
+        if due:
+            self._next_at = NEVER
+        if due or now >= self._beside_at:
+            self._beside_at = NEVER
+        if not (due or beside) or self._calls >= MOST_CALLS:
+            return False  # the first of those that are out to be given up plans the next
         self._calls += 1
+        # While requests are held, a call that brings nothing must not keep others from bringing the news.
+        self._beside_at = max(self._hold_from, now + self.times.held_redial_ms)
         return True
 
     def watch_ended(self, now: float, heard_at: float, silent: bool) -> None:
@@ -78,7 +89,7 @@
         self._reset()
         self._watching = False
         self._hold_from = heard_at + self.times.hold_after_ms
-        self.call_at = now if silent else now + self._drawn_wait()
+        self._next_at = now if silent else now + self._drawn_wait()
 
     def call_late(self, now: float) -> None:
         """A call waits for too long already: another one is made beside it.
@@ -87,7 +98,7 @@
         """
         if self._watching:
             return
-        self.call_at = now
+        self._next_at = now
         self._late_calls += 1
         if self._late_calls >= AWAY_LATE_CALLS:
             self._cannot_be_reached(now - self.times.redial_ms)
@@ -109,7 +120,7 @@
         elif self._calls:
             return  # its connection never came up, and others were begun beside it since
         silent = answered and took_ms >= QUICK_MS  # a head has cost discovery its turn; a wait saves nothing
-        self.call_at = min(self.call_at, now if silent else now + self._drawn_wait())
+        self._next_at = min(self._next_at, now if silent else now + self._drawn_wait())
 
     def holds(self, now: float) -> bool:
         """Whether requests have to wait: discovery can be reached, but may have more than it has told.
--- a/lupinlink/brain/discovery_times.py
+++ b/lupinlink/brain/discovery_times.py
@@ -31,10 +31,11 @@
 AGENT_WAIT_MS = 200.0  # the same, after a connection that ended; a quarter to three quarters of it
 AGENT_QUIET_MS = 100.0  # an answer of an agent that brings nothing for so long has nothing to bring
 WAIT_MS = 500.0  # neither: discovery takes some calls a second; how many is not told
-WAIT_MOST_MS = 2000.0  # the wait doubles up to this; less where the settings ask for calls more often
+WAIT_MOST_MS = 2000.0  # the wait doubles up to this; less in a small fleet, whose calls crowd nobody out
 WAIT_SHARES = (0.25, 0.75)  # the share of it that is waited is drawn, so that processes keep apart
 START_MS = 1000.0  # machine: a process is up for less than this when it makes its plans
-STARTERS_MS = 500.0  # neither: of the first call's span for each four processes, and twice that at least
+CALL_SPACE_MS = 125.0  # neither: between the calls of all processes, while the pace of discovery is not known
+FIRST_CALL_LEAST_MS = 1000.0  # machine: processes that start together do so within about this time
 FIRST_CALL_MS = 4000.0  # ``TOLD_MS`` less a call that is answered
 FIRST_CALL_SHARE = 0.4  # of the asking time, where that is shorter
 
@@ -47,6 +48,7 @@
     quiet_ms: float  # an answer that has brought nothing for so long has nothing to bring
     answer_ms: float  # a call is given up so long after its connection came up, or was begun
     redial_ms: float  # so long may a call wait before another one is made beside it
+    held_redial_ms: float  # the same while requests are held for it
     wait_ms: float  # before the next call, at first; doubled with each failure
     wait_most_ms: float  # and at most
     first_call_ms: float  # the first calls of all processes that start together are spread over this
@@ -63,17 +65,17 @@
     @classmethod
     def _asked(cls, settings: Settings) -> DiscoveryTimes:
         asking_ms = settings.must_ask_ms
-        first_call_ms = min(
-            STARTERS_MS * max(2.0, settings.peers / 4), FIRST_CALL_MS, FIRST_CALL_SHARE * asking_ms
-        )
+        span_ms = max(FIRST_CALL_LEAST_MS, CALL_SPACE_MS * settings.peers)
+        first_call_ms = min(span_ms, FIRST_CALL_MS, FIRST_CALL_SHARE * asking_ms)
         hold_after_ms = min(TOLD_MS, asking_ms) - PAUSE_MS - LATE_MS
         return cls(
             silence_ms=HEARTBEAT_MS + SILENCE_SLACK_MS,
             quiet_ms=HEARTBEAT_MS + SILENCE_SLACK_MS,
             answer_ms=ANSWER_MS + LATE_MS,
             redial_ms=REDIAL_MS,
+            held_redial_ms=max(REDIAL_MS, CALL_SPACE_MS * settings.peers),
             wait_ms=WAIT_MS,
-            wait_most_ms=min(WAIT_MOST_MS, asking_ms / 2),
+            wait_most_ms=min(max(WAIT_MS, 2 * CALL_SPACE_MS * settings.peers), WAIT_MOST_MS, asking_ms / 2),
             first_call_ms=first_call_ms,
             hold_after_ms=hold_after_ms,
             start_hold_after_ms=min(first_call_ms + ANSWER_MS, TOLD_MS - START_MS, hold_after_ms),
@@ -89,6 +91,7 @@
             quiet_ms=AGENT_QUIET_MS,
             answer_ms=AGENT_ANSWER_MS,
             redial_ms=AGENT_REDIAL_MS,
+            held_redial_ms=AGENT_REDIAL_MS,
             wait_ms=AGENT_WAIT_MS,
             wait_most_ms=AGENT_WAIT_MS,
             first_call_ms=0.0,
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -23,18 +23,19 @@
 print(*sorted(others & {n.split(".")[0] for n in sys.modules}))
 """
 PLAIN = (
-    "brain brain.admission brain.balancer brain.choice brain.discovery brain.discovery_times brain.health brain.learning brain.repeats cli "
-    "clock commands commands.serve commands.told errors interface limits limits.foresight limits.progress "
-    "limits.returns lupinlink net net.application_servers net.application_servers.attempts "
-    "net.application_servers.composing net.application_servers.connection "
-    "net.application_servers.dialling net.application_servers.outcomes net.application_servers.pool "
-    "net.application_servers.pools net.application_servers.sending net.backend_list net.bodies net.clients "
-    "net.clients.accepting net.clients.answers net.clients.calls net.clients.peer net.clients.phases "
-    "net.clients.places net.clients.requests net.counters net.deadlines net.farm net.handover "
-    "net.handover.channel net.handover.messages net.handover.room net.handover.upgrade net.http1 "
-    "net.leavers net.lifecycle net.list_entries net.lists net.log net.management net.open_requests net.parts "
-    "net.premises net.process net.proxy net.service net.slots net.terms net.typed net.watch net.wheel "
-    "node records settings settings.config settings.model settings.parser spread spread.aperture spread.keys"
+    "brain brain.admission brain.balancer brain.choice brain.discovery brain.discovery_times "
+    "brain.health brain.learning brain.repeats cli clock commands commands.serve commands.told errors "
+    "interface limits limits.foresight limits.progress limits.returns lupinlink net "
+    "net.application_servers net.application_servers.attempts net.application_servers.composing "
+    "net.application_servers.connection net.application_servers.dialling "
+    "net.application_servers.outcomes net.application_servers.pool net.application_servers.pools "
+    "net.application_servers.sending net.backend_list net.bodies net.clients net.clients.accepting "
+    "net.clients.answers net.clients.calls net.clients.peer net.clients.phases net.clients.places "
+    "net.clients.requests net.counters net.deadlines net.farm net.handover net.handover.channel "
+    "net.handover.messages net.handover.room net.handover.upgrade net.http1 net.leavers net.lifecycle "
+    "net.list_entries net.lists net.log net.management net.open_requests net.parts net.premises "
+    "net.process net.proxy net.service net.slots net.terms net.typed net.watch net.wheel node records "
+    "settings settings.config settings.model settings.parser spread spread.aperture spread.keys"
 )
 
 
