Heed what discovery has written up to an attempt's first byte

Cause: carry checked pool and attempt, then left the bytes to Twisted, which writes in the reactor's next turn. In between lay the rest of the turn and each pause of the process; news that lay unread in the discovery connection was not seen either. Requests went to servers that counted as told.

Change: carry makes all checks that read the clock, composes the head, has discovery's waiting news read (Farm.read_waiting_news, Watch.read_waiting), checks the pool and the attempt again, and writes at once (Transport.doWrite). Of a request with a body only the head goes at once; the body follows from the next turn on, as before: its caller does not hold the attempt yet that a body may commit. A server's end or early bytes are looked for once more right before the write. The module hears of the farm's news before any other event, within a tick at the latest, no longer inside the read: so no attempt starts in the middle of an object's read.

--- a/lupinlink/net/application_servers/attempts.py
+++ b/lupinlink/net/application_servers/attempts.py
@@ -24,6 +24,7 @@
     settings: Settings
     counters: Counters
     connections: Slots[object]  # that are up, or on their way
+    read_waiting_news: Callable[[], None]  # has discovery's news read that waits in its sockets
 
 
 class Carrier(Protocol):
@@ -71,6 +72,11 @@
         late = now >= self._until or now + trip_ms >= self._begin_by
         return self._open and not late and self._wanted() and self._open  # who is asked may end it
 
+    @property
+    def is_open(self) -> bool:
+        """Whether it has not ended yet."""
+        return self._open
+
     def request(self) -> tuple[bytes, Body | None]:
         """What is to be written now."""
         return self._compose(self._until - self._servers.clock.now())
--- a/lupinlink/net/application_servers/sending.py
+++ b/lupinlink/net/application_servers/sending.py
@@ -15,12 +15,14 @@
 from lupinlink.net.application_servers.attempts import Attempt, Servers
 from lupinlink.net.application_servers.pool import Pool, Rested
 from lupinlink.net.bodies import SMALL_BYTES, Body
+from lupinlink.net.socket_peek import peek
 from lupinlink.net.terms import AttemptEnd
 from lupinlink.net.typed import READ_BYTES, Transport
 from lupinlink.net.wheel import Timer
 
 STALL_MS = 5000.0  # so long may an application server take nothing of a body
 WRITE_BYTES = 64 * 1024
+EARLY_READS = 4  # at most, of what a server announces (1xx) before it was asked
 
 
 class Opening(Protocol):
@@ -48,6 +50,7 @@
         self._sent = 0  # bytes of it that have gone out
         self._starved = False  # it has no more at the moment
         self._written = True
+        self._beginning = False  # a request is being handed to the kernel by ``carry`` itself
         self._whole_by: Timer | None = None
         self._held_back = False  # by the client, which does not read
         self.idle_since = 0.0
@@ -66,23 +69,65 @@
         its client gone, is there time left?
         """
         if not (self.pool.current and attempt.may_begin(self.pool.trip_ms)):
-            self._servers.counters["attempts_not_begun"] += 1
-            self._rest(reuse=True, used=False)
-            attempt.end(AttemptEnd(Status.NOT_SENT))
+            self._leave_unbegun(attempt)
+            return
+        unsent, body = attempt.request()
+        # Danger: what discovery has written counts as told though it lies unread. Nothing from here to the
+        # write may take long: no look at the clock, no call to the decisions, no turn of the reactor.
+        self._servers.read_waiting_news()
+        if not (self.pool.current and attempt.is_open):
+            self._leave_unbegun(attempt)
             return
         self._attempt, attempt.connection = attempt, self
-        self._unsent, self._body = attempt.request()
+        self._unsent, self._body = unsent, body
         self._written, self._sent, self._starved = False, 0, False
         self._parser.asked_for_head = attempt.only_head
         if self._body is not None:
             self._body.more = self._more
-        self.transport.registerProducer(self, False)
+        if not self._ends_unasked():
+            self._write_now()
+
+    def _ends_unasked(self) -> bool:
+        """Whether its server has ended or answered before its request: then no byte of that goes out.
+
+        What is here is read, for it may say more than that. An end is left to the reactor.
+        """
+        attempt = self._attempt
+        for _ in range(EARLY_READS):
+            if not (byte := peek(self.transport)):
+                return byte is not None
+            self.transport.doRead()
+            if self._attempt is not attempt:
+                return True
+        return False
+
+    def _leave_unbegun(self, attempt: Attempt) -> None:
+        """End an attempt of which no byte may go out any more; its connection rests again."""
+        self._servers.counters["attempts_not_begun"] += 1
+        self._rest(reuse=True, used=False)
+        attempt.end(AttemptEnd(Status.NOT_SENT))
+
+    def _write_now(self) -> None:
+        """Hand the request to the kernel in this call; what it does not take now goes as it has room.
+
+        Danger: Twisted by itself writes in the reactor's next turn, after whatever else this one holds. A
+        write that fails is left to the reactor: the transport still waits to write, and meets it again.
+        """
+        self._beginning = True
+        try:
+            self.transport.registerProducer(self, False)
+            self.transport.doWrite()
+        finally:
+            self._beginning = False
 
     def resumeProducing(self) -> None:
         """All that was written has gone to the kernel."""
         if self._unsent is not None:
             data, self._unsent = self._unsent, None
             self.transport.write(data)
+        elif self._body is not None and self._beginning:
+            # Its caller does not hold the attempt yet, which a body may commit or end: from the next turn on.
+            self.transport.startWriting()
         elif self._body is not None:
             self._pump()
         else:
@@ -144,7 +189,7 @@
 
         Danger: bytes that came behind the last answer would be taken for the answer to the next request.
         """
-        return self._waits() is not None
+        return peek(self.transport) is not None
 
     def catch_up(self) -> None:
         """Read what is here of an answer already, at most so much as one that is not passed on may hold.
@@ -152,19 +197,10 @@
         Danger: what is seen here may still not be given to a read. Nothing may be tried until it is.
         """
         for _ in range(SMALL_BYTES // READ_BYTES + 1):
-            if self._attempt is None or not self._waits():
+            if self._attempt is None or not peek(self.transport):
                 break
             self.transport.doRead()
 
-    def _waits(self) -> bytes | None:
-        """The next byte that waits to be read; empty: its end does; None: nothing."""
-        try:
-            return self.transport.getHandle().recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-        except BlockingIOError:
-            return None
-        except OSError:
-            return b""
-
     def _settle(self) -> None:
         if self._whole_by is not None:
             self._whole_by.drop()
--- a/lupinlink/net/clients/peer.py
+++ b/lupinlink/net/clients/peer.py
@@ -4,7 +4,6 @@
 
 import fcntl
 import math
-import socket
 import sys
 import termios
 from contextlib import suppress
@@ -20,6 +19,7 @@
 from lupinlink.net.clients.phases import Phase
 from lupinlink.net.counters import Counters
 from lupinlink.net.proxy import Proxy
+from lupinlink.net.socket_peek import peek
 from lupinlink.net.terms import Call
 from lupinlink.net.typed import READ_BYTES, Transport, unsent
 from lupinlink.net.wheel import Clockwork
@@ -100,12 +100,8 @@
 
     def _look(self) -> bool | None:
         """Whether something has come that was not read yet; None: the client's end, or a break, is next."""
-        try:
-            return bool(self.transport.getHandle().recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)) or None
-        except BlockingIOError:
-            return False
-        except (OSError, AttributeError):  # or it is lost already
-            return None
+        byte = peek(self.transport)
+        return None if byte == b"" else byte is not None
 
     def unread(self) -> bool:
         """Whether something has come that was not read yet."""
--- a/lupinlink/net/farm.py
+++ b/lupinlink/net/farm.py
@@ -21,6 +21,7 @@
 # Where lists are pushed, what discovery's agent has counts at once, and a server has to be left alone 250 ms
 # after that: an agent that is back has to be met well within.
 AGENT_AGAIN_MS = 100.0
+LOOKS = 4  # at most, for what waits unread: what is read takes time in which more may come
 
 
 class Farm:
@@ -113,6 +114,14 @@
         if watch is self._asked:
             self.news(MembershipKind.DELTA, [])
 
+    def read_waiting_news(self) -> None:
+        """Read what discovery has written already, until a look at each watch finds nothing."""
+        for _ in range(LOOKS):
+            watches = [watch for watch in (self._live, self._asked) if watch is not None]
+            were_read = [watch.read_waiting() for watch in watches]
+            if not any(were_read):
+                return
+
     def stop(self) -> None:
         """Watch no longer, and tell nobody."""
         self.news = lambda kind, rows: None
--- a/lupinlink/net/parts.py
+++ b/lupinlink/net/parts.py
@@ -37,6 +37,7 @@
     servers = ApplicationServers(reactor, clock, settings, room.servers, counters)
     farm = Farm(reactor, clock, config.discovery, settings, servers, counters)
     proxy = Proxy(settings, config.seed, clock, servers, farm.watch, counters)
-    farm.news = proxy.news
+    farm.news = proxy.queue_news
+    servers.read_waiting_news = farm.read_waiting_news
     clients = Clients(proxy, farm, clock, settings, lifecycle, room.clients, room.spare_mb, counters)
     return Parts(reactor, clock, counters, lifecycle, servers, farm, proxy, clients)
--- a/lupinlink/net/proxy.py
+++ b/lupinlink/net/proxy.py
@@ -73,9 +73,22 @@
         """The farm has changed, or asking for it failed."""
         self.tell(api.Membership(kind, endpoints))
 
+    def queue_news(self, kind: MembershipKind, endpoints: list[api.Endpoint]) -> None:
+        """As ``news``, from the middle of a read: told before any other event, within a tick at the latest.
+
+        Danger: told at once, the module would send by this news while more of what was read lies unheard.
+        """
+        self._events.append(api.Membership(kind, endpoints))
+        if not self._busy:
+            self._clock.after(0.0, self._run)
+
     def tell(self, event: api.Event) -> None:
         """Give the module an event and carry out its actions; what they cause waits for its turn."""
         self._events.append(event)
+        self._run()
+
+    def _run(self) -> None:
+        """Give the module the events that wait."""
         if self._busy:
             return
         self._busy = True
--- a/lupinlink/net/watch.py
+++ b/lupinlink/net/watch.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import logging
 import sys
 from contextlib import suppress
 from typing import Any
@@ -15,9 +16,11 @@
 
 from lupinlink.net import http1
 from lupinlink.net.lists import MAX_LIST, ListError, Objects
-from lupinlink.net.typed import Connector, Reactor, Transport
+from lupinlink.net.socket_peek import peek
+from lupinlink.net.typed import READ_BYTES, Connector, Reactor, Transport
 from lupinlink.net.wheel import Clockwork, Timer
 
+log = logging.getLogger(__name__)
 # An empty line is due every 2 s, and a call waits that long at most: without a sign of life for so long,
 # the watch is dead. What it would have told counts as told 6 s late at most, and a slow call comes on top.
 SILENCE_MS = 2600.0
@@ -137,6 +140,25 @@
         else:
             self.end("the list came, the watch is still to be asked for")
 
+    def read_waiting(self) -> bool:
+        """Read what waits in the socket without waiting for the reactor; whether there was anything.
+
+        An end that waits is left to the reactor. From ``dataReceived`` nothing may come back here: objects
+        would be taken out of their order.
+        """
+        was_read = False
+        for _ in range(MAX_LIST // READ_BYTES):
+            if self._over or self.transport is None or not peek(self.transport):
+                break
+            was_read = True
+            try:
+                if self.transport.doRead() is not None:
+                    break
+            except Exception:  # as the reactor would: what was read of it is lost, so it is asked anew
+                log.exception("watch failed")
+                self.end("failed inside")
+        return was_read
+
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         # A list without a length is whole at the connection's end, if that is no reset.
         whole = self._parser.eof() if isinstance(reason.value, ConnectionDone) and not self._over else None
--- /dev/null
+++ b/tests/one_turn.py
@@ -0,0 +1,48 @@
+"""What happens within one turn of the reactor: a pool of one application server, turned by hand."""
+
+from __future__ import annotations
+
+import select
+import socket
+import unittest
+from typing import Any
+
+from lupinlink.interface import Endpoint, EndpointState
+from lupinlink.net.terms import AttemptEnd
+from tests import test_crossing_answers
+
+
+class OneTurn(unittest.TestCase):
+    """One pool on a reactor that turns only when told to."""
+
+    def setUp(self) -> None:
+        self.loop = test_crossing_answers.Crossings()
+        self.loop.setUp()
+        self.addCleanup(self.loop.doCleanups)
+        self.servers, self.reactor = self.loop.servers, self.loop.reactor
+
+    def learn(self, state: EndpointState = EndpointState.READY, **more: Any) -> None:
+        host, port = more.pop("address", self.loop.listener.getsockname())
+        self.servers.learn([(Endpoint("s-1", state=state, **more), host, port)], False)
+
+    def drain(self) -> None:
+        self.learn(EndpointState.DRAINING)
+
+    def turn(self, times: int = 5) -> None:
+        for _ in range(times):
+            self.reactor.iterate(0.01)
+
+    def until_ended(self, ends: list[AttemptEnd]) -> None:
+        self.loop.turn_until(lambda: ends)
+
+    def came(self, server: socket.socket) -> bytes:
+        """What has reached the server by now, without a turn of the reactor."""
+        return server.recv(1 << 20) if select.select([server], [], [], 0)[0] else b""
+
+    @staticmethod
+    def end_of(server: socket.socket) -> bytes:
+        """What is still to come there once its connection is closed."""
+        try:
+            return server.recv(65536)
+        except ConnectionResetError:
+            return b""
--- /dev/null
+++ b/tests/test_written_at_once.py
@@ -0,0 +1,141 @@
+"""An attempt's request goes to the kernel in the call that starts it, behind the last look at its server."""
+
+from __future__ import annotations
+
+import socket
+import struct
+import time
+import unittest
+from collections.abc import Callable
+from typing import Any
+from unittest.mock import patch
+
+from lupinlink.interface import Status
+from lupinlink.net.application_servers.dialling import Dial
+from lupinlink.net.application_servers.sending import Sending
+from lupinlink.net.bodies import SMALL_BYTES
+from lupinlink.net.terms import AttemptEnd
+from tests.one_turn import OneTurn
+from tests.stage import NEVER_RAN, OK, WAIT
+
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER
+
+
+class WrittenAtOnce(OneTurn):
+    def test_a_request_on_a_kept_connection_is_out_before_the_turn_goes_on(self) -> None:
+        server, _ = self.loop.kept()
+        _, ends = self.loop.attempt(b"body")
+        self.assertTrue(self.came(server).endswith(b"body"))
+        self.drain()  # later in the same turn: too late for it, and no second copy goes out
+        self.turn()
+        self.assertEqual((self.came(server), ends), (b"", []))
+        server.sendall(OK)
+        self.loop.turn_until(lambda: ends)
+        self.assertEqual(ends[0].status, Status.OK)
+
+    def test_a_request_on_a_new_connection_is_out_as_it_comes_up(self) -> None:
+        servers: list[bytes] = []
+
+        made = Dial.made
+
+        def up(dial: Dial, connection: Any) -> None:
+            made(dial, connection)
+            accepted, _ = self.loop.listener.accept()
+            self.addCleanup(accepted.close)
+            servers.append(self.came(accepted))
+
+        with patch.object(Dial, "made", up):
+            self.loop.attempt(b"body")
+            self.loop.turn_until(lambda: servers)
+        self.assertTrue(servers[0].endswith(b"body"))
+
+    def test_of_a_long_body_only_the_head_goes_at_once_and_the_rest_follows(self) -> None:
+        server, connection = self.loop.kept()
+        body = b"x" * (3 * SMALL_BYTES)
+        _, ends = self.loop.attempt(body)
+        head = self.came(server)
+        self.assertTrue(head.endswith(b"\r\n\r\n"))  # nobody holds the attempt yet that a body may commit
+        self.assertFalse(connection._written)
+        got = b""
+        until = time.monotonic() + WAIT
+        while len(got) < len(body) and time.monotonic() < until:
+            self.turn(1)
+            got += self.came(server)
+        self.assertEqual(got, body)
+        server.sendall(OK)
+        self.loop.turn_until(lambda: ends)
+        self.assertEqual(ends[0].status, Status.OK)
+
+    def test_a_break_before_the_last_byte_proves_that_it_never_ran_and_after_it_not(self) -> None:
+        for size, status in ((0, Status.RESET), (3 * SMALL_BYTES, Status.UNREACHABLE)):
+            server, _ = self.loop.kept()
+            _, ends = self.loop.attempt(b"x" * size)
+            server.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            server.close()  # in the same turn
+            self.until_ended(ends)
+            self.turn()
+            self.assertEqual([end.status for end in ends], [status])
+
+    def test_a_write_that_fails_ends_the_attempt_once_as_never_run(self) -> None:
+        server, connection = self.loop.kept()
+
+        def reset() -> None:
+            server.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            server.close()
+            self.loop.unread(connection)
+
+        # Behind every look: only the write itself meets it.
+        with patch.object(Sending, "_ends_unasked", lambda sending: reset()):
+            _, ends = self.loop.attempt()
+        self.assertEqual(ends, [])
+        self.loop.turn_until(lambda: ends)
+        self.turn()
+        self.assertEqual([end.status for end in ends], [Status.UNREACHABLE])
+        self.loop.close_all()
+
+
+class EndedLast(OneTurn):
+    """Its server ends, or says something, between the look at the kept connection and the write."""
+
+    def crossed(self, cross: Callable[[socket.socket], object]) -> tuple[socket.socket, list[AttemptEnd]]:
+        server, connection = self.loop.kept()
+
+        def between() -> None:
+            cross(server)
+            self.loop.unread(connection)
+
+        self.servers.read_waiting_news = between
+        _, ends = self.loop.attempt()
+        self.servers.read_waiting_news = lambda: None
+        self.until_ended(ends)
+        self.turn()
+        self.assertEqual(len(ends), 1)
+        return server, ends
+
+    def test_an_end_proves_that_it_never_ran(self) -> None:
+        server, ends = self.crossed(lambda server: server.shutdown(socket.SHUT_WR))
+        self.assertEqual((ends[0].status, server.recv(1)), (Status.UNREACHABLE, b""))
+
+    def test_late_bytes_are_no_answer(self) -> None:
+        for late in (OK, OK[:5]):
+            server, ends = self.crossed(lambda server, late=late: server.sendall(late))  # type: ignore[misc]
+            self.assertEqual((ends[0].status, self.end_of(server)), (Status.NOT_SENT, b""))
+
+    def test_being_turned_away_unseen_is_told_as_such(self) -> None:
+        server, ends = self.crossed(lambda server: server.sendall(NEVER_RAN))
+        self.assertEqual((ends[0].status, self.end_of(server)), (Status.OVERLOADED, b""))
+
+    def test_what_is_only_announced_changes_nothing(self) -> None:
+        server, connection = self.loop.kept()
+        server.sendall(b"HTTP/1.1 100 Continue\r\n\r\n")
+        self.loop.unread(connection)
+        with patch.object(type(connection), "stale", lambda connection: False):
+            _, ends = self.loop.attempt(b"body")
+        self.assertTrue(self.came(server).endswith(b"body"))
+        server.sendall(OK)
+        self.until_ended(ends)
+        self.assertEqual(ends[0].status, Status.OK)
+
+
+if __name__ == "__main__":
+    unittest.main()
