--- a/lupinlink/brain/balancer.py
+++ b/lupinlink/brain/balancer.py
@@ -43,6 +43,7 @@
     def __init__(self, settings: Settings, rng: Random) -> None:
         super().__init__(settings, rng)
         self.discovery = DiscoverySchedule(settings, rng)
+        self.wakes_at = math.inf  # for the next call to discovery
 
     def started(self, now: float) -> None:
         """Danger: nodes started together must not revise, nor call discovery, in step."""
@@ -76,13 +77,19 @@
         self.plan_call(now)
 
     def plan_call(self, now: float) -> None:
-        """Wake up when the schedule's next call is due; a wake-up that it has since put off finds nothing."""
-        if self.discovery.call_at < math.inf:
-            self.after(max(0.0, self.discovery.call_at - now), self.call_discovery)
+        """Wake up when the schedule's next call is due, unless a wake-up comes sooner: that plans anew."""
+        if self.discovery.call_at < self.wakes_at:
+            self.wakes_at = self.discovery.call_at
+            self.after(max(0.0, self.wakes_at - now), self.call_discovery)
 
     def call_discovery(self, now: float) -> None:
+        """Make the call that is due; a wake-up that an earlier one has replaced does nothing."""
+        if now < self.wakes_at:
+            return
+        self.wakes_at = math.inf
         if self.discovery.call_due(now):
             self.subscribe(now)
+        self.plan_call(now)
 
     def listed(self, server: Server) -> None:
         """A new process: the first token is drawn, so that the nodes do not all meet it cold at once."""
--- a/lupinlink/brain/discovery_times.py
+++ b/lupinlink/brain/discovery_times.py
@@ -75,7 +75,9 @@
             redial_ms=REDIAL_MS,
             held_redial_ms=max(REDIAL_MS, CALL_SPACE_MS * settings.peers),
             wait_ms=WAIT_MS,
-            wait_most_ms=min(max(WAIT_MS, 2 * CALL_SPACE_MS * settings.peers), WAIT_MOST_MS, asking_ms / 2),
+            wait_most_ms=min(
+                max(2 * WAIT_MS, 2 * CALL_SPACE_MS * settings.peers), WAIT_MOST_MS, asking_ms / 2
+            ),
             first_call_ms=first_call_ms,
             hold_after_ms=hold_after_ms,
             start_hold_after_ms=min(first_call_ms + ANSWER_MS, TOLD_MS - START_MS, hold_after_ms),
--- a/lupinlink/net/farm.py
+++ b/lupinlink/net/farm.py
@@ -32,6 +32,7 @@
 from lupinlink.settings import Settings
 
 log = logging.getLogger(__name__)
+LOOKS = 4  # at most, for what waits unread: what is read takes time in which more may come
 
 
 class Farm:
@@ -156,6 +157,14 @@
         for call in calls:
             call.end(why)
 
+    def read_waiting_news(self) -> None:
+        """Read what discovery has written already, until a look at each watch finds nothing."""
+        for _ in range(LOOKS):
+            watches = [*self._asked, *([self._live] if self._live is not None else [])]
+            were_read = [watch.read_waiting() for watch in watches]  # each of them, whatever the first says
+            if not any(were_read):
+                return
+
     def stop(self) -> None:
         """Watch no longer, and tell nobody."""
         self.tell = lambda event: None
