Put holding off by one empty line's time only, once a new process has a good head

Seen in a drawn script: silence, a restart, and a call whose good head brings nothing: 50 ms late. An empty line is due 2 s after the head; 0.2 s more than that are allowed now, not 0.6.

--- a/lupinlink/brain/discovery_times.py
+++ b/lupinlink/brain/discovery_times.py
@@ -72,7 +72,7 @@
         hold_after_ms = min(TOLD_MS, asking_ms) - PAUSE_MS - LATE_MS
         return cls(
             silence_ms=HEARTBEAT_MS + SILENCE_SLACK_MS,
-            quiet_ms=HEARTBEAT_MS + SILENCE_SLACK_MS,
+            quiet_ms=HEARTBEAT_MS + LATE_MS,
             answer_ms=ANSWER_MS + LATE_MS,
             redial_ms=REDIAL_MS,
             held_redial_ms=max(REDIAL_MS, CALL_SPACE_MS * settings.peers),
