--- /dev/null
+++ b/tests/other_settings.py
@@ -0,0 +1,70 @@
+"""Settings of other customers, with which the decisions have to keep the rules as with the site's."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from lupinlink import interface as api
+from lupinlink.interface import Effect, RequestClass, Scope, Settings
+
+SITE = Settings(
+    classes=(
+        RequestClass(800.0, 2000.0, 1.0, 0.2, Effect.SAFE),
+        RequestClass(750.0, 4000.0, 5.0, 0.25, Effect.SAFE),
+        RequestClass(750.0, 2000.0, 2.0, 0.5, Effect.KEYED, Scope.ZONE, 2000.0),
+    ),
+    tenants=(api.Tenant(40.0), api.Tenant(40.0)),
+    peers=2,
+    cross_zone_price=0.01,
+    cold_share=0.13,
+    cold_ms=22000.0,
+    max_attempts=5,
+    may_cancel=True,
+    may_probe=True,
+    max_retry_after_ms=2000.0,
+    clients_mark_retries=True,
+    reports_in_answers=True,
+    reports_in_probes=True,
+    warm_keys=True,
+)
+
+
+def changed(**kw: object) -> Settings:
+    """The site's settings but for what each of its classes has else."""
+    return replace(SITE, classes=tuple(replace(c, **kw) for c in SITE.classes))  # type: ignore[arg-type]
+
+
+def times(factor: float, **kw: object) -> Settings:
+    shorter = tuple(
+        replace(c, aim_ms=c.aim_ms * factor, deadline_ms=c.deadline_ms * factor, dedup_ms=c.dedup_ms * factor)
+        for c in SITE.classes
+    )
+    return replace(SITE, classes=shorter, **kw)  # type: ignore[arg-type]
+
+
+ELSEWHERE = {
+    "as here": SITE,
+    "a quarter of the time": times(0.25),
+    "a fiftieth of the time": times(0.02),
+    "twenty times the time": times(20.0, max_retry_after_ms=500.0),
+    "one class": replace(SITE, classes=SITE.classes[:1]),
+    "unsafe": changed(effect=Effect.UNSAFE),
+    "keyed, by cell": changed(effect=Effect.KEYED, scope=Scope.CELL),
+    "keyed, nothing is remembered": changed(effect=Effect.KEYED, dedup_ms=0.0),
+    "keyed, 300 ms": changed(effect=Effect.KEYED, scope=Scope.ALL, dedup_ms=300.0),
+    "an aim of the deadline": changed(aim_ms=2000.0),
+    "an aim of nothing": changed(aim_ms=1.0),
+    "no tenants": replace(SITE, tenants=()),
+    "quotas of nothing": replace(SITE, tenants=(api.Tenant(0.0),) * 2),
+    "no worth": changed(worth=0.0, late_worth=0.0),
+    "one attempt": replace(SITE, max_attempts=1),
+    "no calling off, no probes, no advice": replace(
+        SITE, may_cancel=False, may_probe=False, max_retry_after_ms=0.0
+    ),
+    "reports by probe only": replace(SITE, reports_in_answers=False),
+    "no reports, no keys": replace(SITE, reports_in_answers=False, reports_in_probes=False, warm_keys=False),
+    "dials of a second": replace(SITE, dial_timeout_ms=1000.0),
+    "asked for, 200 processes": replace(SITE, subscribe=True, must_ask_ms=4000.0, peers=200, rank=77),
+    "never cold": replace(SITE, cold_share=0.0, cold_ms=0.0, fall_ms=1.0, fall_multiple=1.0),
+    "cold for ever": replace(SITE, cold_share=0.01, cold_ms=1e7, fall_ms=500.0, fall_multiple=1.0),
+}
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -107,7 +107,8 @@
             request = read_request(stream)
         if request is None:
             return
-        connection.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        # An empty line says that nothing has changed; a head alone says nothing.
+        connection.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk("\n"))
         self.watches.put(connection)
         self.asked.put(request[0])
         connection.recv(1)  # until the proxy ends it
--- a/tests/test_crossing_settings.py
+++ b/tests/test_crossing_settings.py
@@ -5,79 +5,29 @@
 import heapq
 import unittest
 from collections import Counter
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from random import Random
 from typing import Any, ClassVar
 
 from lupinlink import interface as api
-from lupinlink.interface import NEVER_RAN, Effect, Endpoint, RequestClass, Scope, Settings, Status
+from lupinlink.interface import (
+    NEVER_RAN,
+    Effect,
+    Endpoint,
+    MembershipKind,
+    RequestClass,
+    Scope,
+    Settings,
+    Status,
+)
 from lupinlink.settings import read_settings
 from tests.helpers import Stand, sends
+from tests.other_settings import ELSEWHERE
 from tests.stage import ApplicationServer, Stage, row
 
-SITE = Settings(
-    classes=(
-        RequestClass(800.0, 2000.0, 1.0, 0.2, Effect.SAFE),
-        RequestClass(750.0, 4000.0, 5.0, 0.25, Effect.SAFE),
-        RequestClass(750.0, 2000.0, 2.0, 0.5, Effect.KEYED, Scope.ZONE, 2000.0),
-    ),
-    tenants=(api.Tenant(40.0), api.Tenant(40.0)),
-    peers=2,
-    cross_zone_price=0.01,
-    cold_share=0.13,
-    cold_ms=22000.0,
-    max_attempts=5,
-    may_cancel=True,
-    may_probe=True,
-    max_retry_after_ms=2000.0,
-    clients_mark_retries=True,
-    reports_in_answers=True,
-    reports_in_probes=True,
-    warm_keys=True,
-)
 SLACK_MS = 20.0  # of an answer after the client's deadline
 RATE, END_MS, STILL_MS = 60.0, 9000.0, 2000.0  # arrivals a second; the day; its most with nothing served
-
-
-def changed(**kw: object) -> Settings:
-    """The site's settings but for what each of its classes has else."""
-    return replace(SITE, classes=tuple(replace(c, **kw) for c in SITE.classes))  # type: ignore[arg-type]
-
-
-def times(factor: float, **kw: object) -> Settings:
-    shorter = tuple(
-        replace(c, aim_ms=c.aim_ms * factor, deadline_ms=c.deadline_ms * factor, dedup_ms=c.dedup_ms * factor)
-        for c in SITE.classes
-    )
-    return replace(SITE, classes=shorter, **kw)  # type: ignore[arg-type]
-
-
-ELSEWHERE = {
-    "as here": SITE,
-    "a quarter of the time": times(0.25),
-    "a fiftieth of the time": times(0.02),
-    "twenty times the time": times(20.0, max_retry_after_ms=500.0),
-    "one class": replace(SITE, classes=SITE.classes[:1]),
-    "unsafe": changed(effect=Effect.UNSAFE),
-    "keyed, by cell": changed(effect=Effect.KEYED, scope=Scope.CELL),
-    "keyed, nothing is remembered": changed(effect=Effect.KEYED, dedup_ms=0.0),
-    "keyed, 300 ms": changed(effect=Effect.KEYED, scope=Scope.ALL, dedup_ms=300.0),
-    "an aim of the deadline": changed(aim_ms=2000.0),
-    "an aim of nothing": changed(aim_ms=1.0),
-    "no tenants": replace(SITE, tenants=()),
-    "quotas of nothing": replace(SITE, tenants=(api.Tenant(0.0),) * 2),
-    "no worth": changed(worth=0.0, late_worth=0.0),
-    "one attempt": replace(SITE, max_attempts=1),
-    "no calling off, no probes, no advice": replace(
-        SITE, may_cancel=False, may_probe=False, max_retry_after_ms=0.0
-    ),
-    "reports by probe only": replace(SITE, reports_in_answers=False),
-    "no reports, no keys": replace(SITE, reports_in_answers=False, reports_in_probes=False, warm_keys=False),
-    "dials of a second": replace(SITE, dial_timeout_ms=1000.0),
-    "asked for, 200 processes": replace(SITE, subscribe=True, must_ask_ms=4000.0, peers=200, rank=77),
-    "never cold": replace(SITE, cold_share=0.0, cold_ms=0.0, fall_ms=1.0, fall_multiple=1.0),
-    "cold for ever": replace(SITE, cold_share=0.01, cold_ms=1e7, fall_ms=500.0, fall_multiple=1.0),
-}
+CALL_MS = 2000.0  # discovery is slow: a call is answered this late, and nothing has changed
 
 
 @dataclass
@@ -102,6 +52,7 @@
         self.asked: dict[str, Try] = {}
         self.due: list[tuple[float, int, str, int, Status]] = []
         self.numbers, self.served_at, self.ends = iter(range(1 << 30)), 0.0, Counter[str]()
+        self.calls: list[float] = []  # when discovery answers them
 
     def play(self) -> None:
         now, number = 0.0, 0
@@ -127,9 +78,13 @@
         while True:
             timer = min(self.stand.timers)[0] if self.stand.timers else time + 1.0
             outcome = self.due[0][0] if self.due else time + 1.0
-            if min(timer, outcome) > time:
+            call = self.calls[0] if self.calls else time + 1.0
+            if min(timer, outcome, call) > time:
                 break
-            if timer <= outcome:
+            if call < min(timer, outcome):
+                self.stand.now = max(self.stand.now, self.calls.pop(0))
+                self.take(self.stand.members([], MembershipKind.DELTA))
+            elif timer <= outcome:
                 self.take(self.stand.until(timer))
             else:
                 self.stand.now = max(self.stand.now, outcome)
@@ -159,6 +114,8 @@
         for action in actions:
             if isinstance(action, api.Send):
                 self.send(action)
+            elif isinstance(action, api.Subscribe):
+                self.calls.append(self.stand.now + CALL_MS)
             elif isinstance(action, api.Refuse):
                 one = self.asked[action.request_id]
                 free = one.cls.effect == Effect.SAFE or (
