--- /dev/null
+++ b/tests/test_discovery_times.py
@@ -0,0 +1,57 @@
+"""The longest chains to a fresh list stay under the time after which changes count as told."""
+
+from __future__ import annotations
+
+import unittest
+from itertools import pairwise
+
+from lupinlink.brain.discovery_times import PAUSE_MS, TOLD_MS, DiscoveryTimes
+from lupinlink.interface import Settings
+from tests.helpers import SAFE
+
+PEERS = (1, 2, 3, 5, 8, 12, 30, 40, 60, 200, 1000)
+MUST_ASK_MS = (1000.0, 2500.0, 4000.0, 6000.0, 10000.0, 60000.0, 1e9)
+
+
+class Chains(unittest.TestCase):
+    def all(self) -> list[tuple[Settings, DiscoveryTimes]]:
+        found = []
+        for peers in PEERS:
+            for must_ask_ms in MUST_ASK_MS:
+                for subscribe in (True, False):
+                    settings = Settings(
+                        classes=(SAFE,), subscribe=subscribe, must_ask_ms=must_ask_ms, peers=peers
+                    )
+                    found.append((settings, DiscoveryTimes.of(settings)))
+        return found
+
+    def test_a_call_without_an_answer_the_wait_and_a_call_that_delivers_fit(self) -> None:
+        for settings, times in self.all():
+            self.assertLess(times.failed_call_chain_ms(), TOLD_MS - PAUSE_MS, settings)
+
+    def test_a_silent_watch_a_dial_that_never_comes_up_and_a_call_that_delivers_fit(self) -> None:
+        for settings, times in self.all():
+            self.assertLess(times.silent_watch_chain_ms(), TOLD_MS - PAUSE_MS, settings)
+
+    def test_the_list_is_no_longer_relied_on_before_changes_count_as_told(self) -> None:
+        for settings, times in self.all():
+            latest = min(TOLD_MS, settings.must_ask_ms) if settings.subscribe else TOLD_MS
+            self.assertLessEqual(times.hold_after_ms + PAUSE_MS, latest, settings)
+            self.assertLessEqual(times.start_hold_after_ms, times.start_hold_latest_ms, settings)
+            self.assertLessEqual(times.start_hold_latest_ms, latest, settings)
+            self.assertGreater(times.hold_most_ms, 0.0)
+
+    def test_a_larger_fleet_never_calls_sooner(self) -> None:
+        for must_ask_ms in MUST_ASK_MS:
+            pairs = [
+                DiscoveryTimes.of(Settings((SAFE,), peers=peers, subscribe=True, must_ask_ms=must_ask_ms))
+                for peers in PEERS
+            ]
+            for less, more in pairwise(pairs):
+                self.assertLessEqual(less.first_call_ms, more.first_call_ms)
+                self.assertLessEqual(less.wait_most_ms, more.wait_most_ms)
+                self.assertLessEqual(less.held_redial_ms, more.held_redial_ms)
+
+
+if __name__ == "__main__":
+    unittest.main()
