--- /dev/null
+++ b/tests/recorded_reactor.py
@@ -0,0 +1,40 @@
+"""A reactor and a clock that only take down what they are asked: time passes when a test says so."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from lupinlink.net.watch import Watch, WatchDial
+from lupinlink.net.wheel import Timer
+
+
+class Recorded:
+    """A reactor and a clock that only take down what they are asked."""
+
+    def __init__(self) -> None:
+        self.dials: list[Watch] = []
+        self.timers: list[tuple[float, Timer]] = []
+        self.time = 1000.0
+
+    def connectTCP(self, host: str, port: int, factory: WatchDial, timeout: object) -> Recorded:  # noqa: N802
+        self.dials.append(factory.buildProtocol(None))
+        return self
+
+    def disconnect(self) -> None: ...
+
+    def now(self) -> float:
+        return self.time
+
+    def after(self, delay_ms: float, call: Callable[[], None]) -> Timer:
+        self.timers.append((self.time + delay_ms, Timer(0, call)))
+        return self.timers[-1][1]
+
+    def until(self, time: float) -> None:
+        """Let all timers that come due by then fire, in order."""
+        while self.timers and min(at for at, _ in self.timers) <= time:
+            due = min(self.timers, key=lambda pair: pair[0])
+            self.timers.remove(due)
+            self.time = max(self.time, due[0])
+            if due[1].call is not None:
+                due[1].call()
+        self.time = time
--- a/tests/test_list_older.py
+++ b/tests/test_list_older.py
@@ -53,8 +53,8 @@
         self.seen.time = ANEW_MS + 1.0
         self.told(5, entry("s-4"))  # no whole list
         self.assertEqual(self.ready(), ["s-2"])
-        self.seen.waits = [
-            wait for wait in self.seen.waits if wait[0] == ANEW_MS + 1.0
+        self.seen.timers = [
+            wait for wait in self.seen.timers if wait[0] == ANEW_MS + 1.0
         ]  # none of the watch's
         self.seen.until(ANEW_MS + 1.0)
         self.assertEqual((len(self.seen.dials), old.ended.called), (2, False))
--- a/tests/told_lists.py
+++ b/tests/told_lists.py
@@ -4,7 +4,6 @@
 
 import json
 import unittest
-from collections.abc import Callable
 from typing import Any, cast
 
 from lupinlink.interface import (
@@ -21,10 +20,11 @@
 from lupinlink.net.counters import Counters
 from lupinlink.net.farm import Farm
 from lupinlink.net.typed import Reactor
-from lupinlink.net.watch import Watch, WatchDial
-from lupinlink.net.wheel import Clockwork, Timer
+from lupinlink.net.watch import Watch
+from lupinlink.net.wheel import Clockwork
 from lupinlink.settings import Settings
 from tests.helpers import SAFE
+from tests.recorded_reactor import Recorded
 from tests.stage import chunk
 
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -48,42 +48,12 @@
     return b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: %d\r\n\r\n" % len(body) + body
 
 
-class Recorded:
-    """A reactor and a clock that only take down what they are asked."""
-
-    def __init__(self) -> None:
-        self.dials: list[Watch] = []
-        self.waits: list[tuple[float, Timer]] = []
-        self.time = 0.0
-
-    def connectTCP(self, host: str, port: int, factory: WatchDial, timeout: object) -> Recorded:  # noqa: N802
-        self.dials.append(factory.buildProtocol(None))
-        return self
-
-    def disconnect(self) -> None: ...
-
-    def now(self) -> float:
-        return self.time
-
-    def after(self, delay_ms: float, call: Callable[[], None]) -> Timer:
-        self.waits.append((self.time + delay_ms, Timer(0, call)))
-        return self.waits[-1][1]
-
-    def until(self, time: float) -> None:
-        """All timers that come due by then; those that they set wait."""
-        self.time = time
-        due = [timer for at, timer in self.waits if at <= time]
-        self.waits = [wait for wait in self.waits if wait[0] > time]
-        for timer in due:
-            if timer.call is not None:
-                timer.call()
-
-
 class Told(unittest.TestCase):
     """A farm that holds s-1 and s-2 ready at version 41, and a watch that was asked for."""
 
     def setUp(self) -> None:
         self.seen = Recorded()
+        self.seen.time = 0.0
         self.module: dict[str, Endpoint] = {}
         self.news: list[MembershipKind] = []
         self.events: list[Membership | DiscoveryEvent] = []
@@ -93,7 +63,7 @@
         self.servers = ApplicationServers(reactor, clock, settings, 8, self.counters)
         self.farm = Farm(reactor, clock, ("127.0.0.1", 1), settings, self.servers, self.counters)
         self.farm.tell = self.hear
-        self.seen.waits.clear()
+        self.seen.timers.clear()
         self.begin(entry("s-1"), entry("s-2"))
         self.farm.call()
 
