Draw servers until both were met in the test of what is sent again elsewhere

The test sends four requests and expects that one of them meets the server that refuses; each draws between two servers, so all four may miss it.

Change: the test goes on until that server was met, forty requests at most, and still expects it to be met and each request to be answered by the other.

--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -19,6 +19,7 @@
 from tests.stage import NEVER_RAN, OK, WAIT, ApplicationServer, Stage, row
 
 MB = 1024 * 1024
+MOST_DRAWS = 40  # a server of two that is fit is drawn by then, whatever the seed
 POST = b"POST /scan/1 HTTP/1.1\r\nX-Trace-Id: %b\r\nIdempotency-Key: k\r\n"
 FORMS = [
     b"POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -211,9 +212,11 @@
         self.discovery.watch().sendall(b"")  # the list stays; both are known to the next process
         self.start(row("s-1", self.server), row("s-2", other))
         head = POST % b"h" + b"Content-Length: 200000\r\nConnection: close\r\n\r\n"
-        for _ in range(4):
+        asked = 0
+        while asked < 4 or (self.server.seen.empty() and asked < MOST_DRAWS):
             self.assertTrue(self.raw(head + b"y" * 200_000).endswith(b"ok"))
-        self.assertEqual(other.seen.qsize(), 4)
+            asked += 1
+        self.assertEqual(other.seen.qsize(), asked)
         self.assertGreater(self.server.seen.qsize(), 0)
 
 
