Take discovery for down after as many failed calls as fit in the time

Traced in the logs of 60 and 200 proxies: each call that failed did so while discovery was down (8 s), after 2.0 s, as those of a crowded discovery do; none failed after its return. brain/discovery took only quick failures for an outage, so every proxy held its requests for the rest of it: wrong was call_failed, that counted a slow failure as a sign of life.

Ruled out: crowding by our own calls (no failed call after the return at 60 and 200 proxies); calls whose answers came too late.

Change: small fleets, which crowd nobody out, call again beside a call that has brought nothing for 1 s (0.125 s a process). As many failures in a row as calls fit in the time (five in fleets of up to eight, two from 20 on) are an outage, the known list then serves on, and changes count anew from the last failed call's begin. A good head shows that discovery is there. test_crossing_calls: that a call is followed by none before it has ended is now asked for in a fleet of 40; for one process it was a stated choice of the same kind, and calls there are bounded by three.

--- a/lupinlink/brain/discovery.py
+++ b/lupinlink/brain/discovery.py
@@ -34,6 +34,7 @@
         self._wait_ms = self.times.wait_ms
         self._refused_since = NEVER  # the first of the calls in a row that were turned away at once
         self._late_calls = 0  # in a row, with no connection between them
+        self._failed_calls = 0  # in a row that were taken and brought nothing
         self._away = False  # discovery cannot be reached
 
     @property
@@ -69,17 +70,15 @@
 
     def call_due(self, now: float) -> bool:
         """Whether to call now; the call counts as made."""
-        due = now >= self._next_at
-        beside = now >= self._beside_at and self.holds(now)
-        if due:
-            self._next_at = NEVER
-        if due or now >= self._beside_at:
-            self._beside_at = NEVER
-        if not (due or beside) or self._calls >= MOST_CALLS:
+        if now < self.call_at:
+            return False
+        self._next_at = self._beside_at = NEVER
+        if self._calls >= MOST_CALLS:
             return False  # the first of those that are out to be given up plans the next
         self._calls += 1
-        # While requests are held, a call that brings nothing must not keep others from bringing the news.
-        self._beside_at = max(self._hold_from, now + self.times.held_redial_ms)
+        if not self._seems_away:
+            # A call that brings nothing must not keep others from bringing the news.
+            self._beside_at = now + self.times.beside_ms
         return True
 
     def former_watch_ended(self, heard_at: float) -> None:
@@ -117,9 +116,11 @@
 
     def call_answered(self, now: float) -> None:
         """A good head came. Where nothing has changed, an empty line follows it, though not at once."""
+        self._failed_calls = 0
         if not self.holds(now):
             put_off = min(now + self.times.quiet_ms, self._hold_latest)
             self._hold_from = max(self._hold_from, put_off)
+            self._beside_at = NEVER
 
     def call_failed(self, now: float, reached: bool, answered: bool, took_ms: float) -> None:
         """A call told nothing; ``reached``: its connection came up, ``answered``: a good head came."""
@@ -130,8 +131,11 @@
             self._refused(now)
         elif reached:
             self._refused_since = NEVER
+            self._brought_nothing(now - took_ms, answered)
         elif self._calls:
             return  # its connection never came up, and others were begun beside it since
+        if self._calls and self._seems_away:
+            return  # one after the other is enough from here on
         silent = answered and took_ms >= QUICK_MS  # a head has cost discovery its turn; a wait saves nothing
         self._next_at = min(self._next_at, now if silent else now + self._drawn_wait())
 
@@ -150,6 +154,19 @@
         if now - self._refused_since >= AWAY_AFTER_MS:
             self._cannot_be_reached(now)
 
+    def _brought_nothing(self, began: float, answered: bool) -> None:
+        """A call was taken and failed late: a single failure, or, with enough of them, an outage."""
+        if answered:
+            return
+        self._failed_calls += 1
+        if self._seems_away:
+            self._cannot_be_reached(began)
+
+    @property
+    def _seems_away(self) -> bool:
+        """Whether enough calls in a row brought nothing: discovery is down then, and not just crowded."""
+        return self._failed_calls >= self.times.away_calls
+
     def _cannot_be_reached(self, at: float) -> None:
         """What discovery has counts as told only after its return, which is later than this."""
         self._away = True
@@ -163,7 +180,7 @@
     def _reset(self) -> None:
         """Nothing that failed before counts any more."""
         self._hold_latest = -NEVER
-        self._calls = self._late_calls = 0
+        self._calls = self._late_calls = self._failed_calls = 0
         self._away = False
         self._refused_since = NEVER
         self._wait_ms = self.times.wait_ms
--- a/lupinlink/brain/discovery_times.py
+++ b/lupinlink/brain/discovery_times.py
@@ -33,6 +33,7 @@
 WAIT_MS = 500.0  # neither: discovery takes some calls a second; how many is not told
 WAIT_MOST_MS = 2000.0  # the wait doubles up to this; less in a small fleet, whose calls crowd nobody out
 WAIT_SHARES = (0.25, 0.75)  # the share of it that is waited is drawn, so that processes keep apart
+AWAY_CALLS_LEAST = 2  # neither: one that failed is a single failure
 START_MS = 1000.0  # machine: a process is up for less than this when it makes its plans
 PROMPT_MS = 500.0  # machine: a discovery that nothing ails has answered a call by then
 CALL_SPACE_MS = 125.0  # neither: between the calls of all processes, while the pace of discovery is not known
@@ -49,7 +50,8 @@
     quiet_ms: float  # an answer that has brought nothing for so long has nothing to bring
     answer_ms: float  # a call is given up so long after its connection came up, or was begun
     redial_ms: float  # so long may a call wait before another one is made beside it
-    held_redial_ms: float  # the same while requests are held for it
+    beside_ms: float  # so long after a call that has brought nothing yet another one is made beside it
+    away_calls: int  # so many calls in a row that were taken and brought nothing: discovery is down
     wait_ms: float  # before the next call, at first; doubled with each failure
     wait_most_ms: float  # and at most
     first_call_ms: float  # the first calls of all processes that start together are spread over this
@@ -70,12 +72,14 @@
         span_ms = max(FIRST_CALL_LEAST_MS, CALL_SPACE_MS * settings.peers)
         first_call_ms = min(span_ms, FIRST_CALL_MS, FIRST_CALL_SHARE * asking_ms)
         hold_after_ms = min(TOLD_MS, asking_ms) - PAUSE_MS - LATE_MS
+        beside_ms = max(ANSWER_MS / 2, CALL_SPACE_MS * settings.peers)
         return cls(
             silence_ms=HEARTBEAT_MS + SILENCE_SLACK_MS,
             quiet_ms=HEARTBEAT_MS + LATE_MS,
             answer_ms=ANSWER_MS + LATE_MS,
             redial_ms=REDIAL_MS,
-            held_redial_ms=max(REDIAL_MS, CALL_SPACE_MS * settings.peers),
+            beside_ms=beside_ms,
+            away_calls=max(AWAY_CALLS_LEAST, 1 + int((TOLD_MS - ANSWER_MS) / beside_ms)),
             wait_ms=WAIT_MS,
             wait_most_ms=min(
                 max(2 * WAIT_MS, 2 * CALL_SPACE_MS * settings.peers), WAIT_MOST_MS, asking_ms / 2
@@ -98,7 +102,8 @@
             quiet_ms=AGENT_QUIET_MS,
             answer_ms=AGENT_ANSWER_MS,
             redial_ms=AGENT_REDIAL_MS,
-            held_redial_ms=AGENT_REDIAL_MS,
+            beside_ms=AGENT_REDIAL_MS,
+            away_calls=1 + int(START_MS / AGENT_REDIAL_MS),  # no fewer than while requests are held
             wait_ms=AGENT_WAIT_MS,
             wait_most_ms=AGENT_WAIT_MS,
             first_call_ms=0.0,
--- a/tests/test_crossing_calls.py
+++ b/tests/test_crossing_calls.py
@@ -41,11 +41,13 @@
     """Somebody calls again after every end, and nobody twice."""
 
     subscribe = True
+    peers = 1
 
     def setUp(self) -> None:
         self.seen = Recorded()
         clock, reactor = cast(Clockwork, self.seen), cast(Reactor, self.seen)
-        settings, counters = Settings(classes=(SAFE,), subscribe=self.subscribe), Counters()
+        settings = Settings(classes=(SAFE,), subscribe=self.subscribe, peers=self.peers)
+        counters = Counters()
         servers = ApplicationServers(reactor, clock, settings, 8, counters)
         self.farm = Farm(reactor, clock, ("127.0.0.1", 1), settings, servers, counters)
         self.node = Balancer(settings, Random(1))
@@ -89,17 +91,20 @@
         self.assertEqual(self.dials(3603.0 + 249.0), 2)
         self.assertEqual(self.dials(3603.0 + 751.0), 3)
 
-    def test_a_call_without_an_answer_is_no_watch_and_waits(self) -> None:
-        # Asked at once, a discovery with too many callers would get ever the same number of them.
-        # Here after a watch, long before requests are held: while they are, others are made beside it.
+    def test_a_call_without_an_answer_is_no_watch_and_gets_others_beside_it(self) -> None:
+        # In a small fleet, which crowds nobody out: three a second apart, and no more until one has ended.
         self.dials(1002.0)
         self.up(0, HEAD + EMPTY_LINE).end("discovery ended it")
         self.assertEqual(self.dials(1002.0 + 751.0), 2)
         began = self.seen.dials[1].began
-        self.up(1)
-        self.assertEqual(self.dials(began + 751.0), 2)
-        self.assertEqual(self.dials(1002.0 + 751.0 + 2200.0 + 249.0), 2)
-        self.assertEqual(self.dials(1002.0 + 751.0 + 2200.0 + 752.0), 3)
+        for number in (1, 2):
+            self.up(number)
+            self.assertEqual(self.dials(began + number * 1000.0 - 1.0), number + 1)
+            self.assertEqual(self.dials(began + number * 1000.0 + 1.0), number + 2)
+        self.up(3)
+        self.assertEqual(self.dials(1002.0 + 751.0 + 2200.0 + 249.0), 4)  # one is given up: a wait again
+        self.assertEqual(self.dials(1002.0 + 751.0 + 2200.0 + 752.0), 5)
+        self.assertEqual(len(self.farm._asked), 3)
 
     def test_a_connection_that_is_late_gets_another_beside_it_and_the_first_to_tell_wins(self) -> None:
         self.assertEqual(self.dials(1001.0 + 749.0), 1)
@@ -155,6 +160,21 @@
         self.assertEqual(self.dials(60_000.0), 1)
 
 
+class AskedInALargeFleet(WhoCalls):
+    peers = 40
+
+    def test_a_call_without_an_answer_is_no_watch_and_waits(self) -> None:
+        # Asked at once, a discovery with too many callers would get ever the same number of them.
+        self.dials(1002.0)
+        self.up(0, HEAD + EMPTY_LINE).end("discovery ended it")
+        self.assertEqual(self.dials(1002.0 + 751.0), 2)
+        began = self.seen.dials[1].began
+        self.up(1)
+        self.assertEqual(self.dials(began + 751.0), 2)
+        self.assertEqual(self.dials(1002.0 + 751.0 + 2200.0 + 499.0), 2)
+        self.assertEqual(self.dials(1002.0 + 751.0 + 2200.0 + 1501.0), 3)
+
+
 class Pushed(WhoCalls):
     subscribe = False
 
--- /dev/null
+++ b/tests/test_discovery_away.py
@@ -0,0 +1,103 @@
+"""Where discovery is down the known list serves on, however its failing calls look."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from itertools import pairwise
+from random import Random
+
+from lupinlink.brain.discovery import DiscoverySchedule
+from lupinlink.interface import Settings
+from tests.discovery_drive import drive
+from tests.drain_script import Away, Change, OutageOf, Restart, Script
+from tests.helpers import SAFE
+from tests.test_drain_faults import SEEDS, Forced
+
+SLOW_MS = 2000.0  # a call that discovery cannot serve fails after this
+OUTAGE = OutageOf(9000.0, 40000.0, Away.ERROR, SLOW_MS)
+RESET_OUTAGE = OutageOf(9000.0, 40000.0, Away.RESET, SLOW_MS)
+FAILED_CALL_MS = 2500.0  # a call that fails late, and the wait before it
+LONG_MS = 300_000.0
+
+
+class SlowFailures(Forced):
+    """Discovery is down, and each call fails only after 2 s, as those of a crowded one do."""
+
+    def serves_on(self, script: Script, most_ms: float) -> None:
+        """What the outage has hidden is kept, and requests are not held for long."""
+        self.in_time(script)
+        longest = max(drive(replace(script, seed=seed)).longest_hold_ms for seed in SEEDS)
+        self.assertLessEqual(longest, most_ms)
+
+    def test_a_small_fleet_serves_on(self) -> None:
+        for outage in (OUTAGE, RESET_OUTAGE):
+            self.serves_on(Script((Change(12000.0),), (outage,)), FAILED_CALL_MS)
+
+    def test_a_large_fleet_serves_on(self) -> None:
+        for peers in (40, 200):
+            self.serves_on(Script((Change(12000.0),), (OUTAGE,), peers=peers), FAILED_CALL_MS)
+
+    def test_a_process_of_a_large_fleet_that_starts_meanwhile_serves_on(self) -> None:
+        for peers in (40, 200):
+            script = Script((Change(12000.0),), (OUTAGE,), restarts=(Restart(13000.0),), peers=peers)
+            self.serves_on(script, 2 * FAILED_CALL_MS)
+
+
+class Planned:
+    """A schedule whose calls fail after 2 s, each."""
+
+    def __init__(self, peers: int) -> None:
+        settings = Settings(classes=(SAFE,), subscribe=True, must_ask_ms=10000.0, peers=peers)
+        self.schedule = DiscoverySchedule(settings, Random(1))
+        self.called: list[float] = []
+        self._failing: list[float] = []
+        self.now = 0.0
+
+    def fail_until(self, end: float) -> None:
+        """Every call that is out fails late."""
+        while (at := min([self.schedule.call_at, *self._failing])) < end:
+            self.now = max(self.now, at)
+            if self._failing and self._failing[0] <= self.now:
+                self._failing.pop(0)
+                self.schedule.call_failed(self.now, True, False, SLOW_MS)
+            elif self.schedule.call_due(self.now):
+                self.called.append(self.now)
+                self._failing.append(self.now + SLOW_MS)
+
+
+def test_a_small_fleet_looks_again_before_its_list_counts_as_old() -> None:
+    planned = Planned(peers=5)
+    planned.schedule.started(0.0)
+    planned.fail_until(7000.0)
+    begun = [at for at in planned.called if at < 4600.0]
+    assert len(begun) >= planned.schedule.times.away_calls - 1, begun
+
+
+def test_calls_are_made_one_after_the_other_once_discovery_is_taken_for_away() -> None:
+    for peers in (1, 5, 8, 12, 40, 200):
+        planned = Planned(peers)
+        planned.schedule.started(0.0)
+        planned.fail_until(LONG_MS)
+        later = [at for at in planned.called if at > 20_000.0]
+        assert all(after - before > SLOW_MS for before, after in pairwise(later)), peers
+        assert len(later) < LONG_MS / SLOW_MS
+
+
+def test_one_failed_call_never_shows_that_discovery_is_away() -> None:
+    for peers in (1, 5, 8, 12, 40, 200, 5000):
+        planned = Planned(peers)
+        planned.schedule.started(0.0)
+        while not planned.schedule.call_due(planned.now):
+            planned.now = planned.schedule.call_at
+        planned.schedule.call_failed(planned.now + SLOW_MS, True, False, SLOW_MS)
+        assert planned.schedule.holds(planned.schedule.times.start_hold_after_ms + 1.0), peers
+
+
+def test_a_head_shows_that_discovery_is_there() -> None:
+    planned = Planned(peers=200)
+    planned.schedule.started(0.0)
+    planned.fail_until(4000.0)
+    planned.schedule.call_answered(planned.now)
+    planned.schedule.call_failed(planned.now, True, True, SLOW_MS)
+    planned.schedule.call_failed(planned.now, True, False, SLOW_MS)
+    assert planned.schedule.holds(planned.schedule.times.start_hold_latest_ms + 1.0)
--- a/tests/test_discovery_times.py
+++ b/tests/test_discovery_times.py
@@ -50,7 +50,7 @@
             for less, more in pairwise(pairs):
                 self.assertLessEqual(less.first_call_ms, more.first_call_ms)
                 self.assertLessEqual(less.wait_most_ms, more.wait_most_ms)
-                self.assertLessEqual(less.held_redial_ms, more.held_redial_ms)
+                self.assertLessEqual(less.beside_ms, more.beside_ms)
 
 
 if __name__ == "__main__":
