Call discovery again on the simulator after a subscription that dropped

Cause: there one event tells that a call failed and that a subscription is over; brain/balancer.list_news gave both to DiscoverySchedule.call_failed, which takes a standing watch for proof that another call did well, so no call followed. The proxy reports the two apart and was not touched by it.

--- a/lupinlink/brain/balancer.py
+++ b/lupinlink/brain/balancer.py
@@ -57,11 +57,17 @@
     def list_news(self, event: Membership, now: float) -> None:
         """Act at once on what changed."""
         self.split.due_at = now
-        if event.kind == MembershipKind.FAILED:  # the simulator's word for a call or a watch that ended
-            self.discovery_news(DiscoveryCallFailed(reached=False, answered=False, took_ms=0.0), now)
+        if event.kind == MembershipKind.FAILED:
+            self.discovery_news(self.ended_on_the_simulator(now), now)
         elif event.kind != MembershipKind.CACHED and event.current:
             self.discovery.confirmed()
 
+    def ended_on_the_simulator(self, now: float) -> DiscoveryEvent:
+        """Its one event for both: a subscription that dropped, or else a call that failed."""
+        if self.discovery.watching:
+            return DiscoveryWatchEnded(heard_at=now, silent=False)
+        return DiscoveryCallFailed(reached=False, answered=False, took_ms=0.0)
+
     def discovery_news(self, event: DiscoveryEvent, now: float) -> None:
         """Hand it to the schedule, which may plan the next call."""
         match event:
--- a/lupinlink/brain/discovery.py
+++ b/lupinlink/brain/discovery.py
@@ -27,7 +27,7 @@
         self._next_at = NEVER  # when the next call is due
         self._beside_at = NEVER  # when one more is due beside those that are out, if requests are held then
         self._settings, self._rng = settings, rng
-        self._watching = False  # a watch stands and has told
+        self.watching = False  # a watch stands and has told
         self._calls = 0  # that are out
         self._hold_from = NEVER  # from here on changes may count as told that did not come
         self._hold_latest = NEVER  # so far an answered call may put that off
@@ -55,17 +55,17 @@
         ``at_start``: it is the first one, of an agent that pushes lists.
         """
         self._reset()
-        self._watching = False
+        self.watching = False
         after_ms = self.times.start_hold_after_ms if at_start else self.times.move_hold_after_ms
         self._hold_from = min(self._hold_from, now + after_ms)
         self._next_at = now
 
     def confirmed(self) -> None:
         """A watch has told: the list is that of discovery. One that nobody called for shows nothing."""
-        if not self._watching and not self._calls:
+        if not self.watching and not self._calls:
             return
         self._reset()
-        self._watching = True
+        self.watching = True
         self._next_at = self._beside_at = self._hold_from = NEVER
 
     def call_due(self, now: float) -> bool:
@@ -83,7 +83,7 @@
 
     def former_watch_ended(self, heard_at: float) -> None:
         """The watch at discovery's former address is over, and the new one has not told yet."""
-        if not self._watching:
+        if not self.watching:
             self._hold_from = min(self._hold_from, heard_at + self.times.hold_after_ms)
 
     def watch_ended(self, now: float, heard_at: float, silent: bool) -> None:
@@ -93,7 +93,7 @@
         once. Watches that end together must not call together.
         """
         self._reset()
-        self._watching = False
+        self.watching = False
         self._hold_from = heard_at + self.times.hold_after_ms
         self._next_at = now if silent else now + self._drawn_wait()
 
@@ -102,7 +102,7 @@
 
         Many in a row: discovery cannot be reached, and what it has counts as told only after its return.
         """
-        if self._watching:
+        if self.watching:
             return
         self._next_at = now
         self._late_calls += 1
@@ -125,7 +125,7 @@
     def call_failed(self, now: float, reached: bool, answered: bool, took_ms: float) -> None:
         """A call told nothing; ``reached``: its connection came up, ``answered``: a good head came."""
         self._calls = max(0, self._calls - 1)
-        if self._watching:
+        if self.watching:
             return
         if not answered and took_ms < QUICK_MS:
             self._refused(now)
--- a/lupinlink/brain/discovery_times.py
+++ b/lupinlink/brain/discovery_times.py
@@ -34,6 +34,7 @@
 WAIT_MOST_MS = 2000.0  # the wait doubles up to this; less in a small fleet, whose calls crowd nobody out
 WAIT_SHARES = (0.25, 0.75)  # the share of it that is waited is drawn, so that processes keep apart
 AWAY_CALLS_LEAST = 2  # neither: one that failed is a single failure
+RESTART_MS = 2500.0  # machine: so long before its start may a process that was killed have heard news last
 START_MS = 1000.0  # machine: a process is up for less than this when it makes its plans
 PROMPT_MS = 500.0  # machine: a discovery that nothing ails has answered a call by then
 CALL_SPACE_MS = 125.0  # neither: between the calls of all processes, while the pace of discovery is not known
@@ -72,6 +73,7 @@
         span_ms = max(FIRST_CALL_LEAST_MS, CALL_SPACE_MS * settings.peers)
         first_call_ms = min(span_ms, FIRST_CALL_MS, FIRST_CALL_SHARE * asking_ms)
         hold_after_ms = min(TOLD_MS, asking_ms) - PAUSE_MS - LATE_MS
+        start_told_ms = hold_after_ms - min(RESTART_MS, hold_after_ms / 2)
         beside_ms = max(ANSWER_MS / 2, CALL_SPACE_MS * settings.peers)
         return cls(
             silence_ms=HEARTBEAT_MS + SILENCE_SLACK_MS,
@@ -86,10 +88,8 @@
             ),
             first_call_ms=first_call_ms,
             hold_after_ms=hold_after_ms,
-            start_hold_after_ms=min(first_call_ms + PROMPT_MS, TOLD_MS - START_MS, hold_after_ms),
-            start_hold_latest_ms=min(
-                first_call_ms + PROMPT_MS + HEARTBEAT_MS, TOLD_MS - START_MS, hold_after_ms
-            ),
+            start_hold_after_ms=min(first_call_ms + PROMPT_MS, start_told_ms),
+            start_hold_latest_ms=min(first_call_ms + PROMPT_MS + HEARTBEAT_MS, start_told_ms),
             move_hold_after_ms=hold_after_ms,
             hold_most_ms=TOLD_MS,
         )
--- a/tests/test_drain_faults.py
+++ b/tests/test_drain_faults.py
@@ -165,6 +165,12 @@
     def test_a_restart_then_two_hanging_calls(self) -> None:
         self.after(10000.0, MUTE, MUTE)
 
+    def test_a_drain_as_a_process_of_a_large_fleet_is_killed_whose_first_call_comes_late(self) -> None:
+        for rank in (3, 8, 21):  # whose first calls come 3.4 to 3.9 s after a start
+            for away in (2500.0, 2800.0):
+                script = Script((Change(9020.0),), restarts=(Restart(9000.0, away),), peers=200, rank=rank)
+                self.in_time(script)
+
     def test_a_restart_then_two_hanging_calls_where_little_time_to_ask_is_given(self) -> None:
         self.after(4000.0, MUTE, MUTE, away=1000.0)
 
