Hold requests for longer where discovery answers calls but tells nothing

Cause: two of 2,000 drawn scripts without outages that meet were late, both in large fleets (2.7 and 2.1 s): after a restart three calls in a row failed, some with a good head that nothing followed, and holding ended after 6 s though the head had shown that discovery was there.

Change: the longest holding counts from the last good head, by 6 s more at most; not where lists are pushed.

--- a/lupinlink/brain/discovery.py
+++ b/lupinlink/brain/discovery.py
@@ -31,6 +31,7 @@
         self._calls = 0  # that are out
         self._hold_from = NEVER  # from here on changes may count as told that did not come
         self._hold_latest = NEVER  # so far an answered call may put that off
+        self._answered_at = -NEVER  # the last good head
         self._wait_ms = self.times.wait_ms
         self._refused_since = NEVER  # the first of the calls in a row that were turned away at once
         self._late_calls = 0  # in a row, with no connection between them
@@ -117,6 +118,7 @@
     def call_answered(self, now: float) -> None:
         """A good head came. Where nothing has changed, an empty line follows it, though not at once."""
         self._failed_calls = 0
+        self._answered_at = now
         if not self.holds(now):
             put_off = min(now + self.times.quiet_ms, self._hold_latest)
             self._hold_from = max(self._hold_from, put_off)
@@ -142,11 +144,13 @@
     def holds(self, now: float) -> bool:
         """Whether requests have to wait: discovery can be reached, but may have more than it has told.
 
-        Where it is away the known list serves on, and so it does once this has lasted for too long.
+        Where it is away the known list serves on, and so it does once this has lasted for too long: sooner
+        where no call was answered with a good head, which shows that it is there.
         """
         if self._away or now < self._hold_from:
             return False
-        return now < self._hold_from + self.times.hold_most_ms
+        shown_ms = min(max(0.0, self._answered_at - self._hold_from), self.times.hold_longer_ms)
+        return now < self._hold_from + self.times.hold_most_ms + shown_ms
 
     def _refused(self, now: float) -> None:
         """Turned away at once: a single failure, or, where that goes on, discovery is down."""
--- a/lupinlink/brain/discovery_times.py
+++ b/lupinlink/brain/discovery_times.py
@@ -60,6 +60,7 @@
     start_hold_latest_ms: float  # and where a call was answered, but has brought nothing yet
     move_hold_after_ms: float  # and after a move to another discovery
     hold_most_ms: float  # and so long at most: then discovery cannot tell, and what is known has to serve
+    hold_longer_ms: float  # by so much longer where good heads came meanwhile
 
     @classmethod
     def of(cls, settings: Settings) -> DiscoveryTimes:
@@ -94,6 +95,7 @@
             ),
             move_hold_after_ms=hold_after_ms,
             hold_most_ms=TOLD_MS,
+            hold_longer_ms=TOLD_MS,
         )
 
     @classmethod
@@ -114,6 +116,7 @@
             start_hold_latest_ms=0.0,
             move_hold_after_ms=MOVED_MS - PAUSE_MS - LATE_MS,
             hold_most_ms=START_MS,
+            hold_longer_ms=0.0,
         )
 
     def failed_call_chain_ms(self) -> float:
--- a/tests/test_discovery_away.py
+++ b/tests/test_discovery_away.py
@@ -18,6 +18,7 @@
 RESET_OUTAGE = OutageOf(9000.0, 40000.0, Away.RESET, SLOW_MS)
 FAILED_CALL_MS = 2500.0  # a call that fails late, and the wait before it
 LONG_MS = 300_000.0
+HEAD_EVERY_MS = 500.0
 
 
 class SlowFailures(Forced):
@@ -101,3 +102,18 @@
     planned.schedule.call_failed(planned.now, True, True, SLOW_MS)
     planned.schedule.call_failed(planned.now, True, False, SLOW_MS)
     assert planned.schedule.holds(planned.schedule.times.start_hold_latest_ms + 1.0)
+
+
+def test_heads_alone_hold_requests_for_longer_and_not_for_good() -> None:
+    for peers in (1, 5, 40, 200):
+        planned = Planned(peers)
+        schedule, times = planned.schedule, planned.schedule.times
+        schedule.started(0.0)
+        held, now = [], 0.0
+        while now < LONG_MS:
+            now += HEAD_EVERY_MS
+            schedule.call_answered(now)
+            held.append(schedule.holds(now))
+        longest = times.hold_most_ms + times.hold_longer_ms
+        assert longest - 2 * HEAD_EVERY_MS <= sum(held) * HEAD_EVERY_MS <= longest + HEAD_EVERY_MS, peers
+        assert not held[-1]
--- a/tests/test_drain_faults.py
+++ b/tests/test_drain_faults.py
@@ -171,6 +171,22 @@
                 script = Script((Change(9020.0),), restarts=(Restart(9000.0, away),), peers=200, rank=rank)
                 self.in_time(script)
 
+    def test_a_restart_in_a_large_fleet_then_three_answers_that_bring_nothing(self) -> None:
+        late_drip, late_head = CallFault(Fault.DRIP, 100.0), CallFault(Fault.HEAD_ONLY, 100.0)
+        run, restart = Run(7000.0, (late_drip, DRIP, late_head)), Restart(11500.0, 1800.0)
+        script = Script((Change(13500.0),), runs=(run,), restarts=(restart,), rank=1, pieces=True)
+        for peers in (40, 200):
+            for must_ask_ms in (4000.0, 10000.0):
+                self.in_time(replace(script, peers=peers, must_ask_ms=must_ask_ms))
+
+    def test_a_restart_in_a_large_fleet_then_calls_that_fail_in_three_ways_and_a_silent_watch(self) -> None:
+        faults = (CallFault(Fault.MUTE, 500.0), CallFault(Fault.ERROR, 100.0), HEAD_ONLY)
+        script = Script(
+            (Change(8000.0),), runs=(Run(6900.0, faults),), silences=(13800.0,),
+            restarts=(Restart(5800.0, 200.0),), peers=40, rank=1, pieces=True,
+        )  # fmt: skip
+        self.in_time(script)
+
     def test_a_restart_then_two_hanging_calls_where_little_time_to_ask_is_given(self) -> None:
         self.after(4000.0, MUTE, MUTE, away=1000.0)
 
