--- a/lupinlink/brain/discovery.py
+++ b/lupinlink/brain/discovery.py
@@ -8,14 +8,13 @@
 import math
 from random import Random
 
+from lupinlink.brain.discovery_outage import OutageDetector
 from lupinlink.brain.discovery_times import ANSWER_MS, WAIT_SHARES, DiscoveryTimes
 from lupinlink.settings import Settings
 
 GOLDEN = 0.6180339887498949  # steps of this share spread any number of ranks evenly
 NEVER = math.inf
 QUICK_MS = ANSWER_MS / 2  # discovery that is down turns calls away sooner, a crowded one later than this
-AWAY_AFTER_MS = 1000.0  # neither: calls turned away at once for so long are no single failures any more
-AWAY_LATE_CALLS = 4  # neither: so many calls in a row whose connections are late are no single failures
 MOST_CALLS = 3  # at a time
 
 
@@ -25,7 +24,7 @@
     def __init__(self, settings: Settings, rng: Random) -> None:
         self.times = DiscoveryTimes.of(settings)
         self._next_at = NEVER  # when the next call is due
-        self._beside_at = NEVER  # when one more is due beside those that are out, if requests are held then
+        self._beside_at = NEVER  # when one more is due beside those that are out
         self._settings, self._rng = settings, rng
         self.watching = False  # a watch stands and has told
         self._calls = 0  # that are out
@@ -33,10 +32,7 @@
         self._hold_latest = NEVER  # so far an answered call may put that off
         self._answered_at = -NEVER  # the last good head
         self._wait_ms = self.times.wait_ms
-        self._refused_since = NEVER  # the first of the calls in a row that were turned away at once
-        self._late_calls = 0  # in a row, with no connection between them
-        self._failed_calls = 0  # in a row that were taken and brought nothing
-        self._away = False  # discovery cannot be reached
+        self._outage = OutageDetector(self.times.away_calls)
 
     @property
     def call_at(self) -> float:
@@ -77,7 +73,7 @@
         if self._calls >= MOST_CALLS:
             return False  # the first of those that are out to be given up plans the next
         self._calls += 1
-        if not self._seems_away:
+        if not self._outage.seems_down:
             # A call that brings nothing must not keep others from bringing the news.
             self._beside_at = now + self.times.beside_ms
         return True
@@ -106,18 +102,16 @@
         if self.watching:
             return
         self._next_at = now
-        self._late_calls += 1
-        if self._late_calls >= AWAY_LATE_CALLS:
+        if self._outage.late():
             self._cannot_be_reached(now - self.times.redial_ms)
 
     def call_reached(self) -> None:
         """The connection of a call came up."""
-        self._late_calls = 0
-        self._away = False
+        self._outage.connected()
 
     def call_answered(self, now: float) -> None:
         """A good head came. Where nothing has changed, an empty line follows it, though not at once."""
-        self._failed_calls = 0
+        self._outage.answered()
         self._answered_at = now
         if not self.holds(now):
             put_off = min(now + self.times.quiet_ms, self._hold_latest)
@@ -130,13 +124,14 @@
         if self.watching:
             return
         if not answered and took_ms < QUICK_MS:
-            self._refused(now)
+            if self._outage.refused(now):
+                self._cannot_be_reached(now)
         elif reached:
-            self._refused_since = NEVER
-            self._brought_nothing(now - took_ms, answered)
+            if self._outage.fruitless(answered):
+                self._cannot_be_reached(now - took_ms)
         elif self._calls:
             return  # its connection never came up, and others were begun beside it since
-        if self._calls and self._seems_away:
+        if self._calls and self._outage.seems_down:
             return  # one after the other is enough from here on
         silent = answered and took_ms >= QUICK_MS  # a head has cost discovery its turn; a wait saves nothing
         self._next_at = min(self._next_at, now if silent else now + self._drawn_wait())
@@ -147,33 +142,13 @@
         Where it is away the known list serves on, and so it does once this has lasted for too long: sooner
         where no call was answered with a good head, which shows that it is there.
         """
-        if self._away or now < self._hold_from:
+        if self._outage.away or now < self._hold_from:
             return False
         shown_ms = min(max(0.0, self._answered_at - self._hold_from), self.times.hold_longer_ms)
         return now < self._hold_from + self.times.hold_most_ms + shown_ms
 
-    def _refused(self, now: float) -> None:
-        """Turned away at once: a single failure, or, where that goes on, discovery is down."""
-        self._refused_since = min(self._refused_since, now)
-        if now - self._refused_since >= AWAY_AFTER_MS:
-            self._cannot_be_reached(now)
-
-    def _brought_nothing(self, began: float, answered: bool) -> None:
-        """A call was taken and failed late: a single failure, or, with enough of them, an outage."""
-        if answered:
-            return
-        self._failed_calls += 1
-        if self._seems_away:
-            self._cannot_be_reached(began)
-
-    @property
-    def _seems_away(self) -> bool:
-        """Whether enough calls in a row brought nothing: discovery is down then, and not just crowded."""
-        return self._failed_calls >= self.times.away_calls
-
     def _cannot_be_reached(self, at: float) -> None:
         """What discovery has counts as told only after its return, which is later than this."""
-        self._away = True
         self._hold_from = at + self.times.hold_after_ms
 
     def _drawn_wait(self) -> float:
@@ -184,7 +159,6 @@
     def _reset(self) -> None:
         """Nothing that failed before counts any more."""
         self._hold_latest = -NEVER
-        self._calls = self._late_calls = self._failed_calls = 0
-        self._away = False
-        self._refused_since = NEVER
+        self._calls = 0
+        self._outage.reset()
         self._wait_ms = self.times.wait_ms
--- /dev/null
+++ b/tests/test_pieces.py
@@ -0,0 +1,86 @@
+"""What parsers, bodies and their progress make of messages that come in any pieces."""
+
+from __future__ import annotations
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lupinlink.limits.progress import GRACE_MS, RATE, STILL_MS, Progress
+from lupinlink.net import http1
+from lupinlink.net.bodies import SMALL_BYTES, WHOLE_BYTES, Body, Budget
+
+FORMS = [
+    b"POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+    b'3;a="b;c";d\r\nabc\r\n0004  \r\ndefg\r\n0;x\r\nX-Sum: 1\r\nX-More: ' + b"t" * 1000 + b"\r\n\r\n",
+    b"\r\n\r\nGET http://host:80/a HTTP/1.0\r\n\r\n",
+    b"POST /a HTTP/1.1\r\nContent-Length: 7, 7\r\n\r\nabcdefg",
+    b"HEAD /a HTTP/1.1\r\n\r\n",
+]
+
+
+class Pieces(unittest.TestCase):
+    @given(st.lists(st.sampled_from(FORMS), min_size=1, max_size=4), st.data())
+    def test_any_split_parses_alike(self, forms: list[bytes], data: st.DataObject) -> None:
+        whole = b"".join(forms)
+        at = sorted(data.draw(st.lists(st.integers(0, len(whole)), max_size=8)))
+        parser, bodies, body = http1.RequestParser(), list[bytes](), b""
+        for a, b in zip([0, *at], [*at, len(whole)], strict=True):
+            parser.feed(whole[a:b])
+            while (message := parser.next()) is not None:
+                bodies.append(body + message.body)
+                body = b""
+                self.assertEqual(message.target, "/a")
+            body += parser.drain() if parser.head is not None else b""
+        self.assertEqual(bodies, [b"abcdefg" if form.startswith(b"POST") else b"" for form in forms])
+
+    def test_the_answer_to_a_head_has_no_body_whatever_it_says(self) -> None:
+        for framing in (b"Content-Length: 5", b"Transfer-Encoding: chunked", b"X: y"):
+            parser = http1.AnswerParser()
+            parser.asked_for_head = True
+            parser.feed(b"HTTP/1.1 200 OK\r\n" + framing + b"\r\n\r\n")
+            message = parser.next()
+            assert message is not None
+            self.assertEqual(message.body, b"")
+
+    @given(st.lists(st.binary(min_size=1, max_size=90_000), max_size=12), st.data())
+    def test_a_body_is_read_as_it_came_and_the_budget_is_even_at_the_end(
+        self, pieces: list[bytes], data: st.DataObject
+    ) -> None:
+        budget = Budget(400_000)
+        body, got, said = Body(budget, None), b"", list[bool]()
+        body.committed = lambda: said.append(body.repeatable)
+        for piece in pieces:
+            body.add(piece)
+            if data.draw(st.booleans()):
+                got += body.read(len(got), 64 * 1024)
+                body.sent(len(got))
+            self.assertEqual(budget.held, len(body))
+        while more := body.read(len(got), 64 * 1024):
+            got += more
+            body.sent(len(got))
+        self.assertEqual(got, b"".join(pieces))
+        self.assertEqual((bool(said), any(said)), (not body.repeatable, False))
+        if len(got) <= SMALL_BYTES:
+            self.assertTrue(body.repeatable)
+        if body.repeatable:
+            self.assertLessEqual(len(body), WHOLE_BYTES)
+            self.assertEqual(body.read(0, len(got)), got)
+        body.drop()
+        self.assertEqual(budget.held, 0)
+
+    def test_progress_is_a_rate_and_waiting_for_us_is_no_delay(self) -> None:
+        body = Progress(0.0)
+        self.assertFalse(body.overdue(GRACE_MS))
+        self.assertTrue(body.overdue(GRACE_MS + 1.0))  # nothing came
+        body.came(int(RATE * 3000.0), 10.0)
+        self.assertEqual([body.overdue(10.0 + STILL_MS), body.overdue(11.0 + STILL_MS)], [False, True])
+        body.hold(20.0)
+        self.assertFalse(body.overdue(1e9))
+        body.go_on(90_000.0)
+        self.assertEqual([body.overdue(90_000.0 + t) for t in (STILL_MS, STILL_MS + 1.0)], [False, True])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_slow_start_sum.py
@@ -0,0 +1,40 @@
+"""Cold servers under what all proxies send to them together."""
+
+from __future__ import annotations
+
+import math
+import unittest
+
+from lupinlink.brain.health import SlowStart
+from lupinlink.interface import Endpoint, Group, Server, Settings
+from tests.helpers import SAFE, Stand
+
+
+class Cold(unittest.TestCase):
+    def test_the_sum_of_all_proxies_keeps_a_cold_server_up(self) -> None:
+        """Danger: it falls at over N + 2 root N + 2 requests, N being a multiple of what it has by then."""
+        proxies, share, span, multiple, fall_ms = 200, 0.13, 22000.0, 3.0, 3000.0
+        capacity = 25.0  # requests a second, warm; each proxy's even share makes it busy to 0.8
+        settings = Settings(classes=(SAFE,), peers=proxies, cold_share=share, cold_ms=span)
+        sent: list[float] = []
+        for seed in range(proxies):
+            slow = SlowStart(settings)
+            slow.per_server = 0.8 * capacity / proxies / 1000.0
+            row = Endpoint("a", started_ms=1.0)
+            stand = Stand(settings, seed=seed)
+            server = Server(row, 1.0, Group(1.0))
+            stand.node.listed(server)  # draws its first token
+            for now in range(1, int(span), 20):
+                if slow.allows(server, float(now)):
+                    server.tokens -= 1.0
+                    sent.append(float(now))
+        sent.sort()
+        for end in range(int(fall_ms), int(span), 250):
+            least = share + (1.0 - share) * (end - fall_ms) / span
+            n = multiple * capacity * least * fall_ms / 1000.0
+            came = sum(end - fall_ms <= t < end for t in sent)
+            self.assertLess(came, n + 2.0 * math.sqrt(n) + 2.0, end)
+
+
+if __name__ == "__main__":
+    unittest.main()
