Count refusals anew where connections come up again after an outage

An outage that refused connections was over, the next call was taken and reset at once, and OutageDetector.refused counted it as part of the outage, so the holding began a wait later than 5.65 s after the last call that was not taken.

Change: a call that is taken and turned away at once, after calls that got no connection, begins a new row.

--- a/lupinlink/brain/discovery.py
+++ b/lupinlink/brain/discovery.py
@@ -124,7 +124,7 @@
         if self.watching:
             return
         if not answered and took_ms < QUICK_MS:
-            if self._outage.refused(now):
+            if self._outage.refused(now, reached):
                 self._cannot_be_reached(now)
         elif reached:
             if self._outage.fruitless(answered):
--- a/lupinlink/brain/discovery_outage.py
+++ b/lupinlink/brain/discovery_outage.py
@@ -22,6 +22,7 @@
     def reset(self) -> None:
         """Nothing that failed before counts any more."""
         self._refused_since = math.inf  # the first of the calls in a row that were turned away at once
+        self._refused_connected = False  # whether the last one of them had a connection
         self._late_calls = 0  # in a row, with no connection between them
         self._fruitless_calls = 0  # in a row that were taken and brought nothing
         self.away = False  # shown, and no call's connection has come up since
@@ -45,8 +46,14 @@
         self._late_calls += 1
         return self._shown(self._late_calls >= AWAY_LATE_CALLS)
 
-    def refused(self, now: float) -> bool:
-        """A call was turned away at once."""
+    def refused(self, now: float, connected: bool) -> bool:
+        """A call was turned away at once; ``connected``: only once its connection had come up.
+
+        After calls with none, the first with one may be a single failure of a discovery that is back.
+        """
+        if connected and not self._refused_connected:
+            self._refused_since = math.inf
+        self._refused_connected = connected
         self._refused_since = min(self._refused_since, now)
         return self._shown(now - self._refused_since >= AWAY_AFTER_MS)
 
--- a/tests/test_drain_faults.py
+++ b/tests/test_drain_faults.py
@@ -145,6 +145,11 @@
         run, outage = Run(11000.0, (MUTE, MUTE)), OutageOf(10000.0, 12000.0)
         self.in_time(Script((Change(12100.0),), (outage,), (run,)))
 
+    def test_a_refused_outage_then_a_reset_and_an_answer_that_drips(self) -> None:
+        run = Run(19950.0, (RESET, CallFault(Fault.DRIP, 1500.0)))
+        for peers in (5, 40, 200):
+            self.in_time(Script((Change(CHANGE_MS),), AWAY, (run,), peers=peers))
+
     def test_an_outage_that_begins_a_second_after_one_that_hid_a_drain(self) -> None:
         # Read strictly: what the first has hidden counts as told 6 s after its end, whatever comes then.
         outages = (OutageOf(9000.0, 17000.0), OutageOf(18000.0, 40000.0))
