--- a/tests/test_drain_faults.py
+++ b/tests/test_drain_faults.py
@@ -97,6 +97,17 @@
         self.after_silence(MUTE, RESET, MUTE)
 
 
+class SilentWatchInALargeFleet(Forced):
+    """The same where calls are dear, and two failures that look alike are taken for an outage."""
+
+    def test_a_silent_watch_then_two_calls_that_hang(self) -> None:
+        script = Script(
+            (Change(CHANGE_MS),), runs=(Run(QUIET_MS - 100.0, (MUTE, MUTE)),), silences=(QUIET_MS,)
+        )
+        for peers in (40, 200):
+            self.in_time(replace(script, peers=peers))
+
+
 class AfterAnOutage(Forced):
     """A backend began to drain while discovery was away: told 6 s after the end."""
 
