--- a/tests/drain_survey.py
+++ b/tests/drain_survey.py
@@ -93,6 +93,8 @@
     if "apart" in words:
         strategy = strategy.filter(lambda script: not outages_meet(script))
     words = [word for word in words if word not in ("pushed", "apart")]
+    if not 1 <= len(words) <= 2 or not all(word.isdecimal() and int(word) for word in words):
+        sys.exit(f"drain_survey: {' '.join(words)!r} is not N [SEED], whole numbers from 1 on")
     played = survey(strategy, int(words[0]), *map(int, words[1:2]))
     late = [(s, r) for s, r in played if r.worst_ms > 0.0]
     stuck = sum(not r.sent_again for _, r in played)
