--- a/lupinlink/brain/balancer.py
+++ b/lupinlink/brain/balancer.py
@@ -105,7 +105,8 @@
         trust = self.discovery.trust(now)
         if trust is not self.trust:
             self.trust = trust
-            self.actions.append(ListTrustChanged(trust, self.discovery.unconfirmed_ms(now)))
+            cause = self.discovery.hold_cause(now)
+            self.actions.append(ListTrustChanged(trust, self.discovery.unconfirmed_ms(now), cause))
 
     def list_holds(self, now: float) -> bool:
         """Whether requests wait until discovery has told."""
--- a/lupinlink/brain/discovery.py
+++ b/lupinlink/brain/discovery.py
@@ -10,7 +10,7 @@
 
 from lupinlink.brain.discovery_outage import CallFailure, OutageDetector
 from lupinlink.brain.discovery_times import ANSWER_MS, WAIT_SHARES, DiscoveryTimes
-from lupinlink.interface import DiscoveryCallFailed, ListTrust
+from lupinlink.interface import DiscoveryCallFailed, HoldCause, ListTrust
 from lupinlink.settings import Settings
 
 GOLDEN = 0.6180339887498949  # steps of this share spread any number of ranks evenly
@@ -31,6 +31,7 @@
         self.watching = False  # a watch stands and has told
         self._calls = 0  # that are out
         self._confirmed_at: float | None = None  # when a watch told last, or this process started
+        self._started_at = -NEVER  # this process, if it may have had a former life
         self._hold_from = NEVER  # from here on changes may count as told that did not come
         self._partial_from = NEVER  # an object has begun that does not end: it counts as told from here on
         self._answered_at = -NEVER  # the last good head
@@ -55,7 +56,7 @@
 
         The list may be older than that, so it is not relied on before discovery has told.
         """
-        self._confirmed_at = self._hold_from = now
+        self._started_at = self._confirmed_at = self._hold_from = now
         if not self._settings.subscribe:
             self._next_at = now  # a local agent: its calls need not keep apart
 
@@ -153,17 +154,23 @@
         self._next_at = min(self._next_at, now + wait_ms)
 
     def holds(self, now: float) -> bool:
-        """Whether requests have to wait: discovery can be reached, but may have more than it has told.
+        """Whether requests have to wait until discovery has told."""
+        return self.hold_cause(now) is not None
+
+    def hold_cause(self, now: float) -> HoldCause | None:
+        """Why requests have to wait: discovery can be reached, but may have more than it has told.
 
         Where it is away the known list serves on, and so it does once this has lasted for too long: sooner
         where no call was answered with a good head, which shows that it is there.
         """
         if self._partial_from <= now < self._partial_from + self.times.hold_most_ms:
-            return True
+            return HoldCause.CUT_SHORT
         if self._outage.away or now < self._hold_from:
-            return False
+            return None
         shown_ms = min(max(0.0, self._answered_at - self._hold_from), self.times.hold_longer_ms)
-        return now < self._hold_from + self.times.hold_most_ms + shown_ms
+        if now < self._hold_from + self.times.hold_most_ms + shown_ms:
+            return HoldCause.STARTED if self._hold_from == self._started_at else HoldCause.UNCONFIRMED
+        return None
 
     def trust(self, now: float) -> ListTrust:
         """Whether requests are sent by the list, in one word."""
--- a/lupinlink/interface.py
+++ b/lupinlink/interface.py
@@ -224,12 +224,21 @@
     AWAY = "away"  # discovery can't be reached, so the list as it is serves on
 
 
+class HoldCause(Enum):
+    """Why requests are held: what may count as told without having come."""
+
+    STARTED = "started"  # what the former process was told, or what changed since
+    UNCONFIRMED = "unconfirmed"  # what changed since the list was last confirmed, which is too long ago
+    CUT_SHORT = "cut_short"  # the rest of something that has begun
+
+
 @dataclass(slots=True)
 class ListTrustChanged:
     """For the log: nothing is to be done."""
 
     trust: ListTrust
     unconfirmed_ms: float  # since a watch told last, or the node started
+    cause: HoldCause | None = None  # why requests are held
 
 
 Action = Send | Cancel | Refuse | Fail | SetTimer | Probe | Subscribe | ListTrustChanged
--- a/lupinlink/net/discovery_client.py
+++ b/lupinlink/net/discovery_client.py
@@ -119,6 +119,7 @@
     def reached(self, watch: Watch) -> None:
         """The connection of a call came up."""
         if watch in self._asked:
+            self._log.reached(watch)
             self.tell(api.DiscoveryCallReached())
 
     def answered(self, watch: Watch) -> None:
--- a/lupinlink/net/discovery_log.py
+++ b/lupinlink/net/discovery_log.py
@@ -51,6 +51,11 @@
         kv = {"call": watch.number, "rev": version, "whole": int(watch.asks_whole), "at": watch.address[0]}
         log.log(self._calls_level, "discovery called", extra={"kv": kv})
 
+    def reached(self, watch: Watch) -> None:
+        """Its connection came up, and the request was written: from here on it may be answered."""
+        kv = {"call": watch.number, "after_ms": int(watch.age())}
+        log.log(self._calls_level, "discovery reached", extra={"kv": kv})
+
     def answered(self, watch: Watch) -> None:
         """A good head came."""
         kv = {"call": watch.number, "after_ms": int(watch.age())}
@@ -100,6 +105,8 @@
         if change.trust is ListTrust.HELD:
             self._counters["list_holds"] += 1
         kv = {"now": change.trust.value, "unconfirmed_ms": int(change.unconfirmed_ms)}
+        if change.cause is not None:
+            kv["cause"] = change.cause.value
         log.info("list trust", extra={"kv": kv})
 
 
