Hold requests from the end of a watch until discovery has told or turned a call down

Cause: discovery may end a watch instead of telling; the list was relied on for 5.65 s more, and the next call made 0.25 to 0.75 s later. In the probes the news counted 0.30 s after the watch's end at the soonest. Change: an ended watch stands among the calls that may have been answered, from 0.3 s after its end on; a call that is turned down, or can't reach discovery, clears it. Not for nodes of the simulator, whose event tells of no such end.

--- a/lupinlink/brain/balancer.py
+++ b/lupinlink/brain/balancer.py
@@ -5,6 +5,7 @@
 
 from lupinlink.brain.choice import LATENCY, OVERDUE_GAIN
 from lupinlink.brain.discovery import DiscoverySchedule
+from lupinlink.brain.discovery_times import ENDED_TOLD_MS
 from lupinlink.brain.health import MAX_EJECTED
 from lupinlink.brain.learning import Learning
 from lupinlink.brain.repeats import begin_by, may_follow, may_refuse
@@ -72,7 +73,7 @@
     def ended_on_the_simulator(self, now: float) -> DiscoveryEvent:
         """Its one event for both: a subscription that dropped, or else a call that failed."""
         if self.discovery.watching:
-            return DiscoveryWatchEnded(heard_at=now, silent=False)
+            return DiscoveryWatchEnded(heard_at=now, silent=False, may_have_news=False)
         return DiscoveryCallFailed(reached=False, answered=False, took_ms=0.0)
 
     def discovery_news(self, event: DiscoveryEvent, now: float) -> None:
@@ -98,7 +99,9 @@
             case DiscoveryWatchEnded(former=True):
                 self.discovery.former_watch_ended(event.heard_at)
             case DiscoveryWatchEnded():
-                self.discovery.watch_ended(now, event.heard_at, event.silent)
+                self.discovery.watch_ended(now, event)
+                if self.settings.subscribe and event.may_have_news:
+                    self.after(ENDED_TOLD_MS + self.discovery.times.pending_hold_after_ms, self.note_trust)
         self.note_trust(now)
         self.plan_call(now)
 
--- a/lupinlink/brain/discovery.py
+++ b/lupinlink/brain/discovery.py
@@ -11,7 +11,13 @@
 from lupinlink.brain.discovery_answers import PendingAnswers
 from lupinlink.brain.discovery_outage import CallFailure, OutageDetector
 from lupinlink.brain.discovery_times import ANSWER_MS, GRACE_MS, WAIT_SHARES, DiscoveryTimes
-from lupinlink.interface import DiscoveryCallFailed, DiscoveryCallReached, HoldCause, ListTrust
+from lupinlink.interface import (
+    DiscoveryCallFailed,
+    DiscoveryCallReached,
+    DiscoveryWatchEnded,
+    HoldCause,
+    ListTrust,
+)
 from lupinlink.settings import Settings
 
 GOLDEN = 0.6180339887498949  # steps of this share spread any number of ranks evenly
@@ -101,16 +107,18 @@
         if not self.watching:
             self._hold_from = min(self._hold_from, heard_at + self.times.hold_after_ms)
 
-    def watch_ended(self, now: float, heard_at: float, silent: bool) -> None:
-        """The watch is over; ``heard_at``: its last sign of life.
+    def watch_ended(self, now: float, event: DiscoveryWatchEnded) -> None:
+        """The watch is over.
 
         After a silence much of the time has gone by in which changes have to be heard, so the call follows at
         once. Watches that end together must not call together.
         """
-        self._reset(watch_was_ended=not silent)
+        self._reset(watch_was_ended=not event.silent)
         self.watching = False
-        self._hold_from = heard_at + self.times.hold_after_ms
-        self._next_at = now if silent else now + self._drawn_wait()
+        self._hold_from = event.heard_at + self.times.hold_after_ms
+        self._next_at = now if event.silent else now + self._drawn_wait()
+        if event.may_have_news and not event.silent:
+            self._pending.watch_ended(now)
 
     def call_late(self, now: float) -> None:
         """A call waits for too long already: another one is made beside it.
--- a/lupinlink/brain/discovery_answers.py
+++ b/lupinlink/brain/discovery_answers.py
@@ -10,6 +10,10 @@
 import math
 from collections.abc import Iterable
 
+from lupinlink.brain.discovery_times import ENDED_TOLD_MS
+
+ENDED_WATCH = -1  # the number under which a watch that ended stands here; calls count from 0 on
+
 
 class PendingAnswers:
     """The calls whose answer may have been written, each with the time from which on."""
@@ -24,9 +28,16 @@
         self._since = {one: at for one, at in self._since.items() if now < self._expires(at)}
         self._since.setdefault(call, now)
 
+    def watch_ended(self, now: float) -> None:
+        """By discovery, which may have had news for it: a call that is made at once would bring them."""
+        self.asked(ENDED_WATCH, now + ENDED_TOLD_MS)
+
     def told_nothing(self, calls: Iterable[int]) -> None:
-        """Discovery turned these down, or could not be reached when they were made."""
-        for call in calls:
+        """Discovery turned these down, or could not be reached when they were made.
+
+        So it would have done to a call made as the watch before ended.
+        """
+        for call in (ENDED_WATCH, *calls):
             self._since.pop(call, None)
 
     def told(self) -> None:
--- a/lupinlink/brain/discovery_times.py
+++ b/lupinlink/brain/discovery_times.py
@@ -25,6 +25,7 @@
 ANSWER_MS = 2000.0  # protocol: a call is answered within this time, or fails
 HEARTBEAT_MS = 2000.0  # protocol: a watch on which nothing changes brings an empty line this often
 PAUSE_MS = 150.0  # protocol: a process may be held up for so long between its clock and its write
+ENDED_TOLD_MS = 300.0  # measured: the soonest after a watch's end at which news in its place counted as told
 GRACE_MS = 250.0  # protocol: requests may go to a backend for so long after its going counts as told
 MOVED_MS = 4000.0  # protocol: where lists are pushed, what a new agent has counts so long after SIGHUP
 LATE_MS = 200.0  # machine: scheduling, the network's way and timers that fire a tick late, beyond a pause
--- a/lupinlink/interface.py
+++ b/lupinlink/interface.py
@@ -9,6 +9,9 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from lupinlink.list_trust import HoldCause as HoldCause
+from lupinlink.list_trust import ListTrust as ListTrust
+from lupinlink.list_trust import ListTrustChanged as ListTrustChanged
 from lupinlink.records import NEVER_RAN as NEVER_RAN
 from lupinlink.records import Arrival as Arrival
 from lupinlink.records import Attempt as Attempt
@@ -57,7 +60,7 @@
     """The connection of a call to discovery came up and its request was written: it may be answered now."""
 
     call: int = 0  # its number in this process
-    beside_watch: bool = False  # it asks a new discovery for its list, and the former one's watch still tells
+    beside_watch: bool = False  # it asks a new discovery for its list; the former one's watch still tells
 
 
 @dataclass(slots=True)
@@ -92,6 +95,7 @@
     heard_at: float  # its last sign of life
     silent: bool
     former: bool = False  # discovery has moved from where it was, and has not told at the new address yet
+    may_have_news: bool = True  # discovery may have ended it instead of telling
 
 
 @dataclass(slots=True)
@@ -220,31 +224,4 @@
     """Ask discovery for changes from now on."""
 
 
-class ListTrust(Enum):
-    """Whether requests are sent by discovery's list as this node has it."""
-
-    CONFIRMED = "confirmed"  # a watch stands
-    UNCONFIRMED = "unconfirmed"  # no watch stands; what has changed since can't count as told yet
-    HELD = "held"  # changes may count as told that did not come: requests wait
-    AWAY = "away"  # discovery can't be reached, so the list as it is serves on
-
-
-class HoldCause(Enum):
-    """Why requests are held: what may count as told without having come."""
-
-    STARTED = "started"  # what the former process was told, or what changed since
-    UNCONFIRMED = "unconfirmed"  # what changed since the list was last confirmed, which is too long ago
-    CUT_SHORT = "cut_short"  # the rest of something that has begun
-    ANSWER_PENDING = "answer_pending"  # the answer to a call, which may be on its way or lost
-
-
-@dataclass(slots=True)
-class ListTrustChanged:
-    """For the log: nothing is to be done."""
-
-    trust: ListTrust
-    unconfirmed_ms: float  # since a watch told last, or the node started
-    cause: HoldCause | None = None  # why requests are held
-
-
 Action = Send | Cancel | Refuse | Fail | SetTimer | Probe | Subscribe | ListTrustChanged
