--- a/lupinlink/list_trust.py
+++ b/lupinlink/list_trust.py
@@ -1,4 +1,4 @@
-"""Whether requests are sent by the list of discovery, and why not. Times: milliseconds, the caller's clock."""
+"""Whether requests are sent by the list of discovery, and why not. Times are ms of the caller's clock."""
 
 from __future__ import annotations
 
--- a/tests/discovery_replies.py
+++ b/tests/discovery_replies.py
@@ -42,3 +42,8 @@
 
 BUSY = Reply(Kind.CROWDED, 2.0)
 SLOW = Reply(Kind.ANSWER, 1.9)
+REPLIES = (  # that a soak draws from
+    BUSY, SLOW, Reply(Kind.NOTHING), Reply(Kind.HEAD_ONLY), Reply(Kind.CROWDED),
+    Reply(Kind.LOST, transit_s=0.7), Reply(Kind.LOST, transit_s=1.2), Reply(Kind.LATE, transit_s=0.9),
+    Reply(Kind.LATE, delay_s=0.4, transit_s=1.6),
+)  # fmt: skip
--- a/tests/drain_fleet.py
+++ b/tests/drain_fleet.py
@@ -25,6 +25,7 @@
 
 GRACE_S, SLACK_S = 0.25, 0.05  # the grace after a change was told; what sockets may take on top
 ALL_TOLD_S = 6.0  # after discovery had a change and could be reached, or a watch fell silent
+TOLD_AFTER_END_S = 0.3  # measured: the soonest at which news counts whose watch was ended in its place
 START_S = 1.0  # a process may take so long to start at no cost: it counts from a second before it serves
 UIDS = ("s-0", "s-1", "s-2", "s-3")
 DRAINED = ("s-0", "s-1")  # half of the backends drain: most requests would meet one
--- a/tests/drain_script.py
+++ b/tests/drain_script.py
@@ -115,6 +115,7 @@
     starts_in_outages: bool = False  # what a former life was told counts there as well
     leaves_out: bool = False  # a whole list names no backend that drains
     indented: bool = False
+    ends_instead: bool = False  # a change ends the watches instead of being told on them
     pieces: bool = False  # an object comes in two pieces, 300 ms apart
     first_empty: bool = False  # a watch begins with an object though nothing has changed
     seed: int = 1
@@ -216,6 +217,7 @@
         rank=st.integers(0, 4),
         must_ask_ms=st.sampled_from((10000.0, 4000.0)),
         leaves_out=st.booleans(),
+        ends_instead=st.booleans(),
         indented=st.booleans(),
         pieces=st.booleans(),
         first_empty=st.booleans(),
--- a/tests/simulated_discovery.py
+++ b/tests/simulated_discovery.py
@@ -9,6 +9,7 @@
 from tests.told_oracle import Process, ToldOracle
 
 LATE_DIAL_MS = 1500.0
+TOLD_AFTER_END_MS = 300.0  # measured: news in place of a watch's end counts from here on, at the soonest
 ADDRESSES = ("10.9.0.1", 7100), ("10.9.0.2", 7100)  # the second after SIGHUP
 
 
@@ -64,9 +65,23 @@
             return
         self._oracle.had(self.backends.change(number, change), self.clock.now)
         for call in self._calls:
-            if call.live:
+            if call.live and self.script.ends_instead and not (self._runs or self._faults):
+                self._end_instead(call, self.process)
+            elif call.live:
                 call.write(self.backends.last(call.where))
 
+    def _end_instead(self, call: Call, process: Process) -> None:
+        """End this watch; a call made at once would be told, unless discovery goes down."""
+        news = self.backends.last(call.where)
+        call.silence()
+        call.link.end()
+
+        def would_have_told() -> None:
+            if self._outage() is None:
+                self.wrote(process, news)
+
+        self.clock.at(self.clock.now + TOLD_AFTER_END_MS, would_have_told)
+
     def _learn(self) -> None:
         """The agent hears of changes again."""
         self.quiet = False
--- a/tests/soak_fleet.py
+++ b/tests/soak_fleet.py
@@ -15,8 +15,8 @@
 from random import Random
 from typing import ClassVar
 
-from tests.discovery_replies import BUSY, SLOW, Form, Kind, Reply
-from tests.drain_fleet import GRACE_S, PACE_S, SLACK_S, UIDS, FleetStage
+from tests.discovery_replies import REPLIES, Form
+from tests.drain_fleet import GRACE_S, PACE_S, SLACK_S, TOLD_AFTER_END_S, UIDS, FleetStage
 from tests.peers import WAIT
 from tests.soak_verdict import Life, Verdict
 from tests.told_oracle import OpenWatch, Outage, Process, ToldOracle
@@ -27,13 +27,8 @@
 EVENTS_S, QUIET_S = 8.0, 8.0  # events fall into so long, and so long is judged after them
 CROWD = 150
 CONNECTIONS = 3  # of each client
-REPLIES = (
-    BUSY, SLOW, Reply(Kind.NOTHING), Reply(Kind.HEAD_ONLY), Reply(Kind.CROWDED),
-    Reply(Kind.LOST, transit_s=0.7), Reply(Kind.LOST, transit_s=1.2), Reply(Kind.LATE, transit_s=0.9),
-    Reply(Kind.LATE, delay_s=0.4, transit_s=1.6),
-)  # fmt: skip
 PEERS = (5, 12, 40, 200)
-DISCOVERY_STEPS = ("silence", "end_all", "outage", "cut", "replies")
+DISCOVERY_STEPS = ("silence", "end_all", "end_instead", "outage", "cut", "replies")
 PROCESS_STEPS = ("term", "kill", "reloads", "crowd")
 
 
@@ -88,6 +83,18 @@
     def end_all(self) -> None:
         self.shared.end_watches()
 
+    def end_instead(self) -> None:
+        """Discovery ends its watches instead of telling a drain; a call made at once would be told."""
+        if len(self.had) == len(UIDS) - 1:
+            return self.end_all()
+        watched = [door for door in self.shared.doors if door.watches and not door.script]
+        with self.shared.lock:
+            ended, uid = self.shared.end_watches(), UIDS[len(self.had)]
+            self.drain_one()
+        for door in watched:
+            door.written.setdefault(uid, ended + TOLD_AFTER_END_S)
+        self.pass_time(ended + TOLD_AFTER_END_S + 1.0)
+
     def outage(self) -> None:
         begin = time.monotonic()
         self.shared.go_down()
--- a/tests/test_drain_answers.py
+++ b/tests/test_drain_answers.py
@@ -24,12 +24,11 @@
 from typing import Any
 
 from tests.discovery_replies import Kind, Reply
-from tests.drain_fleet import ALL_TOLD_S, DRAINED, FleetStage, Member
+from tests.drain_fleet import ALL_TOLD_S, DRAINED, TOLD_AFTER_END_S, FleetStage, Member
 
 JUDGED_S = 1.0  # so long after the last moment of telling the load still goes on
 ASTRAY = (Reply(Kind.LOST, transit_s=1.2), Reply(Kind.LATE, delay_s=0.1, transit_s=1.6))
 LOST_AGAIN = Reply(Kind.LOST, transit_s=0.7)
-TOLD_AFTER_END_S = 0.3  # measured: the soonest at which news counted of a watch that ended in its place
 SETTLED_S = 4.0  # every call that follows is answered by then
 SMALL, LARGE = 5, 40  # processes that the settings tell of: how widely calls are spread
 
