--- a/tests/soak_fleet.py
+++ b/tests/soak_fleet.py
@@ -111,8 +111,7 @@
     def term(self) -> None:
         """SIGTERM, and SIGHUP beside it; the kill at its earliest; a start."""
         rank = self.rng.randrange(self.size)
-        life = self.lives[rank][-1]
-        self.end(life)
+        self.end(self.lives[rank][-1])
         self.start_anew(rank)
 
     def kill(self) -> None:
@@ -140,8 +139,7 @@
 
     def end(self, life: Life) -> None:
         """SIGTERM; clients go on with what is open, and the kill comes as early as it may."""
-        process = life.member.process
-        life.termed_at = time.monotonic()
+        process, life.termed_at = life.member.process, time.monotonic()
         for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM):
             process.send_signal(number)
         try:
