--- a/lupinlink/brain/discovery.py
+++ b/lupinlink/brain/discovery.py
@@ -238,6 +238,6 @@
         return CallFailure.REFUSED
     if event.silent:
         return CallFailure.UNANSWERED
-    if event.took_ms < (QUICK_MS if event.refused else GRACE_MS):
-        return CallFailure.TURNED_AWAY
-    return CallFailure.ENDED_LATE if event.refused else CallFailure.BROKEN_LATE
+    if event.refused:
+        return CallFailure.TURNED_AWAY if event.took_ms < QUICK_MS else CallFailure.ENDED_LATE
+    return CallFailure.BROKEN_AT_ONCE if event.took_ms < GRACE_MS else CallFailure.BROKEN_LATE
--- a/lupinlink/brain/discovery_outage.py
+++ b/lupinlink/brain/discovery_outage.py
@@ -18,13 +18,14 @@
 
     REFUSED = "its connection was refused"
     TURNED_AWAY = "its connection came up, and it was ended at once"
+    BROKEN_AT_ONCE = "its connection came up, and broke at once without a word"
     ENDED_LATE = "it was taken, and turned down late"
     BROKEN_LATE = "it was taken, and its connection broke without a word"
     UNANSWERED = "it was taken and never answered"
     LATE = "its connection is late"
 
 
-AT_ONCE = frozenset({CallFailure.REFUSED, CallFailure.TURNED_AWAY})
+AT_ONCE = frozenset({CallFailure.REFUSED, CallFailure.TURNED_AWAY, CallFailure.BROKEN_AT_ONCE})
 TAKEN = frozenset({CallFailure.ENDED_LATE, CallFailure.BROKEN_LATE, CallFailure.UNANSWERED})
 
 
--- a/tests/test_drain_answers.py
+++ b/tests/test_drain_answers.py
@@ -25,6 +25,8 @@
 
 from tests.discovery_replies import Kind, Reply
 from tests.drain_fleet import ALL_TOLD_S, DRAINED, TOLD_AFTER_END_S, FleetStage, Member
+from tests.drain_script import CallFault, Change, Fault, OutageOf, Restart, Run, Script
+from tests.test_drain_faults import Forced
 
 JUDGED_S = 1.0  # so long after the last moment of telling the load still goes on
 ASTRAY = (Reply(Kind.LOST, transit_s=1.2), Reply(Kind.LATE, delay_s=0.1, transit_s=1.6))
@@ -87,5 +89,15 @@
         self.judge_recovered(ended + TOLD_AFTER_END_S)
 
 
+class LostBehindRefusals(Forced):
+    """Two calls are turned down at once, the third is answered just as discovery goes down."""
+
+    def test_an_answer_that_an_outage_cuts_off_behind_two_refusals(self) -> None:
+        refused = CallFault(Fault.ERROR)
+        run = Run(5000.0, (refused, refused, CallFault(Fault.LOST)))
+        outage, restart = OutageOf(6500.0, 8500.0), Restart(5000.0, 200.0)
+        self.in_time(Script((Change(5000.0),), (outage,), (run,), restarts=(restart,)))
+
+
 if __name__ == "__main__":
     unittest.main()
