--- /dev/null
+++ b/tests/many_backends.py
@@ -0,0 +1,91 @@
+"""A real proxy process with thousands of backends, most of them behind one listener."""
+
+from __future__ import annotations
+
+import json
+import threading
+import time
+from contextlib import suppress
+from typing import Any, ClassVar
+
+from tests.drain_discovery import SharedDiscovery
+from tests.drain_fleet import Backend, FleetStage, Member, Receipt
+from tests.open_load import OpenLoad
+from tests.peers import chunk, row
+
+MANY = 3200
+PER_SECOND = 60.0  # requests at one process
+
+
+class ManyBackendsStage(FleetStage):
+    """The few backends of a fleet's tests, and so many more that share one listener."""
+
+    backends_listed: ClassVar[int] = MANY
+    peers: ClassVar[int] = 6
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.shared_backend = self.peer(self.shared_listener())
+        more = self.backends_listed - len(self.rows)
+        self.rows += [self.more_row(number) for number in range(more)]
+        self.shared = self.peer(SharedDiscovery(self.rows))
+
+    def shared_listener(self) -> Backend:
+        return Backend()
+
+    def more_row(self, number: int) -> dict[str, Any]:
+        """One of the many."""
+        return row(f"s-many-{number:04d}", self.shared_backend, pod_group=number % 40)
+
+    def one_process(self) -> Member:
+        """A proxy that has a watch and serves."""
+        door = self.shared.door()
+        member = self.spawn("n0", door)
+        self.await_serving(member)
+        door.watching.get(timeout=30.0)
+        until = time.monotonic() + 30.0
+        while not self.answered_once(member):
+            self.assertLess(time.monotonic(), until)
+        return member
+
+    @staticmethod
+    def answered_once(member: Member) -> bool:
+        probe = OpenLoad(member.port, 10.0, leavers=0.0, seed=int(time.monotonic() * 1000))
+        probe.play(0.1)
+        return probe.statuses()[200] > 0
+
+    def receipts(self) -> list[Receipt]:
+        backends = [self.shared_backend, *self.backends.values()]
+        return [receipt for backend in backends for receipt in list(backend.receipts)]
+
+    def load(self, member: Member, seconds: float, **more: float) -> OpenLoad:
+        """Play the load, and judge that no request was lost."""
+        load = OpenLoad(member.port, **{"per_second": PER_SECOND, **more})  # type: ignore[arg-type]
+        load.play(seconds)
+        self.judge_lost(load)
+        return load
+
+    def judge_lost(self, load: OpenLoad) -> None:
+        unanswered, late = load.unanswered(), load.sent_on_too_late(self.receipts())
+        seen = f"{len(unanswered)} of {len(load.sent)} without an answer, {late=}, {load.statuses()}"
+        self.assertTrue(not unanswered and not late, seen)
+
+    def whole_lists(self, seconds: float, per_second: float, indent: int | None = None) -> threading.Thread:
+        """From now on the whole list comes anew on each watch, so many times a second."""
+
+        def write() -> None:
+            until = time.monotonic() + seconds
+            while time.monotonic() < until:
+                with self.shared.lock:
+                    self.shared.rev += 1
+                    data = chunk(json.dumps(self.shared.whole(), indent=indent) + "\n")
+                    for door in self.shared.doors:
+                        for connection in list(door.watches):
+                            with suppress(OSError):
+                                connection.sendall(data)
+                            door.watches[connection] = self.shared.rev
+                time.sleep(1.0 / per_second)
+
+        thread = threading.Thread(target=write, daemon=True)
+        thread.start()
+        return thread
