Measure the turns of the event loop: longest of each second, what took it, a warning at 100 ms

Change: the reactor's poller tells when a wait begins and ends; the longest turn of each second stands in the gauges with the longest since the start and the number of long ones, and over 100 ms in one warning a second with its largest step (discovery, timers, sockets).

--- a/lupinlink/net/service.py
+++ b/lupinlink/net/service.py
@@ -17,6 +17,7 @@
 from lupinlink.net.handover.room import LEAST_CONNECTIONS, Limits, room
 from lupinlink.net.http1 import MAX_BODY
 from lupinlink.net.leavers import Leavers
+from lupinlink.net.loop_turns import measure
 from lupinlink.net.management import MOST_BODY, Management, most_callers, yes_or_no
 from lupinlink.net.management import Call as DoorCall
 from lupinlink.net.parts import build
@@ -110,6 +111,7 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, self._on_stop)
         collect_by_time(self._parts.clock)
+        measure(self._reactor, self._parts.clock.turns)
         if self._hosting is not None:
             self._hosting.start()
 
@@ -148,6 +150,7 @@
             **parts.clients.gauges(),
             **self._door.gauges(),
             resident_mb=int(resident_mb()),
+            **parts.clock.turns.gauges(),
             **parts.servers.gauges(),
             **parts.proxy.gauges(),
         )
--- a/lupinlink/net/watch.py
+++ b/lupinlink/net/watch.py
@@ -122,8 +122,11 @@
             self._look_for_partial()
 
     def dataReceived(self, data: bytes) -> None:
-        if self._over:
-            return
+        if not self._over:
+            with self._clock.turns.step("discovery"):
+                self._take_bytes(data)
+
+    def _take_bytes(self, data: bytes) -> None:
         self._parser.feed(data)
         begins, whole, broken = self._parser.head is None, None, None
         try:
--- a/lupinlink/net/wheel.py
+++ b/lupinlink/net/wheel.py
@@ -9,6 +9,7 @@
 from twisted.internet.base import DelayedCall
 
 from lupinlink.net.deadlines import Deadlines
+from lupinlink.net.loop_turns import LoopTurns
 from lupinlink.net.typed import Reactor
 
 log = logging.getLogger(__name__)
@@ -80,6 +81,7 @@
         self._reactor = reactor
         self._offset = time.time() * 1000.0 - time.monotonic() * 1000.0
         self.deadlines = Deadlines()
+        self.turns = LoopTurns()
         self.wheel = Wheel(self.now())
         self._call: DelayedCall | None = None
         self._call_at = 0.0
@@ -112,14 +114,18 @@
         self._call_at = at_ms
         self._call = self._reactor.callLater(max(0.0, at_ms - self.now()) / 1000.0, self._run)
 
-    def _run(self) -> None:
-        self._call = None
+    def _run_due(self) -> None:
         now = self.now()
         for call in self.deadlines.due(now) + self.wheel.due(now):
             try:
                 call()
             except Exception:  # one broken callback must not stop every timer of the program
                 log.exception("timer failed")
+
+    def _run(self) -> None:
+        self._call = None
+        with self.turns.step("timers"):
+            self._run_due()
         times = [at for at in (self.deadlines.next_at(), self.wheel.next_at()) if at is not None]
         if times:
             self._plan(min(times))
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -37,7 +37,7 @@
     "net.handover.upgrade "
     "net.http1 net.http1_messages net.http1_writers net.leavers net.lifecycle net.list_entries net.lists "
     "net.log "
-    "net.management net.open_requests net.parts net.premises "
+    "net.loop_turns net.management net.open_requests net.parts net.premises "
     "net.process net.proxy net.service net.slots net.socket_peek net.terms net.typed net.watch "
     "net.watch_dial net.watch_listener net.wheel node records settings settings.config settings.model "
     "settings.parser spread spread.aperture spread.keys"
