Let requests wait in queues, and draw backends at a cost that does not grow with their number

What callers saw: with thousands of backends accepted requests got no answer, or were forwarded after their client had left. Cause: each waiting request looked for a backend by itself every 50 ms, and each look asked every listed backend (Split.pick's last resort, and within it whether discovery's list is relied on: the same answer 3,200 times). Some forty waiting requests fill the core, so the event loop comes late to deadlines, closes and discovery's own lines, and the hold goes on. Of the same class: the table of weights was drawn up anew for all at each turn, the capacity, the ready backends and what is gone were summed over all for each object or turn, untried backends were listed for each overdue attempt. Change: brain/dispatching keeps one queue for each cause (discovery has told, a backend may take it). A request's own timers are its deadline and its client's close; one look serves all that wait, and none is made within 50 ms of one that found nothing. A hold that time alone ends wakes the queue then. brain/stretch keeps the usable backends by their events, spread/weighted_buckets draws by weight and by key from buckets of some 256, weights are revised one bucket a turn and at news; brain/ready_capacity keeps the capacity. Up to 256 backends the draw is as before but for chance.

--- a/lupinlink/brain/choice.py
+++ b/lupinlink/brain/choice.py
@@ -1,17 +1,16 @@
 """Which server a request is sent to: the split, by what is known of the servers."""
 
 import math
-from bisect import bisect_right
 from collections.abc import Callable, Iterable
-from itertools import accumulate
 from random import Random
 
 from lupinlink.brain.concurrency import ConcurrencyLimits
 from lupinlink.brain.health import SlowStart
+from lupinlink.brain.stretch import Stretch
 from lupinlink.interface import Server, Settings
 from lupinlink.node import Node
 from lupinlink.spread.aperture import Aperture
-from lupinlink.spread.keys import Homes
+from lupinlink.spread.keys import Homes, checksum
 
 LATENCY, REPORT = 0, 1  # sources of a load figure
 SHARPNESS, TRUST_GAIN, TRUST_MIN = 1.8, 0.01, 0.1  # power of the known load, cut to what it foretold so far
@@ -34,14 +33,17 @@
         self.settings, self.slow_start, self.rng, self.draw = settings, slow_start, rng, rng.random()
         self.limits = limits
         self.levels: dict[tuple[int, int], float] = {}  # usual log figure: of zones' latencies, of reports
-        self.table, self.weights, self.sums = list[Server](), list[float](), list[float]()
         self.due_at, self.spill, self.cov, self.var, self.trust = -math.inf, 0.0, 0.05, 0.1, 0.5
-        self.homes, self.aperture = Homes(settings.peers), Aperture(settings.rank, settings.peers)
+        self.homes = Homes(settings.peers)
+        self.stretch = Stretch(Aperture(settings.rank, settings.peers), self.weight)
+        self.table = self.stretch.table
+        self._told: dict[Server, None] = {}  # news of these has come since their weights were drawn up
 
     def observe(self, server: Server, figure: float, source: int, gain: float, now: float) -> None:
         """Take a load figure; what counts is its log over the usual one, so that any unit serves."""
         if not 0.0 < figure < math.inf:
             return  # NaN and absurd reports must not poison the weights
+        self._told[server] = None
         # A crossing's way there and back is no load: latencies are held against the usual one of their zone.
         level = (source, server.row.zone if source == LATENCY else -1)
         group, raw = server.group, math.log(figure) - self.levels.get(level, 0.0)
@@ -79,15 +81,21 @@
         sound = (1.0 - server.failing) ** 2
         return math.exp(log) * sound * self.slow_start.warmth(server, now) * self.size(server) + 1e-9
 
+    def refresh(self, now: float) -> None:
+        """Draw weights up anew, where it is time: of all servers, or of very many some at each turn."""
+        if now < self.due_at:
+            return
+        self.stretch.settle(now)
+        for server in (*self._told, *self.table.rotate()):
+            if server in self.table:
+                self.table.set(server, self.weight(server, now))
+        self._told.clear()
+        self.due_at = now + TABLE_MS
+        self.trust = min(max(self.cov / self.var, TRUST_MIN), 1.0)
+
     def pick(self, now: float, node: Node, key: str, fits: Callable[[Server], bool]) -> Server | None:
-        """One weighted draw in O(log n), or by the request's key; a scan only when few servers fit."""
-        if now >= self.due_at:
-            listed, usable = list(node.servers.values()), [s.usable(now) for s in node.servers.values()]
-            self.table = [listed[i] for i in self.aperture.near([s.salt for s in listed], usable)]
-            self.weights = [self.weight(s, now) for s in self.table]
-            self.sums = list(accumulate(self.weights))
-            self.due_at = now + TABLE_MS
-            self.trust = min(max(self.cov / self.var, TRUST_MIN), 1.0)
+        """One weighted draw in O(log n), or by the request's key, and some more where that does not fit."""
+        self.refresh(now)
         last = None
         for server in self.drawn(key if self.settings.warm_keys else ""):
             if fits(server):
@@ -97,20 +105,35 @@
                     last = (share, server)
                 if self.rng.random() < share**OWN_SHARPNESS:
                     return server
-        if last is not None:
-            return last[1]
-        warm = (s for s in node.servers.values() if self.slow_start.least(s, now) >= 1.0)
-        rest = [s for s in self.table if fits(s)] or [s for s in warm if fits(s)]
-        return self.rng.choices(rest, [self.weight(s, now) for s in rest])[0] if rest else None
+        return last[1] if last is not None else None
+
+    def not_drawn(self, now: float) -> Iterable[list[Server]]:
+        """Servers to ask where none that is drawn fits: of the stretch, then warm ones outside of it.
+
+        Of very many it is some each time, and others the next.
+        """
+        yield self.table.rotate()
+        yield [s for s in self.stretch.outside() if self.may_be_asked(s, now)]
+
+    def may_be_asked(self, server: Server, now: float) -> bool:
+        """Outside of the stretch only warm ones may: what is earned there is many times the fleet's share."""
+        return server in self.table or self.slow_start.least(server, now) >= 1.0
+
+    def draw_from(self, servers: list[Server], now: float) -> Server:
+        """One of these by their weights."""
+        return self.rng.choices(servers, [self.weight(s, now) for s in servers])[0]
 
     def drawn(self, key: str) -> Iterable[Server]:
         """Servers at random by their weights. With a key the key's hash is the chance: as long as weights
         hold, it meets the same few servers, and at every node, where its data are warm (spread/keys.py)."""
+        if not self.table:
+            return
         if key:
-            salts = [s.salt for s in self.table]
-            for i in self.homes.order(key, salts, self.weights, PICK_TRIES, self.rng.random()):
-                yield self.table[i]
+            mix = checksum(key)
+            self.homes.met(mix)
+            number = self.homes.number(mix, len(self.table))
+            yield from self.table.homes(mix, number, PICK_TRIES, self.rng.random())
             return
-        for _ in range(PICK_TRIES if self.table else 0):
+        for _ in range(PICK_TRIES):
             self.draw = (self.draw + GOLDEN) % 1.0
-            yield self.table[bisect_right(self.sums, self.draw * self.sums[-1], 0, len(self.sums) - 1)]
+            yield self.table.draw(self.draw)
--- a/lupinlink/brain/discovery.py
+++ b/lupinlink/brain/discovery.py
@@ -191,6 +191,11 @@
             return None
         return HoldCause.STARTED if self._hold_from == self._started_at else HoldCause.UNCONFIRMED
 
+    def hold_may_end_at(self, now: float) -> float:
+        """The next moment at which time alone may end a hold; infinite if only an event can."""
+        ends = [self._partial_from + self.times.hold_most_ms, self._hold_until, *self._pending.expiries()]
+        return min((at for at in ends if at > now), default=NEVER)
+
     @property
     def _hold_until(self) -> float:
         """When an unconfirmed list has to serve again."""
--- a/lupinlink/brain/discovery_answers.py
+++ b/lupinlink/brain/discovery_answers.py
@@ -49,5 +49,9 @@
         made = (at for at in self._since.values() if at > after)
         return any(at + self._hold_after_ms <= now < self._expires(at) for at in made)
 
+    def expiries(self) -> list[float]:
+        """When each of them holds requests no longer."""
+        return [self._expires(at) for at in self._since.values()]
+
     def _expires(self, at: float) -> float:
         return at + self._hold_after_ms + self._hold_most_ms
--- a/lupinlink/brain/health.py
+++ b/lupinlink/brain/health.py
@@ -1,5 +1,8 @@
 """Which servers are fit for work: how much a cold one may have, and who is left out."""
 
+from collections.abc import Iterator
+from heapq import heappop, heappush
+from itertools import count
 from random import Random
 
 from lupinlink.brain.admission import AT_EASE
@@ -46,21 +49,33 @@
     """Outlier ejection by failures, with a cap; the way back is the fading of a bad figure."""
 
     def __init__(self, rng: Random) -> None:
-        self.rng, self.fleet, self.ejected = rng, 0.0, list[Server]()
+        self.rng, self.fleet = rng, 0.0
+        self.ejected: dict[Server, None] = {}
+        self._returns: list[tuple[float, int, Server]] = []  # a heap, by when each is back
+        self._numbers = count()
 
-    def record(self, server: Server, gain: float, failed: bool, now: float, ready: int) -> None:
+    def record(self, server: Server, gain: float, failed: bool, now: float, ready: int) -> bool:
+        """Take one outcome; whether the server is ejected for it."""
         server.failing += gain * (failed - server.failing)
         self.fleet += 0.02 * (failed - self.fleet)
         server.ejections, server.trial = server.ejections * (server.failing >= 0.05), server.trial and failed
-        if failed and server.failing >= max(EJECT_AT, min(0.9, OVER_FLEET * self.fleet)):
-            self.eject(server, now, MAX_EJECTED * ready)
+        bad = failed and server.failing >= max(EJECT_AT, min(0.9, OVER_FLEET * self.fleet))
+        return bad and self.eject(server, now, MAX_EJECTED * ready)
 
-    def eject(self, server: Server, now: float, most: float) -> None:
-        """Leave it out for a while, doubled each time in a row; it comes back on trial."""
-        self.ejected = [s for s in self.ejected if s.ejected_until > now]
+    def eject(self, server: Server, now: float, most: float) -> bool:
+        """Leave it out for a while, doubled each time in a row; it comes back on trial. Whether it is out."""
         if server in self.ejected or len(self.ejected) + 1 > most:
-            return
+            return False
         span = min(EJECT_MS * 2.0**server.ejections, EJECT_MAX_MS) * self.rng.uniform(0.75, 1.25)
-        self.ejected.append(server)
+        self.ejected[server] = None
         server.ejected_until, server.ejections, server.trial = now + span, server.ejections + 1, True
         server.load, server.known_at = max(server.load, RETURN_LOAD), now + span
+        heappush(self._returns, (server.ejected_until, next(self._numbers), server))
+        return True
+
+    def returned(self, now: float) -> Iterator[Server]:
+        """Those whose time out is over, each once."""
+        while self._returns and self._returns[0][0] <= now:
+            _, _, server = heappop(self._returns)
+            del self.ejected[server]
+            yield server
--- a/lupinlink/brain/learning.py
+++ b/lupinlink/brain/learning.py
@@ -8,6 +8,7 @@
 from lupinlink.brain.choice import FADE_MS, LATENCY, LATENCY_GAIN, OVERDUE_GAIN, REPORT, REPORT_GAIN, Split
 from lupinlink.brain.concurrency import ConcurrencyLimits
 from lupinlink.brain.health import Health, SlowStart
+from lupinlink.brain.ready_capacity import ReadyCapacity
 from lupinlink.interface import Attempt, LatencyStats, Period, Request, Server, Status
 from lupinlink.node import Node
 
@@ -33,13 +34,40 @@
         self.order, self.health, self.slow_start = SheddingOrder(settings), Health(rng), SlowStart(settings)
         self.limits = ConcurrencyLimits(settings.peers)
         self.split = Split(settings, self.slow_start, rng, self.limits)
+        self.ready_capacity = ReadyCapacity(self.slow_start)
         self.period, self.probe_tokens = Period(0.0), 0.0
         self.probes = settings.may_probe and settings.reports_in_probes and not settings.reports_in_answers
         self.span = min(max(PERIOD_MS, aim := min(c.aim_ms for c in settings.classes)), PERIOD_AIMS * aim)
 
     def capacity(self, now: float) -> float:
         """Servers that take work, a cold one by its warmth."""
-        return sum(self.slow_start.warmth(s, now) for s in self.servers.values() if s.usable(now))
+        self.take_back(now)
+        return self.ready_capacity.total(now)
+
+    def take_back(self, now: float) -> None:
+        """Servers whose ejection is over may be asked again."""
+        for server in self.health.returned(now):
+            self.usable_changed(server, now)
+
+    def usable_changed(self, server: Server, now: float) -> None:
+        """It may take work from now on, or may not."""
+        usable = server.usable(now) and self.servers.get(server.row.name) is server
+        self.split.stretch.set_usable(server, usable, now)
+        self.ready_capacity.set_usable(server, usable, now)
+
+    def listed(self, server: Server) -> None:
+        """A new process: the first token is drawn, so that the nodes do not all meet it cold at once."""
+        server.tokens = self.rng.random()
+        self.split.stretch.listed(server)
+
+    def left(self, server: Server, now: float) -> None:
+        self.usable_changed(server, now)
+        self.split.stretch.left(server, now)
+
+    def eject(self, server: Server, now: float, most: float) -> None:
+        """Leave it out for a while, if not so many are."""
+        if self.health.eject(server, now, most):
+            self.usable_changed(server, now)
 
     def look_ahead(self, now: float) -> None:
         """Fewer servers may be left: refuse from now on what they cannot bear, the delay tells too late."""
@@ -105,10 +133,11 @@
             delay = FULL_DELAY
         if not load and status not in (Status.OVERLOADED, Status.CANCELLED, Status.NOT_SENT, Status.REJECTED):
             gain = TIMEOUT_GAIN if status == Status.TIMEOUT else HEALTH_GAIN
-            self.health.record(server, gain, status != Status.OK, now, self.ready)
+            if self.health.record(server, gain, status != Status.OK, now, self.ready):
+                self.usable_changed(server, now)
         server.absent += status == Status.UNREACHABLE
         if status == Status.UNREACHABLE and server.absent >= ABSENT_MOST:  # nothing is there, at however many
-            self.health.eject(server, now, math.inf)
+            self.eject(server, now, math.inf)
         if (load or status in (Status.OK, Status.OVERLOADED)) and server.load < OUTLIER:
             # One bad server must not shed traffic that others could carry, nor one long wait outweigh many.
             delay = min(delay, MOST_DELAY)
@@ -129,7 +158,7 @@
         self.probe_tokens += PROBE_MOST / (1.0 + self.slow_start.per_server * FADE_MS) ** 2
         if self.probes and self.split.table and self.probe_tokens >= 1.0:
             self.probe_tokens = 0.0
-            drawn = self.rng.choices(self.split.table, cum_weights=self.split.sums, k=PROBE_DRAWS)
+            drawn = [self.split.table.draw(self.rng.random()) for _ in range(PROBE_DRAWS)]
             self.actions.append(api.Probe(min(drawn, key=lambda s: s.known_at).row.name))
 
     def probed(self, server: Server, event: api.ProbeResult, now: float) -> None:
--- a/lupinlink/brain/repeats.py
+++ b/lupinlink/brain/repeats.py
@@ -10,6 +10,18 @@
     return cls.effect == Effect.SAFE or not a.may_have_run() or (known and (near or cls.scope == Scope.ALL))
 
 
+def bound_to_cell(request: Request) -> Endpoint | None:
+    """Whose zone and cell a further attempt has to stay in; None: others may take it too, or none may."""
+    if request.cls.effect != Effect.KEYED or request.cls.scope != Scope.CELL:
+        return None
+    return next((a.server.row for a in request.attempts if a.may_have_run()), None)
+
+
+def may_follow_anywhere(a: Attempt, cls: RequestClass, now: float) -> bool:
+    """Whether an attempt at any endpoint at all after this one is no second effect."""
+    return may_follow(a, cls, a.server.row, now)
+
+
 def begin_by(request: Request) -> float:
     """Until when one more may arrive there: in time, and while repeats of what may have run are dropped."""
     ran = [a.sent_at for a in request.attempts if a.may_have_run() and request.cls.effect == Effect.KEYED]
--- a/lupinlink/lab/variants.py
+++ b/lupinlink/lab/variants.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 import sys
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import replace
 from random import Random
 
@@ -28,6 +28,9 @@
         found = [server for server in self.table if fits(server)]
         return self.rng.choice(found) if found else None
 
+    def not_drawn(self, now: float) -> Iterable[list[Server]]:
+        return []
+
 
 class RandomChoice(Balancer):
     """Servers are chosen evenly at random."""
@@ -66,8 +69,8 @@
 class Patient(Health):
     """Leaves nobody out."""
 
-    def eject(self, server: Server, now: float, most: float) -> None:
-        return
+    def eject(self, server: Server, now: float, most: float) -> bool:
+        return False
 
 
 class NoEjection(Balancer):
--- a/lupinlink/node.py
+++ b/lupinlink/node.py
@@ -19,6 +19,7 @@
         self.open: dict[str, Request] = {}
         self.groups: dict[tuple[int, int], Group] = {}  # by zone and kind
         self.ready = 0
+        self._gone: dict[str, Server] = {}  # no longer listed, with attempts still out there
         self.in_flight = 0
         self.actions: list[api.Action] = []
         self._timers: dict[int, Callable[[float], None]] = {}
@@ -58,6 +59,14 @@
         """A server is new to this node or its process has restarted."""
         raise NotImplementedError
 
+    def left(self, server: Server, now: float) -> None:
+        """A server is known here no longer, or its process is another one now."""
+        raise NotImplementedError
+
+    def usable_changed(self, server: Server, now: float) -> None:
+        """A server has become ready, or is so no longer."""
+        raise NotImplementedError
+
     def list_news(self, event: api.Membership, now: float) -> None:
         """Discovery spoke, or (``FAILED``) a call failed or the subscription broke."""
         raise NotImplementedError
@@ -98,11 +107,6 @@
         """The attempts that are out."""
         return [(r, a) for r in self.open.values() for a in r.attempts if a.status is None]
 
-    def untried(self, request: Request, now: float) -> list[Server]:
-        """The usable servers that the request has not been sent to, by name: a restart makes none new."""
-        used = {a.server.row.name for a in request.attempts}
-        return [s for name, s in self.servers.items() if name not in used and s.usable(now)]
-
     def start_attempt(self, request: Request, server: Server, by: float, now: float) -> Attempt:
         """Record and emit a send."""
         attempt = Attempt(server, now)
@@ -161,29 +165,56 @@
 
     def _on_membership(self, now: float, event: api.Membership) -> None:
         if event.kind in (MembershipKind.CACHED, MembershipKind.FULL):
-            for server in self.servers.values():
-                server.ready = False  # not in a full list: gone
+            self._leave_out(event.endpoints, now)
         for row in event.endpoints:
-            known = self.servers.get(row.name)
-            if known is None or row.started_ms > known.row.started_ms:
-                # After a restart nothing learnt of the old process holds.
-                group = self.groups.setdefault((row.zone, row.kind), Group(now))
-                known = Server(row, now, group, tokens_at=now, salt=salt(row.name))
-                self.servers[row.name] = known
-                self.listed(known)
-            known.row, known.ready = row, row.state == EndpointState.READY
+            self._take_row(row, now)
         if event.kind != MembershipKind.FAILED:
-            self._forget({row.name for row in event.endpoints}, event.kind != MembershipKind.DELTA)
-        self.ready = sum(s.ready for s in self.servers.values())
+            self._forget_gone(now)
         self.list_news(event, now)
 
-    def _forget(self, named: set[str], full: bool) -> None:
-        """Drop the servers that are gone once nothing is out there: a long day sees ever new ones."""
-        for name, server in list(self.servers.items()):
-            if full and name not in named:
+    def _leave_out(self, listed: list[api.Endpoint], now: float) -> None:
+        """What a whole list does not name is gone."""
+        named = {row.name for row in listed}
+        for name, server in self.servers.items():
+            if name not in named:
                 server.row.state = EndpointState.GONE
-            if server.row.state == EndpointState.GONE and not server.out:
-                del self.servers[name]
+                self._set_ready(server, False, now)
+                self._gone[name] = server
+
+    def _take_row(self, row: api.Endpoint, now: float) -> None:
+        known = self.servers.get(row.name)
+        if known is None or row.started_ms > known.row.started_ms:
+            if known is not None:
+                self._drop(known, now)
+            # After a restart nothing learnt of the old process holds.
+            group = self.groups.setdefault((row.zone, row.kind), Group(now))
+            known = Server(row, now, group, tokens_at=now, salt=salt(row.name))
+            self.servers[row.name] = known
+            self.listed(known)
+        known.row = row
+        self._set_ready(known, row.state == EndpointState.READY, now)
+        if row.state == EndpointState.GONE:
+            self._gone[row.name] = known
+        else:
+            self._gone.pop(row.name, None)
+
+    def _set_ready(self, server: Server, ready: bool, now: float) -> None:
+        if ready != server.ready:
+            server.ready = ready
+            self.ready += 1 if ready else -1
+            self.usable_changed(server, now)
+
+    def _drop(self, server: Server, now: float) -> None:
+        self._set_ready(server, False, now)
+        del self.servers[server.row.name]
+        self.left(server, now)
+
+    def _forget_gone(self, now: float) -> None:
+        """Drop the servers that are gone once nothing is out there: a long day sees ever new ones."""
+        for name, server in list(self._gone.items()):
+            if not server.out:
+                del self._gone[name]
+                self._drop(server, now)
 
     def _on_discovery(self, now: float, event: api.DiscoveryEvent) -> None:
         self.discovery_news(event, now)
--- a/lupinlink/spread/aperture.py
+++ b/lupinlink/spread/aperture.py
@@ -9,13 +9,17 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
-from itertools import islice
+from collections.abc import Callable, Sequence
+from itertools import chain, islice
+from typing import TypeVar
 
 LEAST = 32  # servers in a stretch: with fewer, one that fails is felt, and a key finds too few homes
 COVER = 16  # proxies that ask each server, at least: of fewer, one with much traffic would show
 
 
+Member = TypeVar("Member")
+
+
 class Aperture:
     """One proxy's place among all."""
 
@@ -34,8 +38,11 @@
         ``salts``: each listed server's place in the order, alike at all proxies. ``usable``: whether this
         proxy may ask it at all just now; past those that it may not, the stretch goes on.
         """
-        servers = len(salts)
-        order = sorted(range(servers), key=salts.__getitem__)
-        first = self._rank * servers // self._peers
-        walk = (order[(first + i) % servers] for i in range(servers))
-        return sorted(islice((i for i in walk if usable[i]), self.size(servers)))
+        order = sorted(range(len(salts)), key=salts.__getitem__)
+        return sorted(self.walk(order, usable.__getitem__))
+
+    def walk(self, ring: Sequence[Member], usable: Callable[[Member], bool]) -> list[Member]:
+        """The stretch of a ring that all proxies have in the same order; ``usable`` as for ``near``."""
+        first = self._rank * len(ring) // self._peers
+        around = chain(islice(ring, first, None), islice(ring, first))
+        return list(islice(filter(usable, around), self.size(len(ring))))
--- a/lupinlink/spread/keys.py
+++ b/lupinlink/spread/keys.py
@@ -62,18 +62,37 @@
     def order(
         self, key: str, salts: Sequence[int], weights: Sequence[float], most: int, chance: float
     ) -> list[int]:
-        """The first servers to ask with a key, as indices, at least ``most`` where there are so many.
-
-        ``salts``: 32 bits for each server, alike at every proxy. ``weights``: over 0; a server is first for
-        so much of all keys. ``chance``: from [0, 1), which of the key's homes comes first.
-        """
-        mix = crc32(key.encode())
+        """The first servers to ask with a key that has arrived, as indices; see ``homes_first``."""
+        mix = checksum(key)
         self.met(mix)
-        scores = [
-            (math.log(((mix ^ salt) * HASH_MULTIPLIER >> 7 & 0xFFFFFFFF) / 2.0**32 + 1e-12) / weight, i)
-            for i, (salt, weight) in enumerate(zip(salts, weights, strict=True))
-        ]
-        homes = self.number(mix, len(scores))
-        ranked = [i for _, i in sorted(scores, reverse=True)[: max(most, homes)]]
-        first = int(chance * homes)
-        return ranked[first:homes] + ranked[:first] + ranked[homes:]
+        return homes_first(mix, salts, weights, most, self.number(mix, len(salts)), chance)
+
+
+def homes_first(
+    mix: int, salts: Sequence[int], weights: Sequence[float], most: int, homes: int, chance: float
+) -> list[int]:
+    """The first places to ask with the key of this checksum, at least ``most`` where there are so many.
+
+    ``homes``: how many of them the key is at home at; ``chance``: from [0, 1), which of these comes first.
+    """
+    order = ranked(mix, salts, weights, max(most, homes))
+    first = int(chance * homes)
+    return order[first:homes] + order[:first] + order[homes:]
+
+
+def ranked(mix: int, salts: Sequence[int], weights: Sequence[float], most: int) -> list[int]:
+    """The first ``most`` places in the ranking for the key of this checksum.
+
+    ``salts``: 32 bits for each place, alike at every proxy. ``weights``: over 0; a place is first for so much
+    of all keys.
+    """
+    scores = [
+        (math.log(((mix ^ salt) * HASH_MULTIPLIER >> 7 & 0xFFFFFFFF) / 2.0**32 + 1e-12) / weight, place)
+        for place, (salt, weight) in enumerate(zip(salts, weights, strict=True))
+    ]
+    return [place for _, place in sorted(scores, reverse=True)[:most]]
+
+
+def checksum(key: str) -> int:
+    """The 32 bits by which a key is mixed with servers."""
+    return crc32(key.encode())
--- /dev/null
+++ b/tests/counted_servers.py
@@ -0,0 +1,59 @@
+"""A node whose servers count how often they are asked for anything."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from contextlib import ExitStack
+from random import Random
+from unittest.mock import patch
+
+from lupinlink import interface as api
+from lupinlink import node as node_module
+from lupinlink.interface import Endpoint, MembershipKind, Server, Settings
+from tests.helpers import Stand
+
+
+class CountedServer(Server):
+    """Counts each read of a figure of any server."""
+
+    reads = 0
+
+    def __getattribute__(self, name: str) -> object:
+        CountedServer.reads += 1
+        return super().__getattribute__(name)
+
+
+class CountedStand(Stand):
+    """A node with so many backends; times are Unix time, as on sockets."""
+
+    def __init__(self, settings: Settings, backends: int, started_ms: float = 0.0) -> None:
+        with ExitStack() as patches:
+            patches.enter_context(patch.object(node_module, "Server", CountedServer))
+            super().__init__(settings, "")
+            self.now = 1e12
+            rows = [
+                Endpoint(f"s-{i}", cell=i % 40, started_ms=started_ms and self.now - started_ms)
+                for i in range(backends)
+            ]
+            self.members(rows)
+            self.rng = Random(1)
+            for i in range(50):  # whatever is drawn up at first is not counted
+                self.answer(f"warm-{i}", self.ask(f"warm-{i}"))
+
+    def answer(self, name: str, actions: list[api.Action], status: api.Status = api.Status.OK) -> None:
+        """Have its attempts end so, 20 ms later."""
+        for action in actions:
+            if isinstance(action, api.Send):
+                self.until(self.now + 20.0)
+                self.end(name, status, action.endpoint)
+
+    def one_changes(self, number: int) -> None:
+        """News of one backend."""
+        self.members([Endpoint(f"s-{number}", cell=number % 40, size_hint=2.0)], MembershipKind.DELTA)
+
+
+def reads_of(work: Callable[[], None]) -> int:
+    """How often servers were asked for anything meanwhile."""
+    before = CountedServer.reads
+    work()
+    return CountedServer.reads - before
--- a/tests/recorded_reactor.py
+++ b/tests/recorded_reactor.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 
+from lupinlink.net.loop_turns import LoopTurns
 from lupinlink.net.watch import Watch
 from lupinlink.net.watch_dial import WatchDial
 from lupinlink.net.wheel import Timer
@@ -16,6 +17,7 @@
         self.dials: list[Watch] = []
         self.timers: list[tuple[float, Timer]] = []
         self.time = 1000.0
+        self.turns = LoopTurns()
 
     def connectTCP(self, host: str, port: int, factory: WatchDial, timeout: object) -> Recorded:  # noqa: N802
         self.dials.append(factory.buildProtocol(None))
