--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -25,7 +25,8 @@
 PLAIN = (
     "brain brain.admission brain.balancer brain.choice brain.concurrency brain.discovering brain.discovery "
     "brain.discovery_answers brain.discovery_outage brain.discovery_times brain.dispatching "
-    "brain.health brain.learning brain.ready_capacity brain.repeats brain.stretch brain.waiting cli clock commands commands.serve commands.told errors "
+    "brain.health brain.learning brain.ready_capacity brain.repeats brain.stretch brain.waiting "
+    "cli clock commands commands.serve commands.told errors "
     "interface limits limits.foresight limits.progress limits.returns list_trust lupinlink net "
     "net.application_servers net.application_servers.attempts net.application_servers.composing "
     "net.application_servers.connection net.application_servers.dialling "
