Read of a long list only the entries that differ, and have room for one of 6,400 backends

Cause: each object was read entry by entry, and all of its entries went through pools and module again, some 170 ms without a turn of the loop; a list over several lines was looked at line by line. And one object of over 1 MiB was never read: 3,200 backends with long names, indented, pass that. Change: net/list_reader keeps each entry as it was written; one that has not changed costs a comparison and is the very same ListEntry, so that the list, the pools and the module learn only what differs. Lines in the middle of an object are taken as one piece. The bound on an object is 4 MiB. The number of ready backends is kept, not counted for each object. Tests: test_long_lists counts the entries read and has pieces of any size, the process test with indented lists failed before and passes. A whole list that was told is now news of its changes (MembershipKind.DELTA); a process's first list stays whole.

--- a/lupinlink/commands/check.py
+++ b/lupinlink/commands/check.py
@@ -28,11 +28,12 @@
 def main(argv: list[str]) -> int:
     """Check one configuration; returns the exit code."""
     args = docopt(__doc__ or "", argv=argv)
-    from lupinlink.net.lists import ListError, read_list
+    from lupinlink.net.list_reader import ListReader
+    from lupinlink.net.lists import ListError
 
     try:
         config = load_config(os.environ, args["--config"])
-        known = read_list(config.known or {"rev": 0, "all": True, "targets": []}, config.settings)
+        known = ListReader(config.settings).read(config.known or {"rev": 0, "all": True, "targets": []})
         if known.rejected:
             raise ListError(f"known: {known.rejected} entries can't be read, the first: {known.fault}")
     except ValueError as exc:
--- a/lupinlink/net/backend_list.py
+++ b/lupinlink/net/backend_list.py
@@ -32,6 +32,7 @@
 
     def __init__(self) -> None:
         self.version = 0
+        self.ready = 0  # backends that take new requests
         self._entries: dict[str, ListEntry] = {}
         self._removed: dict[str, float] = {}  # the last start of a removed backend, oldest removal first
         self._older_since: float | None = None  # when the first of only older objects came
@@ -70,7 +71,13 @@
         if told.version is not None:
             self.version = told.version
             self._older_since = None
-        return ListChange(kind, self._take(told, whole))
+        return self._change(kind, self._take(told, whole))
+
+    def _change(self, kind: MembershipKind, changed: tuple[ListEntry, ...]) -> ListChange:
+        """Of a whole list only what differs from the one before has to be learnt, but of a known one all."""
+        if kind == MembershipKind.CACHED:
+            return ListChange(kind, tuple(self._entries.values()))
+        return ListChange(MembershipKind.DELTA, changed)
 
     def _numbered_anew(self, now: float) -> bool:
         return self._older_since is not None and now - self._older_since > OLDER_LIST_MS
@@ -81,18 +88,23 @@
         self._older_since = None
         changed = self._take(told, True)
         self._removed.clear()
-        return ListChange(kind, changed)
+        return self._change(kind, changed)
 
     def _take(self, told: ListObject, whole: bool) -> tuple[ListEntry, ...]:
-        changed = tuple(self._readable(entry) for entry in told.entries)
+        """Those that have changed; who is left out of a whole list is gone."""
+        changed = [self._readable(entry) for entry in told.entries if not self._is_held(entry)]
         if whole:
             self._narrowed = False
-            named = {entry.endpoint.name for entry in changed}
-            for name in [name for name in self._entries if name not in named]:
-                self._remove(name)
+            named = {entry.endpoint.name for entry in told.entries}
+            left_out = [entry for name, entry in self._entries.items() if name not in named]
+            changed += [entry.with_state(EndpointState.GONE) for entry in left_out]
         for entry in changed:
             self._set(entry)
-        return changed
+        return tuple(changed)
+
+    def _is_held(self, entry: ListEntry) -> bool:
+        """Whether it is on the list just as it was read."""
+        return self._entries.get(entry.endpoint.name) is entry
 
     def _narrow(self, told: ListObject, whole: bool) -> ListChange:
         """Of an older object only what takes backends out of service, or tells of a later start of theirs."""
@@ -128,14 +140,18 @@
         return replace(entry, endpoint=replace(entry.endpoint, started_ms=started_ms))
 
     def _set(self, entry: ListEntry) -> None:
+        name = entry.endpoint.name
         if entry.endpoint.state == EndpointState.GONE:
-            self._remove(entry.endpoint.name, entry.endpoint.started_ms)
-        else:
-            self._entries[entry.endpoint.name] = entry
-            self._removed.pop(entry.endpoint.name, None)
+            self._remove(name, entry.endpoint.started_ms)
+            return
+        held = self._entries.get(name)
+        self.ready += entry.ready - (held is not None and held.ready)
+        self._entries[name] = entry
+        self._removed.pop(name, None)
 
     def _remove(self, name: str, started_ms: float = 0.0) -> None:
         held = self._entries.pop(name, None)
+        self.ready -= held is not None and held.ready
         before = self._removed.pop(name, 0.0)
         self._removed[name] = max(started_ms, before, held.endpoint.started_ms if held is not None else 0.0)
         if len(self._removed) > MAX_REMOVED:
--- a/lupinlink/net/discovery_client.py
+++ b/lupinlink/net/discovery_client.py
@@ -14,8 +14,8 @@
 from lupinlink.net.counters import Counters
 from lupinlink.net.discovery_log import DiscoveryLog
 from lupinlink.net.list_entries import ListEntry
+from lupinlink.net.list_reader import ListReader
 from lupinlink.net.lists import ListError as ListError
-from lupinlink.net.lists import read_list
 from lupinlink.net.typed import Reactor
 from lupinlink.net.watch import Watch
 from lupinlink.net.watch_listener import WatchEnd
@@ -50,6 +50,7 @@
         self.tell: Callable[[api.Membership | api.DiscoveryEvent], None] = lambda event: None
         self._log = DiscoveryLog(counters, settings.subscribe)
         self.log_trust = self._log.trust
+        self._reader = ListReader(settings)
         self._list = BackendList()  # as discovery has it: what is withheld here is ready there
         self._looking = False  # whether older objects leave the list behind is looked at soon
         self._times = DiscoveryTimes.of(settings)
@@ -201,13 +202,14 @@
 
     def _apply(self, raw: Any, kind: api.MembershipKind, current: bool = True, fresh: bool = False) -> None:
         """``current``: it shows what discovery has now; ``fresh``: its versions are not those of our list."""
-        told = read_list(raw, self._settings)
+        told = self._reader.read(raw)
         if told.rejected:
             self._log.rejected(told, kind.name.lower())
         change = self._list.apply(told, kind, self.clock.now(), fresh)
         self.version = self._list.version
         if kind != api.MembershipKind.CACHED:
-            self._log.changed(self.version, change.kind.name.lower(), change.entries)
+            self._reader.forget(entry.endpoint.name for entry in change.entries if entry.is_gone)
+            self._log.changed(self.version, kind.name.lower(), change.entries)
         self._tell(change.kind, change.entries, current and not self._list.older_only)
         if self._list.behind and not self._looking:
             self._looking = True
@@ -216,8 +218,7 @@
     def _tell(self, kind: api.MembershipKind, entries: Iterable[ListEntry], current: bool) -> None:
         """The pools and the module, at once."""
         rows = [(self._narrowed(entry.endpoint), entry.host, entry.port) for entry in entries]
-        listed = self._list.entries()
-        self.ready = sum(entry.ready and entry.endpoint.name not in self._withheld for entry in listed)
+        self.ready = self._list.ready - sum(entry.ready for entry in self._list.entries(self._withheld))
         self._counters["lists"] += 1
         self._servers.learn(rows, kind != api.MembershipKind.DELTA)
         self.tell(api.Membership(kind, [row for row, _, _ in rows], current))
--- a/lupinlink/net/list_entries.py
+++ b/lupinlink/net/list_entries.py
@@ -34,6 +34,11 @@
         """Whether it takes new requests."""
         return self.endpoint.state == EndpointState.READY
 
+    @property
+    def is_gone(self) -> bool:
+        """Whether it is on the list no longer."""
+        return self.endpoint.state == EndpointState.GONE
+
     def with_state(self, state: EndpointState) -> ListEntry:
         """The same backend in another state."""
         return replace(self, endpoint=replace(self.endpoint, state=state))
--- a/lupinlink/net/lists.py
+++ b/lupinlink/net/lists.py
@@ -3,19 +3,20 @@
 from __future__ import annotations
 
 import json
+import re
 from contextlib import suppress
 from dataclasses import dataclass
 from typing import Any
 
 from lupinlink.errors import LupinError
-from lupinlink.interface import EndpointState
 from lupinlink.net.list_entries import STATES as STATES
-from lupinlink.net.list_entries import ListEntry, read_entry
+from lupinlink.net.list_entries import ListEntry
 from lupinlink.net.list_entries import number as number
-from lupinlink.settings import Settings
 
-MAX_LIST = 1024 * 1024
+MAX_LIST = 4 * 1024 * 1024  # bytes of one object: 6,400 backends over several lines each take some 2 MiB
 MAX_VERSION = 2**63  # a version from here on is none
+# An empty line, or one that may end an object.
+MAY_END = re.compile(rb"(?:\A|\n)[ \t\r\x0b\x0c]*\n|\}[ \t\r\x0b\x0c]*(?:\n|\Z)")
 
 
 class ListError(LupinError, ValueError):
@@ -37,36 +38,7 @@
     fault: str = ""  # of the first of them
 
 
-def read_list(raw: object, settings: Settings) -> ListObject:
-    """Read one object; raises ListError only if nothing of it can be used."""
-    if not isinstance(raw, dict):
-        raise ListError("no object")
-    items = raw.get("targets")
-    if not isinstance(items, list):
-        raise ListError("no list of targets")
-    entries: dict[str, ListEntry] = {}
-    faults = []
-    for item in items:
-        entry = read_entry(item, settings)
-        if entry is None:
-            faults.append("uid: no name")
-            continue
-        name = entry.endpoint.name
-        if entry.fault:
-            faults.append(entry.fault)
-        if name in entries:
-            faults.append("uid: named twice")
-            if entry.ready and not entries[name].ready:
-                entry = entry.with_state(EndpointState.DRAINING)
-        entries[name] = entry
-    full = raw.get("all") is True
-    if full and items and not entries:
-        raise ListError(f"a whole list of {len(items)} entries that names no backend")
-    fault = faults[0] if faults else ""
-    return ListObject(_version(raw.get("rev")), full, tuple(entries.values()), len(faults), fault)
-
-
-def _version(rev: object) -> int | None:
+def version_of(rev: object) -> int | None:
     """A version; None for what is no whole number."""
     if isinstance(rev, bool) or not isinstance(rev, int):
         return None
@@ -87,6 +59,23 @@
         """Whether part of an object is here."""
         return bool(self._lines or self._line.strip())
 
+    def take_middle(self, data: bytes) -> bytes:
+        """Take the whole lines at the beginning that lie within an object; the rest is returned.
+
+        One over many lines need not be looked at line by line.
+        """
+        if not self._lines:
+            return data
+        data, self._line = self._line + data, b""
+        found = MAY_END.search(data)
+        end = data.rfind(b"\n", 0, found.start() if found is not None else len(data)) + 1
+        if end:
+            self._lines.append(data[: end - 1])
+            self._size += end
+        if self._size > MAX_LIST:
+            raise ListError(f"an object of over {MAX_LIST} bytes")
+        return data[end:]
+
     def feed(self, data: bytes) -> list[Any]:
         """The objects that end in these bytes; raises ListError for what can be none."""
         begun = self.begun
--- a/lupinlink/net/watch.py
+++ b/lupinlink/net/watch.py
@@ -161,7 +161,8 @@
                 self._take_list(whole)
             return
         # Line by line: an object counts as told though the next one is broken.
-        for line in (whole.body if whole is not None else self._parser.drain()).splitlines(keepends=True):
+        data = whole.body if whole is not None else self._parser.drain()
+        for line in self._objects.take_middle(data).splitlines(keepends=True):
             signs = self._objects.signs
             found = self._objects.feed(line)
             for one in found:
--- /dev/null
+++ b/tests/test_long_lists.py
@@ -0,0 +1,76 @@
+"""Whole lists of thousands of backends: what is read of them, in which form they may come, and when."""
+
+from __future__ import annotations
+
+import json
+import unittest
+from random import Random
+from typing import Any
+from unittest.mock import patch
+
+from lupinlink.interface import Membership
+from lupinlink.net import list_reader
+from lupinlink.net.list_entries import read_entry
+from tests.stage import chunk
+from tests.told_lists import HEAD, Told, entry
+
+MANY = 6400
+READ_BYTES = 64 * 1024  # at a time, at most
+
+
+class LongLists(Told):
+    def whole(self, entries: list[Any], indent: int | None = None, piece: int = READ_BYTES) -> None:
+        """One whole list on the watch, in pieces."""
+        told = {"rev": 50, "all": True, "targets": entries}
+        data = chunk(json.dumps(told, indent=indent) + "\n")
+        data = (b"" if self.watch.answered else HEAD) + data
+        for begin in range(0, len(data), piece):
+            self.watch.dataReceived(data[begin : begin + piece])
+
+    # Guards against reading thousands of entries again because one of them, or none, has changed.
+    def test_entries_that_are_as_they_were_are_not_read_again(self) -> None:
+        entries = [entry(f"s-{number}") for number in range(1, 100)]
+        self.whole(entries)
+        entries[7] = entry("s-8", "terminating")
+        with patch.object(list_reader, "read_entry", wraps=read_entry) as read:
+            self.whole(entries)
+        self.assertEqual(read.call_count, 1)
+        last = self.events[-1]
+        assert isinstance(last, Membership)
+        self.assertEqual([row.name for row in last.endpoints], ["s-8"])
+        self.assertEqual(len(self.ready()), 98)
+
+    # Guards against taking JSON's false for its 0, which Python holds for equal.
+    def test_an_entry_of_another_type_is_read_again(self) -> None:
+        self.whole([entry("s-1", boot_ms=0), entry("s-2")])
+        self.whole([entry("s-1", boot_ms=False), entry("s-2")])
+        self.assertEqual(self.ready(), ["s-2"])
+
+    def test_a_backend_that_leaves_and_comes_back_is_learnt_again(self) -> None:
+        self.whole([entry("s-1"), entry("s-2")])
+        self.whole([entry("s-2")])
+        self.assertEqual(self.ready(), ["s-2"])
+        self.whole([entry("s-1"), entry("s-2")])
+        self.assertEqual(self.ready(), ["s-1", "s-2"])
+
+    # Guards against a bound on an object that thousands of backends pass: then no list would ever be read.
+    def test_a_list_of_thousands_over_several_lines_is_read(self) -> None:
+        self.whole([entry(f"pool-of-backends-{number:08d}") for number in range(MANY)], indent=4)
+        self.seen.until(self.seen.time + 1000.0)
+        self.assertEqual(len(self.ready()), MANY)
+        self.stands()
+
+    # Guards against lines that are lost where the pieces of a list over several lines meet.
+    def test_pieces_of_any_size_make_the_same_list(self) -> None:
+        rng = Random(1)
+        for indent in (0, 1, 3):
+            for _ in range(20):
+                size, count = rng.randint(1, 400), rng.randint(1, 40)
+                entries = [entry(f"s-{number}", note="}\n" * (number % 3)) for number in range(count)]
+                self.whole(entries, indent, size)
+                self.assertEqual(len(self.ready()), count)
+                self.stands()
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_many_backends.py
+++ b/tests/test_many_backends.py
@@ -19,6 +19,13 @@
         statuses = self.load(member, 6.0).statuses()
         self.assertGreaterEqual(statuses[200], SERVED_LEAST * statuses.total(), statuses)
 
+    # Guards against the same with each entry over several lines.
+    def test_indented_lists_twice_a_second_leave_requests_served(self) -> None:
+        member = self.one_process()
+        self.whole_lists(7.0, 2.0, indent=1)
+        statuses = self.load(member, 6.0).statuses()
+        self.assertGreaterEqual(statuses[200], SERVED_LEAST * statuses.total(), statuses)
+
 
 class HeldRequests(ManyBackendsStage):
     # Guards against requests without an answer because each that waits asks every backend again and again.
