Send the newest of the waiting requests first, and look again as soon as a backend is free

Cause: waiting requests were woken in the order of arrival, so under overload each backend that came free answered the request that had the least time left, late; and for 50 ms after a look that found nothing a new request was not looked for either, though a backend had come free.

--- a/lupinlink/brain/dispatching.py
+++ b/lupinlink/brain/dispatching.py
@@ -196,20 +196,22 @@
     def look(self, now: float) -> None:
         """Send what waits for a backend, until one look finds that none may take anything."""
         sent = 0
-        for waiting in self.waiting.queue(WaitingFor.BACKEND):
+        for waiting in self.waiting.newest(WaitingFor.BACKEND):
             if sent >= SENT_AT_ONCE or now < self.none_free_until or self.list_holds(now):
                 break
             sent += self.try_send(waiting.request, now)
         self.plan_look(now)
 
     def freed(self, server: Server, now: float) -> None:
-        """An attempt there has ended: who has waited longest may take its place."""
-        for waiting in self.waiting.queue(WaitingFor.BACKEND)[:SENT_AT_ONCE]:
+        """An attempt there has ended: one that waits may take its place."""
+        for waiting in self.waiting.newest(WaitingFor.BACKEND)[:SENT_AT_ONCE]:
             request = waiting.request
             if self.is_spent(request, now) or self.list_holds(now) or not self.has_room(server, now):
                 return
             if self.may_take(request, server, now):
                 return self.send(request, server, now)
+        if self.has_room(server, now):
+            self.none_free_until = -math.inf
 
     def overdue(self, request: Request, attempt: Attempt, now: float, first: int = 0) -> None:
         """Danger: a jammed server answers late and so reports late; the age of what it holds is evidence."""
--- a/lupinlink/brain/waiting.py
+++ b/lupinlink/brain/waiting.py
@@ -29,7 +29,7 @@
 
 
 class WaitingRequests:
-    """One queue for each cause; who has waited longest comes first."""
+    """One queue for each cause, in the order of arrival."""
 
     def __init__(self) -> None:
         self._queues: dict[WaitingFor, dict[str, WaitingRequest]] = {cause: {} for cause in WaitingFor}
@@ -65,6 +65,10 @@
         """Those that wait for this, in their order."""
         return list(self._queues[cause].values())
 
+    def newest(self, cause: WaitingFor) -> list[WaitingRequest]:
+        """The same, the newest first: under overload an answer to the oldest would come too late."""
+        return self.queue(cause)[::-1]
+
     def any(self, cause: WaitingFor) -> bool:
         """Whether a request waits for this."""
         return bool(self._queues[cause])
