Take a long list of discovery in slices between turns of the event loop, requests held until all is in

What callers saw: answers and closes late by as long as a list took to be learnt, and one request forwarded 115 ms after its client had left. Cause: all entries of one object went through reading, pools and module in one turn of the loop: with 3,200 that changed 130 to 210 ms. Change: net/list_intake takes objects one after another; of a long one 512 entries are read, or 256 learnt, in a turn, what must not be used any more first. Until the last of them is in the object counts as one that has begun and not come whole, so requests are held and no attempt's first byte goes out; only the last slice confirms the list, and only while its watch stands. An object of few changes is taken at once, as before. The list's keeping is net/list_keeper now, out of the discovery client. Tests: test_long_lists, slices, news behind a long list, a watch that ends meanwhile; fail by construction before.

--- a/lupinlink/net/discovery_client.py
+++ b/lupinlink/net/discovery_client.py
@@ -3,18 +3,17 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Callable, Iterable, Mapping
-from dataclasses import replace
+from collections.abc import Callable, Mapping
 from typing import Any
 
 from lupinlink import interface as api
 from lupinlink.brain.discovery_times import DiscoveryTimes
 from lupinlink.net.application_servers import ApplicationServers
-from lupinlink.net.backend_list import OLDER_LIST_MS, BackendList
+from lupinlink.net.backend_list import OLDER_LIST_MS
 from lupinlink.net.counters import Counters
 from lupinlink.net.discovery_log import DiscoveryLog
-from lupinlink.net.list_entries import ListEntry
-from lupinlink.net.list_reader import ListReader
+from lupinlink.net.list_intake import ListIntake, Taking
+from lupinlink.net.list_keeper import ListKeeper, Told
 from lupinlink.net.lists import ListError as ListError
 from lupinlink.net.typed import Reactor
 from lupinlink.net.watch import Watch
@@ -45,13 +44,13 @@
         self._reactor, self.clock, self._settings = reactor, clock, settings
         self._servers, self._counters = servers, counters
         self._discovery = discovery
-        self.version = 0
-        self.ready = 0  # application servers that take work
         self.tell: Callable[[api.Membership | api.DiscoveryEvent], None] = lambda event: None
         self._log = DiscoveryLog(counters, settings.subscribe)
         self.log_trust = self._log.trust
-        self._reader = ListReader(settings)
-        self._list = BackendList()  # as discovery has it: what is withheld here is ready there
+        self._keeper = ListKeeper(
+            clock, settings, servers, counters, self._log, lambda event: self.tell(event)
+        )
+        self._intake = ListIntake(clock, self._settled)
         self._looking = False  # whether older objects leave the list behind is looked at soon
         self._times = DiscoveryTimes.of(settings)
         self._live: Watch | None = None  # the watch that has told last
@@ -59,11 +58,20 @@
         self._foreign = False  # the whole list has to be asked for first
         self._renumbered = False  # the list is still that of another discovery, with its own versions
         self._pushed = not settings.subscribe  # the address is that of an agent on this machine
-        self._withheld: frozenset[str] = frozenset()  # taken out of use here, whatever discovery says
         self._stopped = False
 
     def __len__(self) -> int:
-        return len(self._list)
+        return len(self._keeper)
+
+    @property
+    def version(self) -> int:
+        """The list's."""
+        return self._keeper.version
+
+    @property
+    def ready(self) -> int:
+        """Application servers that take work."""
+        return self._keeper.ready
 
     def start(self, known: Mapping[str, Any]) -> None:
         """The list as this proxy last had it; it may be out of date.
@@ -73,13 +81,12 @@
         self.tell(api.ProcessStarted())
         if not known:
             known = {"rev": 0, "all": True, "targets": []}
-        self._apply(known, api.MembershipKind.CACHED)
-        self._log.started(self.version, self._list.entries(), self._settings)
+        self._keeper.begin(known)
+        self._log.started(self.version, self._keeper.entries(), self._settings)
 
     def snapshot(self) -> dict[str, Any]:
         """The list as it stands, in discovery's form."""
-        targets = [entry.written() for entry in self._list.entries() if entry.host]
-        return {"rev": self.version, "all": True, "targets": targets}
+        return self._keeper.snapshot()
 
     def call(self) -> None:
         """Call discovery: its list, if it is another one than before, and a watch on what changes."""
@@ -136,7 +143,7 @@
 
     def unchanged(self, watch: Watch) -> None:
         """Nothing has changed since the list that we have."""
-        if watch in self._asked and not self._foreign:
+        if watch in self._asked and not self._foreign and not self._intake.busy:
             self._stands(watch)
             self.tell(api.Membership(api.MembershipKind.DELTA))
 
@@ -147,10 +154,21 @@
             return
         full = full or (isinstance(raw, dict) and raw.get("all") is True)
         kind = api.MembershipKind.FULL if full else api.MembershipKind.DELTA
-        self._apply(raw, kind, current=new or not self._foreign, fresh=new and self._renumbered)
-        if new:
-            self._foreign = self._renumbered = False
-            self._stands(watch)
+        may_confirm = new or not self._foreign
+
+        def is_current() -> bool:
+            return may_confirm and watch is self._live
+
+        def taken() -> None:
+            self._look_whether_behind()
+            if watch in self._asked:
+                self._foreign = self._renumbered = False
+                self._stands(watch)
+
+        told = Told(raw, kind, new and self._renumbered, is_current)
+        self._intake.take(Taking(self._keeper.taking(told, taken), lambda error: watch.end(str(error))))
+        if self._intake.busy:
+            self.tell(api.DiscoveryPartial(True))
 
     def _stands(self, watch: Watch) -> None:
         """This watch has told: the one before it and all other calls are over."""
@@ -179,7 +197,7 @@
 
     def _has_partial(self) -> bool:
         # After a move the former discovery's watch is heard, and the new list counts only some time later.
-        return any(watch.partial and not watch.asks_whole for watch in self._watches())
+        return self._intake.busy or any(watch.partial and not watch.asks_whole for watch in self._watches())
 
     def _watches(self) -> list[Watch]:
         """The one that has told last, and the calls that are out."""
@@ -195,46 +213,25 @@
 
     def withhold(self, names: frozenset[str]) -> None:
         """Take these out of use here, whatever discovery says of them: it only narrows what is sent to."""
-        changed = self._list.entries(self._withheld ^ names)
-        self._withheld = names
-        if changed:
-            self._tell(api.MembershipKind.DELTA, changed, current=False)
-
-    def _apply(self, raw: Any, kind: api.MembershipKind, current: bool = True, fresh: bool = False) -> None:
-        """``current``: it shows what discovery has now; ``fresh``: its versions are not those of our list."""
-        told = self._reader.read(raw)
-        if told.rejected:
-            self._log.rejected(told, kind.name.lower())
-        change = self._list.apply(told, kind, self.clock.now(), fresh)
-        self.version = self._list.version
-        if kind != api.MembershipKind.CACHED:
-            self._reader.forget(entry.endpoint.name for entry in change.entries if entry.is_gone)
-            self._log.changed(self.version, kind.name.lower(), change.entries)
-        self._tell(change.kind, change.entries, current and not self._list.older_only)
-        if self._list.behind and not self._looking:
+        self._keeper.withhold(names)
+
+    def _settled(self) -> None:
+        """No object is on its way in any more."""
+        self.tell(api.DiscoveryPartial(self._has_partial()))
+
+    def _look_whether_behind(self) -> None:
+        """Soon, if older objects came; only a whole list sets that right."""
+        if self._keeper.behind and not self._looking:
             self._looking = True
             self.clock.after(OLDER_LIST_MS + 1.0, self._ask_whole)
 
-    def _tell(self, kind: api.MembershipKind, entries: Iterable[ListEntry], current: bool) -> None:
-        """The pools and the module, at once."""
-        rows = [(self._narrowed(entry.endpoint), entry.host, entry.port) for entry in entries]
-        self.ready = self._list.ready - sum(entry.ready for entry in self._list.entries(self._withheld))
-        self._counters["lists"] += 1
-        self._servers.learn(rows, kind != api.MembershipKind.DELTA)
-        self.tell(api.Membership(kind, [row for row, _, _ in rows], current))
-
     def _ask_whole(self) -> None:
         """Older objects left the list behind: ask for the whole one; the old watch is heard until then."""
         self._looking = False
-        if self._list.behind and not self._foreign and not self._stopped:
+        if self._keeper.behind and not self._foreign and not self._stopped:
             log.warning("older lists came, the whole one is asked for", extra={"kv": {"rev": self.version}})
             self._call_for_whole("the whole list is asked for")
 
-    def _narrowed(self, row: api.Endpoint) -> api.Endpoint:
-        """A copy for the module, which writes in its rows; not ready if it is withheld here."""
-        withheld = row.name in self._withheld and row.state == api.EndpointState.READY
-        return replace(row, state=api.EndpointState.DRAINING if withheld else row.state)
-
     def _ended(self, end: WatchEnd, watch: Watch) -> None:
         self._log.ended(end, watch, self.version, self._times.silence_ms)
         if watch in self._asked:
--- a/lupinlink/net/watch_listener.py
+++ b/lupinlink/net/watch_listener.py
@@ -34,7 +34,10 @@
 class Listener(Protocol):
     """Who a watch tells."""
 
-    version: int
+    @property
+    def version(self) -> int:
+        """Of the list as it is known."""
+        ...
 
     def late(self, watch: Watch) -> None:
         """It still waits, for its connection or, where lists are pushed, for its answer."""
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -37,7 +37,7 @@
     "net.discovery_log net.handover net.handover.channel net.handover.messages net.handover.room "
     "net.handover.upgrade "
     "net.http1 net.http1_messages net.http1_writers net.leavers net.lifecycle net.list_entries "
-    "net.list_reader net.lists "
+    "net.list_intake net.list_keeper net.list_reader net.lists "
     "net.log "
     "net.loop_turns net.management net.open_requests net.parts net.premises "
     "net.process net.proxy net.service net.slots net.socket_peek net.terms net.typed net.watch "
--- a/tests/test_long_lists.py
+++ b/tests/test_long_lists.py
@@ -8,9 +8,10 @@
 from typing import Any
 from unittest.mock import patch
 
-from lupinlink.interface import Membership
+from lupinlink.interface import DiscoveryPartial, Membership
 from lupinlink.net import list_reader
 from lupinlink.net.list_entries import read_entry
+from lupinlink.net.list_keeper import SLICE_ENTRIES
 from tests.stage import chunk
 from tests.told_lists import HEAD, Told, entry
 
@@ -71,6 +72,39 @@
                 self.assertEqual(len(self.ready()), count)
                 self.stands()
 
+    def news_since(self, number: int) -> list[Membership]:
+        return [event for event in self.events[number:] if isinstance(event, Membership)]
+
+    # Guards against an event loop that stands still for as long as thousands of backends are learnt.
+    def test_a_list_of_new_backends_is_learnt_in_slices_and_holds_requests_until_all_is_in(self) -> None:
+        before = len(self.events)
+        self.whole([entry(f"new-{number}") for number in range(MANY)])
+        self.assertEqual(self.events[-1], DiscoveryPartial(True))
+        self.assertTrue(self.discovery_client.read_waiting_news())
+        self.seen.until(self.seen.time + 1.0)
+        news = self.news_since(before)
+        self.assertLessEqual(max(len(one.endpoints) for one in news), SLICE_ENTRIES)
+        self.assertEqual([one.current for one in news], [False] * (len(news) - 1) + [True])
+        self.assertEqual((len(self.ready()), self.events[-1]), (MANY, DiscoveryPartial(False)))
+        self.assertFalse(self.discovery_client.read_waiting_news())
+
+    # Guards against news that overtakes a long list, and is undone by it.
+    def test_news_behind_a_long_list_waits_for_it(self) -> None:
+        self.whole([entry(f"new-{number}") for number in range(MANY)])
+        self.told(51, entry("new-7", "terminating"))
+        self.seen.until(self.seen.time + 1.0)
+        self.assertNotIn("new-7", self.ready())
+        self.assertEqual((len(self.ready()), self.discovery_client.version), (MANY - 1, 51))
+
+    # Guards against a list taken for current though its watch has ended meanwhile.
+    def test_a_watch_that_ends_before_its_list_is_in_confirms_nothing(self) -> None:
+        before = len(self.events)
+        self.whole([entry(f"new-{number}") for number in range(MANY)])
+        self.watch.end("connection ended")
+        self.seen.until(self.seen.time + 1.0)
+        self.assertFalse(any(one.current for one in self.news_since(before)))
+        self.assertEqual(len(self.ready()), MANY)
+
 
 if __name__ == "__main__":
     unittest.main()
