--- /dev/null
+++ b/lupinlink/net/application_servers/idle_connections.py
@@ -0,0 +1,53 @@
+"""Connections to application servers that stand idle, of all pools, by how long they have."""
+
+from __future__ import annotations
+
+import math
+from bisect import bisect_left, insort
+from operator import itemgetter
+from typing import TYPE_CHECKING, Protocol
+
+from lupinlink.net.application_servers.attempts import Attempt
+
+if TYPE_CHECKING:
+    from lupinlink.net.application_servers.pool import Pool
+
+BY_AGE = itemgetter(0, 1)  # idle since, then handle, which is never the same twice
+
+
+class Rested(Protocol):
+    """A connection that may stand idle."""
+
+    handle: int
+    idle_since: float
+    pool: Pool
+
+    def carry(self, attempt: Attempt) -> None: ...
+    def stale(self) -> bool: ...
+    def drop(self) -> None: ...
+
+
+class IdleConnections:
+    """All of them, the one that has been idle longest first."""
+
+    def __init__(self) -> None:
+        self._by_age: list[tuple[float, int, Rested]] = []
+
+    def __len__(self) -> int:
+        return len(self._by_age)
+
+    def add(self, connection: Rested) -> None:
+        """It stands idle; ``idle_since`` and ``handle`` stay as they are while it does."""
+        insort(self._by_age, (connection.idle_since, connection.handle, connection), key=BY_AGE)
+
+    def remove(self, connection: Rested) -> None:
+        """It stands idle no longer, if it did."""
+        place = bisect_left(self._by_age, (connection.idle_since, connection.handle), key=BY_AGE)
+        if place < len(self._by_age) and self._by_age[place][2] is connection:
+            del self._by_age[place]
+
+    def oldest(self, since: float = math.inf) -> Rested | None:
+        """The one that has been idle longest, if that began at that time or before."""
+        if not self._by_age or self._by_age[0][0] > since:
+            return None
+        return self._by_age[0][2]
--- a/lupinlink/net/application_servers/pool.py
+++ b/lupinlink/net/application_servers/pool.py
@@ -5,26 +5,14 @@
 import logging
 import math
 from dataclasses import dataclass, field
-from typing import Protocol
 
-from lupinlink.net.application_servers.attempts import Attempt
+from lupinlink.net.application_servers.idle_connections import IdleConnections
+from lupinlink.net.application_servers.idle_connections import Rested as Rested
 
 log = logging.getLogger("lupinlink.net.application_servers")
 SENT_LATELY_MS = 10_000.0  # neither: of others nobody asks
 
 
-class Rested(Protocol):
-    """A connection that may stand idle here."""
-
-    handle: int
-    idle_since: float
-    pool: Pool
-
-    def carry(self, attempt: Attempt) -> None: ...
-    def stale(self) -> bool: ...
-    def drop(self) -> None: ...
-
-
 @dataclass(slots=True, eq=False)
 class Pool:
     """The connections to one process of an application server."""
@@ -33,6 +21,7 @@
     host: str
     port: int
     started_ms: float
+    all_idle: IdleConnections = field(default_factory=IdleConnections)  # those of all pools
     current: bool = True  # False: that process is gone, or wants nothing more
     trip_ms: float = math.inf  # there and back: of the connection that came up quickest
     reached: bool = True  # whether the last connection came up; its changes are logged, not each failure
@@ -53,12 +42,25 @@
             kv = {"server": self.name, "sent_ms_ago": int(now - self.sent_at)}
             log.info("backend leaves service", extra={"kv": kv})
 
+    def rest(self, connection: Rested) -> None:
+        """It stands idle from now on."""
+        self.idle.append(connection)
+        self.all_idle.add(connection)
+
+    def take(self) -> Rested:
+        """The one that was used last; there has to be one."""
+        connection = self.idle.pop()
+        self.all_idle.remove(connection)
+        return connection
+
     def forget(self, connection: Rested) -> None:
+        """It stands idle no longer, if it did."""
         if connection in self.idle:
             self.idle.remove(connection)
+            self.all_idle.remove(connection)
 
     def void(self) -> None:
         """Close what is idle; what is busy closes after its attempt."""
         self.current = False
         while self.idle:
-            self.idle.pop().drop()
+            self.take().drop()
--- a/lupinlink/net/application_servers/pools.py
+++ b/lupinlink/net/application_servers/pools.py
@@ -12,6 +12,7 @@
 from lupinlink.net.application_servers.attempts import Attempt
 from lupinlink.net.application_servers.composing import compose
 from lupinlink.net.application_servers.dialling import Dial
+from lupinlink.net.application_servers.idle_connections import IdleConnections
 from lupinlink.net.application_servers.outcomes import read_report
 from lupinlink.net.application_servers.pool import Pool
 from lupinlink.net.counters import Counters
@@ -43,6 +44,7 @@
         self.read_waiting_news: Callable[[], bool] = lambda: False
         self._reactor = reactor
         self._pools: dict[str, Pool] = {}
+        self._idle = IdleConnections()
         self._idle_ms = settings.idle_close_ms * IDLE_SHARE
         clock.after(SWEEP_MS, self._sweep)
 
@@ -60,7 +62,8 @@
             if pool is None or (pool.host, pool.port) != (host, port) or row.started_ms > pool.started_ms:
                 if pool is not None:
                     pool.void()
-                pool = self._pools[row.name] = Pool(row.name, host, port, row.started_ms)
+                pool = Pool(row.name, host, port, row.started_ms, self._idle)
+                self._pools[row.name] = pool
             was_current, pool.current = pool.current, row.state == EndpointState.READY
             if not pool.current:
                 if was_current:
@@ -105,7 +108,7 @@
             attempt.end(AttemptEnd(Status.NOT_SENT))
             return attempt
         while pool.idle:
-            connection = pool.idle.pop()
+            connection = pool.take()
             if now - connection.idle_since < self._idle_ms and not connection.stale():
                 self.counters["connections_reused"] += 1
                 connection.carry(attempt)
@@ -127,11 +130,7 @@
 
     def _evict(self) -> bool:
         """Make room: the connection that has been idle longest goes. Its socket is freed a turn later."""
-        oldest = min(
-            (pool.idle[0] for pool in self._pools.values() if pool.idle),
-            key=lambda c: c.idle_since,
-            default=None,
-        )
+        oldest = self._idle.oldest()
         if oldest is not None:
             oldest.pool.forget(oldest)
             oldest.drop()
@@ -141,15 +140,14 @@
     def _sweep(self) -> None:
         """Close idle connections well before their application server would."""
         limit = self.clock.now() - self._idle_ms
-        for pool in self._pools.values():
-            while pool.idle and pool.idle[0].idle_since <= limit:
-                pool.idle.pop(0).drop()
+        while (connection := self._idle.oldest(limit)) is not None:
+            connection.pool.forget(connection)
+            connection.drop()
         self.clock.after(SWEEP_MS, self._sweep)
 
     def gauges(self) -> dict[str, int]:
         """The size of every table here."""
-        idle = sum(len(pool.idle) for pool in self._pools.values())
-        return {"server_connections_now": len(self.connections), "server_connections_idle": idle,
+        return {"server_connections_now": len(self.connections), "server_connections_idle": len(self._idle),
                 "pools": len(self._pools)}  # fmt: skip
 
     def busy(self) -> set[str]:
--- a/lupinlink/net/application_servers/sending.py
+++ b/lupinlink/net/application_servers/sending.py
@@ -222,7 +222,7 @@
         if reuse and self.pool.current:
             if used:
                 self.idle_since = self._servers.clock.now()
-            self.pool.idle.append(self)
+            self.pool.rest(self)
         else:
             self.drop()
 
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -30,6 +30,7 @@
     "interface limits limits.foresight limits.progress limits.returns list_trust lupinlink net "
     "net.application_servers net.application_servers.attempts net.application_servers.composing "
     "net.application_servers.connection net.application_servers.dialling "
+    "net.application_servers.idle_connections "
     "net.application_servers.outcomes net.application_servers.pool net.application_servers.pools "
     "net.application_servers.sending net.backend_list net.bodies net.clients net.clients.accepting "
     "net.clients.answers net.clients.calls net.clients.peer net.clients.phases net.clients.places "
