Among very many backends use those first that still have a connection open

Need: the operators' table lets a process make at most 2.5 times the connections, and 40, with sixteen times the backends. Seen: six real processes, 60 requests a second each, 20 s: 261 connections with 200 backends, 1,098 with 3,200 where 693 are allowed, since hardly a backend is drawn again before its connection is closed at rest. Change: where a node draws from more than 256 backends, 0.7 of the requests without a key go first to one that has answered within half of the time for which connections may rest, has no request of this node and fits like any other; up to 256 nothing changes. Ruled out: a stretch that is cut to the traffic (its backends would bear several times their share). Price, not measured on a farm with limits: a backend gets its requests of one node in groups of some three.

--- a/lupinlink/brain/choice.py
+++ b/lupinlink/brain/choice.py
@@ -11,6 +11,8 @@
 from lupinlink.node import Node
 from lupinlink.spread.aperture import Aperture
 from lupinlink.spread.keys import Homes, checksum
+from lupinlink.spread.recent_use import RecentUse
+from lupinlink.spread.weighted_buckets import MOST_IN_BUCKET
 
 LATENCY, REPORT = 0, 1  # sources of a load figure
 SHARPNESS, TRUST_GAIN, TRUST_MIN = 1.8, 0.01, 0.1  # power of the known load, cut to what it foretold so far
@@ -20,6 +22,9 @@
 SIZE_RATE, KIND_RATE, SIZE_MAX, LOAD_MAX = 0.04, 0.3, 1.5, 3.0  # of a log load a second; bounds on logs
 LEVEL_GAIN, GROUP_GAIN = 0.02, 0.05  # of one figure for the usual of all, and of its group
 OWN_SHARPNESS, PICK_TRIES = 4.0, 8  # power of this node's own requests in flight over size; most draws
+# Among very many servers hardly one is drawn again before its connection is closed at rest. So many requests
+# go first to one that was used within that share of the time for which connections may rest.
+REUSED, REST_SHARE = 0.7, 0.5
 GOLDEN = 0.6180339887498949  # step of draws: turns come evenly spread
 PRICE_SCALE = 30.0  # log weight lost for each point of the crossing price, while the own zone is at ease
 
@@ -37,6 +42,7 @@
         self.homes = Homes(settings.peers)
         self.stretch = Stretch(Aperture(settings.rank, settings.peers), self.weight)
         self.table = self.stretch.table
+        self.recent: RecentUse[Server] = RecentUse(REST_SHARE * settings.idle_close_ms)
         self._told: dict[Server, None] = {}  # news of these has come since their weights were drawn up
 
     def observe(self, server: Server, figure: float, source: int, gain: float, now: float) -> None:
@@ -97,7 +103,7 @@
         """One weighted draw in O(log n), or by the request's key, and some more where that does not fit."""
         self.refresh(now)
         last = None
-        for server in self.drawn(key if self.settings.warm_keys else ""):
+        for server in self.drawn(key if self.settings.warm_keys else "", now):
             if fits(server):
                 # What it is known to hold by now is load known at once: draw again in proportion.
                 share = self.limits.share(server, self.size(server), node.in_flight, len(self.table), now)
@@ -123,7 +129,7 @@
         """One of these by their weights."""
         return self.rng.choices(servers, [self.weight(s, now) for s in servers])[0]
 
-    def drawn(self, key: str) -> Iterable[Server]:
+    def drawn(self, key: str, now: float) -> Iterable[Server]:
         """Servers at random by their weights. With a key the key's hash is the chance: as long as weights
         hold, it meets the same few servers, and at every node, where its data are warm (spread/keys.py)."""
         if not self.table:
@@ -134,6 +140,10 @@
             number = self.homes.number(mix, len(self.table))
             yield from self.table.homes(mix, number, PICK_TRIES, self.rng.random())
             return
+        if len(self.table) > MOST_IN_BUCKET and self.rng.random() < REUSED:
+            server = self.recent.draw(self.rng.random(), now)
+            if server is not None and server in self.table and server.out == 0:
+                yield server
         for _ in range(PICK_TRIES):
             self.draw = (self.draw + GOLDEN) % 1.0
             yield self.table.draw(self.draw)
--- a/lupinlink/brain/learning.py
+++ b/lupinlink/brain/learning.py
@@ -124,6 +124,7 @@
         if status in (Status.OK, Status.ERROR, Status.OVERLOADED, Status.REJECTED):
             server.heard_at, server.silent, server.absent = now, 0, 0
         if status == Status.OK:
+            self.split.recent.used(server, now)
             gain = 0.0 if self.settings.reports_in_answers else LATENCY_GAIN
             self.split.observe(server, delay * aim / stats.mean, LATENCY, gain, now)
             stats.add(delay * aim, STATS_GAIN)
--- a/tests/drain_discovery.py
+++ b/tests/drain_discovery.py
@@ -36,6 +36,7 @@
         self.watching: queue.Queue[int] = queue.Queue()  # a token as each watch is up to date
         self.form = Form.DELTA
         self.cut_bytes = 0  # that pass, of what is cut short
+        self.sent_bytes = 0  # of objects on watches
         self.opened: list[float] = []  # when watches were answered
         self.written: dict[str, float] = {}  # when the drain of a backend was first written here
         self.open: set[socket.socket] = set()
@@ -107,6 +108,7 @@
             self.note([row["uid"] for row in rows])
             return
         third = len(data) // 3 + 1 if self.form == Form.INDENTED else len(data)
+        self.sent_bytes += len(data)
         for begin in range(0, len(data), third):
             connection.sendall(data[begin : begin + third])
         if self.form == Form.BROKEN:
--- a/tests/open_load.py
+++ b/tests/open_load.py
@@ -41,9 +41,10 @@
 
     def play(self, seconds: float) -> None:
         """Blocks until the last of these requests is over."""
-        asyncio.run(self._play(seconds))
+        asyncio.run(self.play_here(seconds))
 
-    async def _play(self, seconds: float) -> None:
+    async def play_here(self, seconds: float) -> None:
+        """The same in the event loop that runs."""
         rng, begin, tasks = Random(self.seed), time.monotonic(), []
         for number in range(int(seconds * self.per_second)):
             await asyncio.sleep(max(0.0, begin + number / self.per_second - time.monotonic()))
--- /dev/null
+++ b/tests/production_table.py
@@ -0,0 +1,150 @@
+"""What real processes need with 200 and with 3,200 backends: ``python -m tests.production_table 6 30 20``.
+
+Words: processes, requests a second of each, seconds. The processes play one after the other with the usual
+number of backends and with sixteen times as many, the same traffic; the rows are those of the operators' page
+on production, each with its bound.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+import threading
+import time
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from tests.answering_backend import AnsweringBackend
+from tests.drain_fleet import Member
+from tests.many_backends import MANY, ManyBackendsStage
+from tests.open_load import OpenLoad
+
+USUAL = 200
+TICKS = 100.0  # a second, of the times in /proc
+MEGABYTE = 1024.0 * 1024.0
+
+
+@dataclass
+class Needs:
+    """What one process needed in the mean."""
+
+    cpu_s: float = 0.0
+    memory_mb: float = 0.0
+    descriptors: float = 0.0
+    connections: float = 0.0
+    list_kb: float = 0.0
+    served: float = 0.0
+
+
+@dataclass(frozen=True)
+class Bound:
+    """At most ``times`` what is needed usually, so much more, and so much for each thousand backends."""
+
+    times: float
+    more: float
+    per_thousand: float = 0.0
+
+    def of(self, usual: float, backends: int) -> float:
+        return self.times * usual + self.more + self.per_thousand * backends / 1000.0
+
+
+BOUNDS = {
+    "cpu_s": Bound(1.4, 0.02, 0.12),
+    "memory_mb": Bound(1.5, 8.0, 4.0),
+    "descriptors": Bound(2.0, 40.0),
+    "connections": Bound(2.5, 40.0),
+    "list_kb": Bound(2.0, 64.0, 500.0),
+}
+LEAST_SERVED = 0.85  # share of what is served usually
+
+
+class Day(ManyBackendsStage):
+    """The same traffic for so many backends."""
+
+    def shared_listener(self) -> Any:
+        return AnsweringBackend()
+
+    def play(self, processes: int, per_second: float, seconds: float) -> Needs:
+        doors = [self.shared.door() for _ in range(processes)]
+        members = [self.spawn(f"n{rank}", door, rank=rank) for rank, door in enumerate(doors)]
+        self.await_serving(*members)
+        for door in doors:
+            door.watching.get(timeout=30.0)
+        before = [cpu_s(member) for member in members]
+        loads = [OpenLoad(m.port, per_second, leavers=0.0, seed=i) for i, m in enumerate(members)]
+        clients = threading.Thread(target=asyncio.run, args=(play_all(loads, seconds),))
+        clients.start()
+        for second in range(int(seconds)):
+            time.sleep(1.0)
+            if second % 4 == 3 and second < 15:
+                self.shared.drain(f"s-{second // 4}")
+        clients.join()
+        return self.needs(members, before, loads)
+
+    def needs(self, members: list[Member], before: list[float], loads: list[OpenLoad]) -> Needs:
+        found = Needs()
+        share = 1.0 / len(members)
+        for member, cpu, load in zip(members, before, loads, strict=True):
+            found.cpu_s += share * (cpu_s(member) - cpu)
+            found.memory_mb += share * peak_mb(member)
+            found.descriptors += share * len(list(Path(f"/proc/{member.process.pid}/fd").iterdir()))
+            found.connections += share * self.opened(member)
+            found.list_kb += share * sum(door.sent_bytes for door in member.doors) / 1024.0
+            found.served += share * load.statuses()[200] / len(load.sent)
+        return found
+
+    def opened(self, member: Member) -> int:
+        self.process, self.log = member.process, member.log
+        return self.gauges()["connections_opened"]
+
+
+async def play_all(loads: list[OpenLoad], seconds: float) -> None:
+    """All clients in one event loop."""
+    await asyncio.gather(*(load.play_here(seconds) for load in loads))
+
+
+def cpu_s(member: Member) -> float:
+    """Processor time so far."""
+    fields = Path(f"/proc/{member.process.pid}/stat").read_text().rsplit(") ", 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) / TICKS
+
+
+def peak_mb(member: Member) -> float:
+    """The most that it has had in memory."""
+    status = Path(f"/proc/{member.process.pid}/status").read_text()
+    line = next(line for line in status.splitlines() if line.startswith("VmHWM"))
+    return int(line.split()[1]) / 1024.0
+
+
+def day(backends: int, processes: int, per_second: float, seconds: float) -> Needs:
+    """One play."""
+    stage = Day()
+    type(stage).backends_listed, type(stage).peers = backends, processes
+    stage.setUp()
+    try:
+        return stage.play(processes, per_second, seconds)
+    finally:
+        stage.doCleanups()
+
+
+def main(words: list[str]) -> int:
+    """Print the rows; returns 1 if one is over its bound."""
+    processes = int(words[0])
+    per_second, seconds = map(float, words[1:3])
+    usual = day(USUAL, processes, per_second, seconds)
+    many = day(MANY, processes, per_second, seconds)
+    over = 0
+    for name, bound in BOUNDS.items():
+        least, most = getattr(usual, name), getattr(many, name)
+        allowed = bound.of(least, MANY)
+        over += most > allowed
+        verdict = "OVER" if most > allowed else "ok"
+        print(f"{name:12} {least:9.2f} {most:9.2f}  allowed {allowed:9.2f}  {verdict}")
+    poor = many.served < LEAST_SERVED * usual.served
+    print(f"served       {usual.served:9.3f} {many.served:9.3f}  {'UNDER' if poor else 'ok'}")
+    return int(over > 0 or poor)
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -43,7 +43,8 @@
     "net.loop_turns net.management net.open_requests net.parts net.premises "
     "net.process net.proxy net.service net.slots net.socket_peek net.terms net.typed net.watch "
     "net.watch_dial net.watch_listener net.wheel node records settings settings.config settings.model "
-    "settings.parser spread spread.aperture spread.keys spread.weighted_buckets"
+    "settings.parser spread spread.aperture spread.keys spread.recent_use "
+    "spread.weighted_buckets"
 )
 
 
--- /dev/null
+++ b/tests/test_recent_use.py
@@ -0,0 +1,61 @@
+"""Servers used lately, and how many connections a node among thousands of servers needs."""
+
+from __future__ import annotations
+
+from collections import Counter
+from random import Random
+
+from lupinlink.interface import Endpoint, Settings, Status
+from lupinlink.spread.recent_use import MOST_REMEMBERED, RecentUse
+from tests.helpers import SAFE, Stand, sends
+
+USUAL, MANY = 200, 3200
+MOST_CONNECTIONS = 2.5  # times as many as with the usual number of servers
+REST_MS = 6000.0  # so long does a connection rest open, of the ten seconds that the settings allow
+
+
+def test_those_used_lately_are_drawn_alike_and_others_forgotten() -> None:
+    recent, rng = RecentUse[int](1000.0), Random(1)
+    for item in range(10):
+        recent.used(item, 100.0 * item)
+    recent.used(0, 900.0)
+    drawn = Counter(recent.draw(rng.random(), 1250.0) for _ in range(7000))
+    assert set(drawn) == {0, 3, 4, 5, 6, 7, 8, 9}
+    assert max(drawn.values()) < 1.3 * min(drawn.values())
+    assert recent.draw(0.5, 5000.0) is None
+    for item in range(2 * MOST_REMEMBERED):
+        recent.used(item, 6000.0)
+    assert len(recent) == MOST_REMEMBERED
+
+
+def connections(servers: int, per_second: float, seconds: float) -> int:
+    """How many a node makes whose requests take 20 ms each."""
+    stand = Stand(Settings(classes=(SAFE,), peers=6), "")
+    stand.now = 1e12
+    stand.members([Endpoint(f"s-{i}") for i in range(servers)])
+    used_at, made = dict[str, float](), 0
+    for number in range(int(per_second * seconds)):
+        (send,) = sends(stand.ask(str(number)))
+        made += stand.now - used_at.get(send.endpoint, 0.0) > REST_MS
+        stand.until(stand.now + 1000.0 / per_second)
+        stand.end(str(number), Status.OK, send.endpoint)
+        used_at[send.endpoint] = stand.now
+    return made
+
+
+# Guards against a new connection for nearly each request, because there are so many servers to choose from.
+def test_many_servers_need_few_more_connections() -> None:
+    assert connections(MANY, 50.0, 30.0) <= MOST_CONNECTIONS * connections(USUAL, 50.0, 30.0) + 40
+
+
+def test_all_of_many_servers_are_used_in_the_long_run() -> None:
+    stand = Stand(Settings(classes=(SAFE,), peers=6), "")
+    stand.now = 1e12
+    stand.members([Endpoint(f"s-{i}") for i in range(600)])
+    used = Counter[str]()
+    for number in range(12000):
+        (send,) = sends(stand.ask(str(number)))
+        used[send.endpoint] += 1
+        stand.until(stand.now + 20.0)
+        stand.end(str(number), Status.OK, send.endpoint)
+    assert len(used) == 600 and max(used.values()) < 3 * 12000 / 600
