--- a/tests/test_drain_answers.py
+++ b/tests/test_drain_answers.py
@@ -25,7 +25,7 @@
 
 from tests.discovery_replies import Kind, Reply
 from tests.drain_fleet import ALL_TOLD_S, DRAINED, TOLD_AFTER_END_S, FleetStage, Member
-from tests.drain_script import CallFault, Change, Fault, OutageOf, Restart, Run, Script
+from tests.drain_script import Away, CallFault, Change, Fault, Going, OutageOf, Restart, Run, Script
 from tests.test_drain_faults import Forced
 
 JUDGED_S = 1.0  # so long after the last moment of telling the load still goes on
@@ -99,5 +99,17 @@
         self.in_time(Script((Change(5000.0),), (outage,), (run,), restarts=(restart,)))
 
 
+class EndedBeforeRefusals(Forced):
+    """A watch ends instead of telling; the calls after it are turned down, so they show nothing of its news."""
+
+    def test_news_of_an_ended_watch_counts_though_calls_are_turned_down(self) -> None:
+        for going_at, begin, end, delay in (
+            (9000.0, 9400.0, 37700.0, 2000.0),
+            (12600.0, 13300.0, 15500.0, 0.0),
+        ):
+            outage = OutageOf(begin, end, Away.ERROR, delay)
+            self.in_time(Script((Change(going_at, Going.REMOVAL),), (outage,), ends_instead=True))
+
+
 if __name__ == "__main__":
     unittest.main()
