--- a/tests/backend_list.py
+++ b/tests/backend_list.py
@@ -19,6 +19,12 @@
             "pod_group": number, "state": READY, "capacity_hint": 1.0, "boot_ms": 0}  # fmt: skip
 
 
+def hardly_asked(number: int) -> Entry:
+    """One of many backends that make the list long; so small that hardly a request goes there."""
+    where = {"uid": f"many-{number}", "endpoint": f"10.2.{number // 250}.{number % 250 + 1}:7070"}
+    return {**backend(0), **where, "capacity_hint": 1e-9}
+
+
 class BackendList:
     """The truth; backend number n goes with the n-th change."""
 
@@ -26,6 +32,7 @@
         self._script = script
         self._truth = {f"s-{i}": backend(i) for i in range(1, len(script.changes) + SPARE + 1)}
         self._going = set(list(self._truth)[: len(script.changes)])
+        self._truth |= {row["uid"]: row for row in map(hardly_asked, range(script.more_backends))}
         self._changed = dict.fromkeys(self._truth, 0)  # the revision in which each last changed
         self._left: dict[str, Entry] = {}  # entries that are off the list
         self.revision = 0
--- a/tests/discovery_drive.py
+++ b/tests/discovery_drive.py
@@ -179,7 +179,7 @@
     def _dial(self, host: str, port: int) -> Link:
         if (host, port) in ADDRESSES:
             return self._discovery.dial(ADDRESSES.index((host, port)))
-        return self._backend(f"s-{host.rsplit('.', 1)[1]}")
+        return self._backend(f"s-{host.removeprefix('10.1.0.')}")
 
     def _backend(self, name: str) -> Link:
         """A connection to a backend, that answers each request at once."""
--- a/tests/drain_discovery.py
+++ b/tests/drain_discovery.py
@@ -121,7 +121,6 @@
         connection.sendall(data[: self.cut_bytes])
         self.form = Form.DELTA
         del self.watches[connection]
-
         threading.Timer(CUT_S, reset, (connection,)).start()
 
     def note(self, uids: Any) -> None:
@@ -170,7 +169,7 @@
         """These drain from now on; every watch that is told gets it at once."""
         with self.lock:
             self.rev += 1
-            for uid in uids:
+            for uid in [uid for uid in self.rows if uid in uids or uid.rpartition("/")[0] in uids]:
                 self.rows[uid] = {**self.rows[uid], "state": "terminating"}
                 self.changes.append((self.rev, self.rows[uid]))
                 self.drained_at[uid] = time.monotonic()
--- a/tests/drain_fleet.py
+++ b/tests/drain_fleet.py
@@ -134,11 +134,17 @@
 
     forms: ClassVar[tuple[Form, ...]] = (Form.DELTA,)  # of the news, by turns
     peers: ClassVar[int] = 4  # processes that the settings tell of
+    more_backends: ClassVar[int] = 0  # that share the listeners of the four
 
     def setUp(self) -> None:
         super().setUp()
         self.backends = {uid: self.peer(Backend()) for uid in UIDS}
         self.rows = [row(uid, backend) for uid, backend in self.backends.items()]
+        self.rows += [
+            row(f"{uid}/{number}", backend)  # one more of the same: it drains when that does
+            for uid, backend in self.backends.items()
+            for number in range(self.more_backends // len(UIDS))
+        ]
         self.shared = self.peer(SharedDiscovery(self.rows))
         self.members: list[Member] = []
 
--- a/tests/drain_script.py
+++ b/tests/drain_script.py
@@ -118,6 +118,7 @@
     ends_instead: bool = False  # a change ends the watches instead of being told on them
     pieces: bool = False  # an object comes in two pieces, 300 ms apart
     first_empty: bool = False  # a watch begins with an object though nothing has changed
+    more_backends: int = 0  # that stay, and get hardly a request
     seed: int = 1
 
     @property
--- a/tests/drain_survey.py
+++ b/tests/drain_survey.py
@@ -1,6 +1,7 @@
-"""Plays many drawn scripts and sums them up: ``python -m tests.drain_survey N [SEED] [pushed] [apart]``.
+"""Plays many drawn scripts: ``python -m tests.drain_survey N [SEED] [pushed] [apart] [thousands]``.
 
-``apart`` leaves out scripts in which an outage begins less than 6 s after another's end.
+``apart`` leaves out scripts in which an outage begins less than 6 s after another's end; ``thousands`` has
+discovery list so many more backends.
 """
 
 from __future__ import annotations
@@ -20,6 +21,7 @@
 
 EVENTS = ("pauses", "restarts", "moves", "runs", "silences", "outages", "changes")
 FLAGS = ("pieces", "indented", "leaves_out", "first_empty", "must_ask_ms", "peers", "rank")
+THOUSANDS = 3000
 SHRUNK = 12  # failing scripts that are made small and shown
 
 
@@ -92,7 +94,9 @@
     strategy = pushed if "pushed" in words else asked
     if "apart" in words:
         strategy = strategy.filter(lambda script: not outages_meet(script))
-    words = [word for word in words if word not in ("pushed", "apart")]
+    if "thousands" in words:
+        strategy = strategy.map(lambda script: replace(script, more_backends=THOUSANDS))
+    words = [word for word in words if word not in ("pushed", "apart", "thousands")]
     if not 1 <= len(words) <= 2 or not all(word.isdecimal() and int(word) for word in words):
         sys.exit(f"drain_survey: {' '.join(words)!r} is not N [SEED], whole numbers from 1 on")
     played = survey(strategy, int(words[0]), *map(int, words[1:2]))
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -13,6 +13,7 @@
 def play(seed: int) -> tuple[bool, str]:
     """One seed: whether nothing happened that must not, and what did."""
     soak = SoakStage()
+    soak.draw_size(seed)
     soak.setUp()
     try:
         verdict = soak.soak(seed)
--- a/tests/soak_fleet.py
+++ b/tests/soak_fleet.py
@@ -28,6 +28,7 @@
 CROWD = 150
 CONNECTIONS = 3  # of each client
 PEERS = (5, 12, 40, 200)
+MORE_BACKENDS = (0, 0, 3200)
 DISCOVERY_STEPS = ("silence", "end_all", "end_instead", "outage", "cut", "replies")
 PROCESS_STEPS = ("term", "kill", "reloads", "crowd")
 
@@ -37,11 +38,17 @@
 
     size: ClassVar[int] = 3
 
+    def draw_size(self, seed: int) -> None:
+        """How many backends and processes there are; before ``setUp``."""
+        self.rng = Random(seed)
+        type(self).peers = self.rng.choice(PEERS)
+        type(self).more_backends = self.rng.choice(MORE_BACKENDS)
+
     def soak(self, seed: int) -> Verdict:
-        """Play one seed."""
-        self.rng, self.verdict = Random(seed), Verdict(seed)
+        """Play one seed, of the size that was drawn for it."""
+        self.verdict = Verdict(seed)
+        self.verdict.events.append(f"{self.peers} peers, {self.more_backends} more backends")
         self.began = time.monotonic()
-        type(self).peers = self.rng.choice(PEERS)
         self.lock, self.outages, self.had = threading.Lock(), list[Outage](), dict[str, float]()
         self.lives: list[list[Life]] = [[self.life(rank)] for rank in range(self.size)]
         self.await_serving(*(lives[0].member for lives in self.lives))
@@ -61,16 +68,13 @@
         return self.verdict
 
     def steps(self) -> list[str]:
-        steps = ["drain_one", "drain_one"]
-        steps += self.rng.choices(DISCOVERY_STEPS, k=self.rng.randint(1, 3))
+        steps = ["drain_one", "drain_one"] + self.rng.choices(DISCOVERY_STEPS, k=self.rng.randint(1, 3))
         return steps + self.rng.choices(PROCESS_STEPS, k=self.rng.randint(1, 3))
 
     def life(self, rank: int) -> Life:
         door = self.shared.door()
         return Life(self.spawn(f"n{rank}", door, rank=rank, listen="127.0.0.1:0"), door)
 
-    # What happens.
-
     def drain_one(self) -> None:
         uid = UIDS[len(self.had)]
         self.had[uid] = self.shared.drain(uid)
@@ -159,8 +163,6 @@
         self.await_serving(life.member)
         self.clients(life)
 
-    # Clients.
-
     def clients(self, life: Life) -> None:
         for _ in range(CONNECTIONS):
             threading.Thread(target=self._client, args=(life,), daemon=True).start()
@@ -213,8 +215,6 @@
                     f"{trace} after {took:.2f} s ({exc!r}), sent {since:.2f} s after SIGTERM, seen={seen}"
                 )
 
-    # The referee.
-
     def judge_drains(self) -> None:
         """Every first byte at a backend that drains, against when that counts as told to its process."""
         for lives in self.lives:
--- a/tests/test_drain_scripts.py
+++ b/tests/test_drain_scripts.py
@@ -8,9 +8,11 @@
 import logging
 import os
 import unittest
+from dataclasses import replace
 from typing import ClassVar
 
 from hypothesis import HealthCheck, Phase, given, note, settings
+from hypothesis import strategies as st
 
 from tests.discovery_drive import drive
 from tests.drain_script import Script, asked, outages_meet, pushed
@@ -20,6 +22,8 @@
     max_examples=EXAMPLES, deadline=None, derandomize=True, database=None,
     phases=[Phase.generate, Phase.shrink], suppress_health_check=list(HealthCheck),
 )  # fmt: skip
+THOUSANDS, PEERS = 3000, (5, 12, 40, 200)
+few = settings(plan, max_examples=max(1, EXAMPLES // 10))
 
 
 class Driven(unittest.TestCase):
@@ -64,5 +68,19 @@
         self.play(script)
 
 
+class DrawnAmongThousands(Driven):
+    """The same with so long a list that it is taken in many turns of the event loop."""
+
+    @few
+    @given(asked.filter(lambda script: not outages_meet(script)), st.sampled_from(PEERS))
+    def test_where_discovery_is_asked(self, script: Script, peers: int) -> None:
+        self.play(replace(script, more_backends=THOUSANDS, peers=peers))
+
+    @few
+    @given(pushed, st.sampled_from(PEERS))
+    def test_where_lists_are_pushed(self, script: Script, peers: int) -> None:
+        self.play(replace(script, more_backends=THOUSANDS, peers=peers))
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -14,6 +14,7 @@
         for seed in SEEDS:
             with self.subTest(seed=seed):
                 soak = SoakStage()
+                soak.draw_size(seed)
                 soak.setUp()
                 self.addCleanup(soak.doCleanups)
                 verdict = soak.soak(seed)
