--- a/tests/drain_fleet.py
+++ b/tests/drain_fleet.py
@@ -20,7 +20,7 @@
 from typing import Any, ClassVar
 
 from tests.drain_discovery import Door, Form, SharedDiscovery
-from tests.peers import OK, WAIT, Peer, row
+from tests.peers import OK, WAIT, Peer, reset, row
 from tests.stage import SETTINGS, Stage
 
 GRACE_S, SLACK_S = 0.25, 0.05  # the grace after a change was told; what sockets may take on top
@@ -44,8 +44,10 @@
 class Backend(Peer):
     """Answers 200, whatever the list says of it, and records each request."""
 
-    def __init__(self) -> None:
+    def __init__(self, answer: bytes | None = OK) -> None:
+        """``answer``: to each request; None: none ever comes, empty: the connection ends."""
         self.receipts: list[Receipt] = []
+        self.answer = answer
         super().__init__()
 
     def talk(self, connection: socket.socket) -> None:
@@ -61,7 +63,9 @@
             for line in head.decode("latin-1").split("\r\n"):
                 if line.lower().startswith("x-trace-id:"):
                     self.receipts.append(Receipt(at, line.partition(":")[2].strip()))
-            connection.sendall(OK)
+            if self.answer == b"":
+                return reset(connection)
+            connection.sendall(self.answer or b"")
 
     @staticmethod
     def received(ancillary: list[tuple[int, int, bytes]]) -> float:
--- a/tests/many_backends.py
+++ b/tests/many_backends.py
@@ -62,6 +62,8 @@
         """Play the load, and judge that no request was lost."""
         load = OpenLoad(member.port, **{"per_second": PER_SECOND, **more})  # type: ignore[arg-type]
         load.play(seconds)
+        self.process, self.log = member.process, member.log
+        print(f"longest turn of the event loop: {self.gauges()['longest_turn_ever_ms']} ms")
         self.judge_lost(load)
         return load
 
--- a/tests/soak_fleet.py
+++ b/tests/soak_fleet.py
@@ -68,8 +68,9 @@
         return self.verdict
 
     def steps(self) -> list[str]:
-        steps = ["drain_one", "drain_one"] + self.rng.choices(DISCOVERY_STEPS, k=self.rng.randint(1, 3))
-        return steps + self.rng.choices(PROCESS_STEPS, k=self.rng.randint(1, 3))
+        steps = self.rng.choices(DISCOVERY_STEPS, k=self.rng.randint(1, 3))
+        steps += self.rng.choices(PROCESS_STEPS, k=self.rng.randint(1, 3))
+        return ["drain_one", "drain_one", *steps]
 
     def life(self, rank: int) -> Life:
         door = self.shared.door()
--- a/tests/test_drain_answers.py
+++ b/tests/test_drain_answers.py
@@ -100,14 +100,11 @@
 
 
 class EndedBeforeRefusals(Forced):
-    """A watch ends instead of telling; the calls after it are turned down, so they show nothing of its news."""
+    """A watch ends instead of telling; calls that are turned down after it show nothing of its news."""
 
     def test_news_of_an_ended_watch_counts_though_calls_are_turned_down(self) -> None:
-        for going_at, begin, end, delay in (
-            (9000.0, 9400.0, 37700.0, 2000.0),
-            (12600.0, 13300.0, 15500.0, 0.0),
-        ):
-            outage = OutageOf(begin, end, Away.ERROR, delay)
+        outages = OutageOf(9400.0, 37700.0, Away.ERROR, 2000.0), OutageOf(13300.0, 15500.0, Away.ERROR)
+        for going_at, outage in zip((9000.0, 12600.0), outages, strict=True):
             self.in_time(Script((Change(going_at, Going.REMOVAL),), (outage,), ends_instead=True))
 
 
