--- a/tests/soak_fleet.py
+++ b/tests/soak_fleet.py
@@ -46,8 +46,7 @@
 
     def soak(self, seed: int) -> Verdict:
         """Play one seed, of the size that was drawn for it."""
-        self.verdict = Verdict(seed)
-        self.verdict.events.append(f"{self.peers} peers, {self.more_backends} more backends")
+        self.verdict = Verdict(seed, events=[f"{self.peers} peers, {self.more_backends} more backends"])
         self.began = time.monotonic()
         self.lock, self.outages, self.had = threading.Lock(), list[Outage](), dict[str, float]()
         self.lives: list[list[Life]] = [[self.life(rank)] for rank in range(self.size)]
