Bound the backends looked through for all waiting requests together

Cause, of the incident's class: where backends are free but none may have the waiting requests (a keyed class whose zone is gone), each of them looked through up to 512 backends at each look. Change: 2,048 in 50 ms for all together, beside those that are drawn; up to some hundred backends nothing is left out by it.

--- a/lupinlink/brain/dispatching.py
+++ b/lupinlink/brain/dispatching.py
@@ -14,7 +14,9 @@
 OVERDUE_DEVS, OVERDUE_LEAST = 2.0, 0.5  # later than so many deviations, and so many aims, is news
 OVERDUE_AGAIN, LOST_DEVS, SILENT_MOST = 1.5, 20.0, 3  # so many times the age again; lost beyond; it hangs
 LOOK_MS = 50.0  # where no backend may take a request, so long until the next look, one for all that wait
+MOST_ASKED = 2048  # backends that are looked through in such a span beside those drawn, for all that wait
 ANSWER_MARGIN_MS = 15.0  # a refusal goes out so long before its client leaves
+REFUSED_FOR = {WaitingFor.LIST: RefusalCause.LIST_HELD, WaitingFor.BACKEND: RefusalCause.NO_BACKEND}
 SENT_AT_ONCE = 16  # most requests that begin in one turn of the loop after a wait
 
 
@@ -25,6 +27,7 @@
         super().__init__(settings, rng)
         self.waiting = WaitingRequests()
         self.none_free_until = -math.inf  # a look has found that no backend may take anything
+        self.asked, self.asked_from = 0, -math.inf  # backends looked through, since then
         self.release_at = math.inf  # when the hold is looked at next
         self.look_at = math.inf  # when those that wait for a backend are looked at next
 
@@ -72,18 +75,26 @@
             return self.has_room(server, now) and self.may_take(request, server, now)
 
         server = self.split.pick(now, self, request.arrival.key, fits)
-        if server is None and now >= self.none_free_until:
+        if server is None and now >= self.none_free_until and self.may_look_through(now):
             server = self.look_at_more(request, now)
         return server
 
+    def may_look_through(self, now: float) -> bool:
+        """Whether few enough backends were looked through lately: requests that fit nowhere may be many."""
+        if now >= self.asked_from + LOOK_MS:
+            self.asked, self.asked_from = 0, now
+        return self.asked < MOST_ASKED
+
     def look_at_more(self, request: Request, now: float) -> Server | None:
         """One of those that were not drawn."""
         row = bound_to_cell(request)
         if row is not None:
             near = [s for s in self.split.stretch.cell(row.zone, row.cell) if self.split.may_be_asked(s, now)]
+            self.asked += len(near)
             return self.draw_fitting(request, [s for s in near if self.has_room(s, now)], now)
         any_free = False
         for servers in self.split.not_drawn(now):
+            self.asked += len(servers)
             free = [s for s in servers if self.has_room(s, now) and self.slow_start.allows(s, now)]
             any_free = any_free or bool(free)
             if (found := self.draw_fitting(request, free, now)) is not None:
@@ -111,10 +122,9 @@
         """The guard of the rules for every send: one answer, one effect, drains, cold servers."""
         if not server.ready or any(a.server is server for a in request.attempts):
             return False
-        for a in request.attempts:  # no second copies: they cost more than they save (docs/design.md)
-            if not may_follow(a, request.cls, server.row, now):
-                return False
-        return self.slow_start.allows(server, now)
+        # No second copies: they cost more than they save (docs/design.md).
+        harmless = all(may_follow(a, request.cls, server.row, now) for a in request.attempts)
+        return harmless and self.slow_start.allows(server, now)
 
     def send(self, request: Request, server: Server, now: float) -> None:
         """Begin an attempt, and look after it."""
@@ -126,8 +136,7 @@
 
     def wait(self, request: Request, cause: WaitingFor, now: float) -> None:
         """It waits, at most for as long as an answer is worth anything."""
-        left = self.worth_waiting_until(request) - now
-        if left <= 0.0:
+        if (left := self.worth_waiting_until(request) - now) <= 0.0:
             return self.give_up(request, cause)
         waiting = self.waiting.add(request, cause)
         self.after(left, lambda t: self.waited(waiting, t))
@@ -147,8 +156,7 @@
 
     def give_up(self, request: Request, cause: WaitingFor) -> None:
         """Nothing has come for it in time."""
-        held = cause is WaitingFor.LIST
-        self.finish(request, RefusalCause.LIST_HELD if held else RefusalCause.NO_BACKEND)
+        self.finish(request, REFUSED_FOR[cause])
 
     def list_may_serve(self, now: float) -> None:
         self.none_free_until = -math.inf
--- a/tests/test_backends_asked.py
+++ b/tests/test_backends_asked.py
@@ -4,10 +4,15 @@
 
 import unittest
 from collections.abc import Callable
+from dataclasses import replace
+from unittest.mock import patch
 
-from lupinlink.interface import DiscoveryWatchEnded, Settings, Status
+from lupinlink.brain.choice import PICK_TRIES
+from lupinlink.brain.dispatching import LOOK_MS, MOST_ASKED
+from lupinlink.interface import DiscoveryWatchEnded, Endpoint, Scope, Settings, Status
+from lupinlink.spread.weighted_buckets import MOST_IN_BUCKET
 from tests.counted_servers import CountedStand, reads_of
-from tests.helpers import SAFE
+from tests.helpers import KEYED, SAFE, Stand, sends
 
 FEW, MANY = 400, 6400
 MOST_RATIO = 1.5  # of what is asked among many over what is asked among few
@@ -97,6 +102,25 @@
 
         self.compare(pass_time)
 
+    # Guards against looking through all backends for each of many requests that none of them may have.
+    def test_requests_that_no_free_backend_may_have(self) -> None:
+        zone_wide = replace(KEYED, scope=Scope.ZONE, dedup_ms=5000.0, deadline_ms=3000.0, aim_ms=3000.0)
+        stand = Stand(Settings(classes=(zone_wide,), peers=6, max_attempts=3), "")
+        lost = [Endpoint(f"lost-{i}", zone=1) for i in range(8)]
+        stand.members(lost)
+        sent = [sends(stand.ask(str(i)))[0] for i in range(WAITING)]
+        stand.members([Endpoint(f"s-{i}") for i in range(MANY)])
+        stand.node.retry_tokens = 2.0 * WAITING
+        for i, send in enumerate(sent):
+            stand.end(str(i), Status.RESET, send.endpoint)
+        with patch.object(stand.node, "has_room", wraps=stand.node.has_room) as asked:
+            stand.until(stand.now + 1000.0)
+        looks = 1000.0 / LOOK_MS
+        self.assertEqual(len(stand.node.waiting), WAITING)
+        self.assertLess(
+            asked.call_count, (looks + 1) * (MOST_ASKED + 2 * MOST_IN_BUCKET + WAITING * PICK_TRIES)
+        )
+
 
 if __name__ == "__main__":
     unittest.main()
