Give looks for a free backend a turn of their own, apart from that of weights

Cause: among more than 256 backends both a look for a free one and the revision of weights took the table's next bucket; three looks between two revisions of sixteen buckets left twelve of them with weights that were never revised. Change: each counts its own turns. With up to 256 backends there is one bucket and nothing changes.

--- a/lupinlink/brain/choice.py
+++ b/lupinlink/brain/choice.py
@@ -43,6 +43,7 @@
         self.stretch = Stretch(Aperture(settings.rank, settings.peers), self.weight)
         self.table = self.stretch.table
         self.recent: RecentUse[Server] = RecentUse(REST_SHARE * settings.idle_close_ms)
+        self._weighings = self._looks = 0  # each has its own turn of the table
         self._told: dict[Server, None] = {}  # news of these has come since their weights were drawn up
 
     def observe(self, server: Server, figure: float, source: int, gain: float, now: float) -> None:
@@ -92,7 +93,8 @@
         if now < self.due_at:
             return
         self.stretch.settle(now)
-        for server in (*self._told, *self.table.rotate()):
+        self._weighings += 1
+        for server in (*self._told, *self.table.some(self._weighings)):
             if server in self.table:
                 self.table.set(server, self.weight(server, now))
         self._told.clear()
@@ -118,7 +120,8 @@
 
         Of very many it is some each time, and others the next.
         """
-        yield self.table.rotate()
+        self._looks += 1
+        yield self.table.some(self._looks)
         yield [s for s in self.stretch.outside() if self.may_be_asked(s, now)]
 
     def may_be_asked(self, server: Server, now: float) -> bool:
--- a/lupinlink/spread/weighted_buckets.py
+++ b/lupinlink/spread/weighted_buckets.py
@@ -76,7 +76,6 @@
         self._buckets: list[Bucket[Item]] = [Bucket()]
         self._places: dict[Item, tuple[Bucket[Item], int]] = {}
         self._sums: list[float] | None = None  # running, of the buckets' totals; None: one has changed since
-        self._next = 0  # the bucket that ``rotate`` gives next
 
     def __len__(self) -> int:
         return len(self._places)
@@ -113,10 +112,14 @@
         bucket, place = self._places[item]
         bucket.set(place, weight)
 
-    def rotate(self) -> list[Item]:
-        """The items of one bucket, each time of the next one."""
-        self._next = (self._next + 1) % len(self._buckets)
-        return self._buckets[self._next].items[:]
+    def weight(self, item: Item) -> float:
+        """The weight of an item that is here, as it was set last."""
+        bucket, place = self._places[item]
+        return bucket.weights[place]
+
+    def some(self, turn: int) -> list[Item]:
+        """The items of one bucket; of another at each of as many turns as there are buckets."""
+        return self._buckets[turn % len(self._buckets)].items[:]
 
     def draw(self, share: float) -> Item:
         """The item at that share, from [0, 1), of the sum of all weights; there has to be one."""
@@ -160,7 +163,6 @@
             for item, salt, weight in zip(bucket.items, bucket.salts, bucket.weights, strict=True):
                 home = self._buckets[salt & (buckets - 1)]
                 self._places[item] = home, home.add(item, salt, weight)
-        self._next = 0
 
 
 def _bucket_salt(index: int) -> int:
--- a/tests/test_split.py
+++ b/tests/test_split.py
@@ -8,10 +8,11 @@
 
 import pytest
 
-from lupinlink.brain.choice import FADE_MS, LATENCY, REPORT, Split
+from lupinlink.brain.choice import FADE_MS, LATENCY, REPORT, TABLE_MS, Split
 from lupinlink.brain.health import SlowStart
 from lupinlink.interface import Endpoint, EndpointState, Group, MembershipKind, Server, Settings
 from lupinlink.node import Node
+from lupinlink.spread.weighted_buckets import MOST_IN_BUCKET
 from tests.helpers import SAFE, Stand
 
 
@@ -172,3 +173,18 @@
     far = next(s for s in node.servers.values() if s.row.name not in near)
     far.row.started_ms = 0.0
     assert list(split.not_drawn(2.0))[1] == [far]
+
+
+# Guards against weights that are never revised because looks for a free server take the table's turns.
+def test_all_of_many_weights_are_revised_in_turn_while_requests_look_for_a_server() -> None:
+    stand = Stand(Settings(classes=(SAFE,), peers=6), "")
+    stand.members([Endpoint(f"s-{i}") for i in range(4096)])
+    split = stand.node.split
+    split.refresh(0.0)
+    for server in stand.node.servers.values():
+        server.failing = 0.5
+    for turn in range(1, 4096 // MOST_IN_BUCKET + 1):
+        split.refresh(turn * TABLE_MS)
+        for _ in range(3):
+            assert sum(map(len, split.not_drawn(turn * TABLE_MS))) > 0
+    assert sum(split.table.weight(server) < 0.5 for server in split.table) == 4096
--- a/tests/test_weighted_buckets.py
+++ b/tests/test_weighted_buckets.py
@@ -80,4 +80,7 @@
 
 
 def test_a_bucket_is_bounded() -> None:
-    assert max(len(filled(MANY).rotate()) for _ in range(3)) < 2 * MOST_IN_BUCKET
+    buckets = filled(MANY)
+    in_turn = [buckets.some(turn) for turn in range(MANY // MOST_IN_BUCKET + 4)]
+    assert max(map(len, in_turn)) < 2 * MOST_IN_BUCKET
+    assert set().union(*in_turn) == set(range(MANY))
