Prefer open connections only as often as the usual number of backends would

Change: those that came into use lately are asked as often as a draw among 128 would meet one, and further uses prolong nothing. Tests: the bound by counted connections at 10, 50 and 120 requests a second.

--- a/lupinlink/brain/choice.py
+++ b/lupinlink/brain/choice.py
@@ -22,9 +22,9 @@
 SIZE_RATE, KIND_RATE, SIZE_MAX, LOAD_MAX = 0.04, 0.3, 1.5, 3.0  # of a log load a second; bounds on logs
 LEVEL_GAIN, GROUP_GAIN = 0.02, 0.05  # of one figure for the usual of all, and of its group
 OWN_SHARPNESS, PICK_TRIES = 4.0, 8  # power of this node's own requests in flight over size; most draws
-# Among very many servers hardly one is drawn again before its connection is closed at rest. So many requests
-# go first to one that was used within that share of the time for which connections may rest.
-REUSED, REST_SHARE = 0.7, 0.5
+# Among very many servers hardly any is drawn again before its connection is closed at rest. Those that came
+# into use within that share of the time for which one may rest are asked as if there were so many only.
+REUSED_AMONG, REST_SHARE = 128, 0.5
 GOLDEN = 0.6180339887498949  # step of draws: turns come evenly spread
 PRICE_SCALE = 30.0  # log weight lost for each point of the crossing price, while the own zone is at ease
 
@@ -132,6 +132,10 @@
         """One of these by their weights."""
         return self.rng.choices(servers, [self.weight(s, now) for s in servers])[0]
 
+    def _reuses(self, now: float) -> bool:
+        """Whether the next request goes first to a server that was used lately."""
+        return self.rng.random() * REUSED_AMONG < self.recent.number(now)
+
     def drawn(self, key: str, now: float) -> Iterable[Server]:
         """Servers at random by their weights. With a key the key's hash is the chance: as long as weights
         hold, it meets the same few servers, and at every node, where its data are warm (spread/keys.py)."""
@@ -143,7 +147,7 @@
             number = self.homes.number(mix, len(self.table))
             yield from self.table.homes(mix, number, PICK_TRIES, self.rng.random())
             return
-        if len(self.table) > MOST_IN_BUCKET and self.rng.random() < REUSED:
+        if len(self.table) > MOST_IN_BUCKET and self._reuses(now):
             server = self.recent.draw(self.rng.random(), now)
             if server is not None and server in self.table and server.out == 0:
                 yield server
--- a/tests/production_table.py
+++ b/tests/production_table.py
@@ -21,6 +21,7 @@
 from tests.open_load import OpenLoad
 
 USUAL = 200
+DEFAULTS = ("6", "30", "20")  # processes, requests a second of each, seconds
 TICKS = 100.0  # a second, of the times in /proc
 MEGABYTE = 1024.0 * 1024.0
 
@@ -130,8 +131,10 @@
 
 def main(words: list[str]) -> int:
     """Print the rows; returns 1 if one is over its bound."""
-    processes = int(words[0])
-    per_second, seconds = map(float, words[1:3])
+    if len(words) != len(DEFAULTS) or not all(word.isdecimal() and int(word) for word in words):
+        print(f"production_table: {' '.join(words)!r} is not PROCESSES PER_SECOND SECONDS", file=sys.stderr)
+        return 2
+    processes, per_second, seconds = map(int, words)
     usual = day(USUAL, processes, per_second, seconds)
     many = day(MANY, processes, per_second, seconds)
     over = 0
@@ -147,4 +150,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main(sys.argv[1:]))
+    sys.exit(main(sys.argv[1:] or list(DEFAULTS)))
--- a/tests/test_recent_use.py
+++ b/tests/test_recent_use.py
@@ -14,18 +14,18 @@
 REST_MS = 6000.0  # so long does a connection rest open, of the ten seconds that the settings allow
 
 
-def test_those_used_lately_are_drawn_alike_and_others_forgotten() -> None:
+def test_those_first_used_lately_are_drawn_alike_and_others_forgotten() -> None:
     recent, rng = RecentUse[int](1000.0), Random(1)
     for item in range(10):
         recent.used(item, 100.0 * item)
-    recent.used(0, 900.0)
+    recent.used(1, 900.0)  # prolongs nothing
     drawn = Counter(recent.draw(rng.random(), 1250.0) for _ in range(7000))
-    assert set(drawn) == {0, 3, 4, 5, 6, 7, 8, 9}
+    assert set(drawn) == {3, 4, 5, 6, 7, 8, 9} and recent.number(1250.0) == 7
     assert max(drawn.values()) < 1.3 * min(drawn.values())
     assert recent.draw(0.5, 5000.0) is None
     for item in range(2 * MOST_REMEMBERED):
         recent.used(item, 6000.0)
-    assert len(recent) == MOST_REMEMBERED
+    assert recent.number(6000.0) == MOST_REMEMBERED
 
 
 def connections(servers: int, per_second: float, seconds: float) -> int:
@@ -45,7 +45,9 @@
 
 # Guards against a new connection for nearly each request, because there are so many servers to choose from.
 def test_many_servers_need_few_more_connections() -> None:
-    assert connections(MANY, 50.0, 30.0) <= MOST_CONNECTIONS * connections(USUAL, 50.0, 30.0) + 40
+    for per_second in (10.0, 50.0, 120.0):
+        usual, many = (connections(servers, per_second, 20.0) for servers in (USUAL, MANY))
+        assert many <= MOST_CONNECTIONS * usual + 40, (per_second, usual, many)
 
 
 def test_all_of_many_servers_are_used_in_the_long_run() -> None:
