Log attempts, connections, closes and refusals by request id and reason

The report's logs could not say on which connection an attempt travelled, whether it was reused, why it ended, or who closed what. Now each attempt's end has its server, connection, requests before it there, rest, status and reason; each close of a connection to an application server has a reason and a counter (server_closes_...); refusals and failures have the request's id. All at debug behind isEnabledFor.

KeptConnection is split off sending.py.

--- a/lupinlink/net/application_servers/attempts.py
+++ b/lupinlink/net/application_servers/attempts.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import logging
 import math
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Protocol
 
 from twisted.internet.defer import Deferred
@@ -11,11 +13,14 @@
 from lupinlink.interface import Status
 from lupinlink.net.bodies import Body
 from lupinlink.net.counters import Counters
-from lupinlink.net.request_types import AttemptResult
+from lupinlink.net.log import LineLimit
+from lupinlink.net.request_types import AttemptResult, EndReason
 from lupinlink.net.slots import Slots
 from lupinlink.net.timer_wheel import ReactorClock
 from lupinlink.settings import Settings
 
+log = logging.getLogger("lupinlink.net.application_servers")
+
 
 class ServerPools(Protocol):
     """What an attempt or a connection needs of the pools of all application servers."""
@@ -24,6 +29,7 @@
     settings: Settings
     counters: Counters
     connections: Slots[object]  # established, or being established
+    unrequested_lines: LineLimit
     list_is_held: Callable[[], bool]  # whether no request may be written at present
     read_pending_updates: Callable[[], bool]  # reads what discovery sent; True if an update is incomplete
 
@@ -31,7 +37,7 @@
 class AttemptConnection(Protocol):
     """The connection that carries an attempt."""
 
-    def drop(self) -> None: ...
+    def drop(self, why: EndReason) -> None: ...
     def read_pending(self) -> None: ...
 
 
@@ -41,6 +47,15 @@
     def abandon(self) -> None: ...
 
 
+@dataclass(frozen=True, slots=True)
+class Carrier:
+    """The connection of an attempt, when it was sent."""
+
+    handle: int
+    requests_before: int  # that it had carried; 0: it is new
+    rested_ms: float  # since the last of them
+
+
 class Attempt:
     """One attempt: ``ended`` fires once, after its connection was returned to the pool or closed."""
 
@@ -53,10 +68,16 @@
         begin_by_ms: float = math.inf,
         wanted: Callable[[], bool] = lambda: True,
         only_head: bool = False,
+        identity: str = "",
     ) -> None:
-        """``encode``: called with the ms left at sending; ``wanted``: whether anyone waits for it."""
+        """``encode``: called with the ms left at sending; ``wanted``: whether anyone waits for it.
+
+        ``identity``: of its request; empty for a probe.
+        """
         self.ended: Deferred[AttemptResult] = Deferred()
-        self.server, self.only_head = server, only_head
+        self.server, self.only_head, self.identity = server, only_head, identity
+        self._began = servers.clock.now()
+        self._carrier: Carrier | None = None
         self._encode, self._until, self._begin_by, self._wanted = encode, until_ms, begin_by_ms, wanted
         self.connection: AttemptConnection | None = None
         self.dial: PendingConnection | None = None
@@ -78,6 +99,10 @@
         """Whether it has not ended yet."""
         return self._open
 
+    def sent_on(self, carrier: Carrier) -> None:
+        """Note the connection that it is sent on."""
+        self._carrier = carrier
+
     def request(self) -> tuple[bytes, Body | None]:
         """The bytes to write now, and the body that follows them, if any."""
         return self._encode(self._until - self._servers.clock.now())
@@ -94,8 +119,18 @@
         if self._open:
             self._open = False
             self._servers.clock.drop(self._deadline)
+            if log.isEnabledFor(logging.DEBUG):
+                self._log_end(end)
             self.ended.callback(end)
 
+    def _log_end(self, end: AttemptResult) -> None:
+        kv = {"id": self.identity, "server": self.server, "status": end.status.name, "why": end.why.value,
+              "took_ms": round(self._servers.clock.now() - self._began, 1)}  # fmt: skip
+        if self._carrier is not None:
+            kv |= {"connection": self._carrier.handle, "reused": self._carrier.requests_before,
+                   "rested_ms": round(self._carrier.rested_ms, 1)}  # fmt: skip
+        log.debug("attempt ended", extra={"kv": kv})
+
     def give_up(self, status: Status) -> None:
         """End it with this status; its connection is closed before anything else can be sent on it.
 
@@ -110,8 +145,8 @@
         if dial is not None:
             dial.abandon()
         if connection is not None:
-            connection.drop()
-        self.end(AttemptResult(status))
+            connection.drop(EndReason.GIVEN_UP)
+        self.end(AttemptResult(status, why=EndReason.GIVEN_UP))
 
     def cancel_if_unsent(self) -> None:
         """End it if its connection is still being established, so that nothing of it is ever written."""
--- a/lupinlink/net/application_servers/connection.py
+++ b/lupinlink/net/application_servers/connection.py
@@ -11,11 +11,12 @@
 from lupinlink.interface import Status
 from lupinlink.net import http1
 from lupinlink.net.application_servers.attempts import Attempt, ServerPools
+from lupinlink.net.application_servers.kept_connection import ConnectionOpener
 from lupinlink.net.application_servers.outcomes import forwarded_headers, outcome, read_report
 from lupinlink.net.application_servers.pool import Pool
-from lupinlink.net.application_servers.sending import ConnectionOpener, SendingConnection
+from lupinlink.net.application_servers.sending import SendingConnection
 from lupinlink.net.bodies import SMALL_BODY_BYTES, ResponseStream
-from lupinlink.net.request_types import AttemptResult, Reply
+from lupinlink.net.request_types import AttemptResult, EndReason, Reply
 from lupinlink.net.twisted_types import READ_BYTES
 
 log = logging.getLogger("lupinlink.net.application_servers")
@@ -40,7 +41,8 @@
     def dataReceived(self, data: bytes) -> None:
         if self._attempt is None and self._stream is None:
             self.pool.forget(self)
-            self.transport.abortConnection()  # unsolicited data
+            self._note_unrequested(data)
+            self.drop(EndReason.UNREQUESTED_BYTES)
             return
         self._parser.feed(data)
         try:
@@ -49,11 +51,15 @@
                 message = self._parser.next()
         except http1.MessageError as exc:
             self._servers.counters["broken_answers"] += 1
-            log.warning("broken answer", extra={"kv": {"server": self.pool.name, "why": exc}})
+            kv = {"server": self.pool.name, "why": exc, "id": self.last_identity, "connection": self.handle,
+                  "reused": self.requests_carried - 1}  # fmt: skip
+            log.warning("broken answer", extra={"kv": kv})
             if self._stream is not None:
-                self._end_stream(None)
+                self._end_stream(None, EndReason.BROKEN_ANSWER)
             else:
-                self._finish(AttemptResult(Status.RESET if self._written else Status.NOT_SENT), reuse=False)
+                status = Status.RESET if self._written else Status.NOT_SENT
+                why = EndReason.BROKEN_ANSWER
+                self._finish(AttemptResult(status, why=why), why)
             return
         if self._stream is not None:
             self._stream_more(message)
@@ -64,7 +70,7 @@
             if self._parser.for_head_request and end.reply is not None:
                 length = message.get("content-length")
                 end.reply.length = int(length.partition(",")[0]) if length is not None else None
-            self._finish(end, reuse=not self._parser.buffer and message.keeps_open())
+            self._finish(end, self._why_not_kept(message))
         elif self._parser.started():
             self._cancel_progress_timer()
             if self._is_streamable():
@@ -85,7 +91,18 @@
             return
         self._servers.counters["early_answers"] += 1
         end = outcome(message) if message is not None else AttemptResult(Status.NOT_SENT)
-        self._finish(end if end.status == Status.OVERLOADED else AttemptResult(Status.NOT_SENT), reuse=False)
+        if end.status != Status.OVERLOADED:
+            end = AttemptResult(Status.NOT_SENT)
+        end.why = EndReason.ANSWERED_EARLY
+        self._finish(end, EndReason.ANSWERED_EARLY)
+
+    def _why_not_kept(self, message: http1.Message) -> EndReason | None:
+        """Why the connection has to be closed after this answer, if it has to."""
+        if self._parser.buffer:
+            self.idle_since = self._servers.clock.now()
+            self._note_unrequested(bytes(self._parser.buffer))
+            return EndReason.UNREQUESTED_BYTES
+        return None if message.keeps_open() else EndReason.NOT_KEPT
 
     def _is_streamable(self) -> bool:
         """Whether the answer is known to be long enough to be streamed."""
@@ -120,17 +137,17 @@
         assert self._stream is not None
         self._last_data_at = self._servers.clock.now()
         if message is not None:
-            self._end_stream(message, reuse=not self._parser.buffer and message.keeps_open())
+            self._end_stream(message, self._why_not_kept(message))
         else:
             self._stream.on_data(self._parser.take_body())
 
-    def _end_stream(self, message: http1.Message | None, reuse: bool = False) -> None:
+    def _end_stream(self, message: http1.Message | None, why_not_kept: EndReason | None) -> None:
         """End the streamed answer. ``message``: holds its last bytes; None: it was cut off."""
         stream, self._stream = self._stream, None
         assert stream is not None
         self._cancel_progress_timer()
         self.transport.bufferSize = READ_BYTES
-        self._release(reuse)
+        self._release(why_not_kept)
         if message is None:
             self._servers.counters["flows_broken"] += 1
             stream.on_error()
@@ -146,7 +163,7 @@
         if self._paused:
             self._last_data_at = now
         if now - self._last_data_at > STREAM_STALL_MS:
-            self._end_stream(None)
+            self._end_stream(None, EndReason.ANSWER_STALLED)
         else:
             self._progress_timer = self._servers.clock.after(
                 STREAM_CHECK_MS, lambda: self._check_stream(stream)
@@ -161,29 +178,33 @@
         """Close the connection, as the client has left."""
         if self._stream is not None:
             self._stream = None
-            self.drop()
+            self.drop(EndReason.CLIENT_LEFT)
 
     def _answer_stalled(self, attempt: Attempt | None) -> None:
         if attempt is not None and self._attempt is attempt:
             self._servers.counters["unfinished_answers"] += 1
-            self._finish(AttemptResult(Status.RESET), reuse=False)
+            why = EndReason.ANSWER_STALLED
+            self._finish(AttemptResult(Status.RESET, why=why), why)
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         self.pool.forget(self)
         self._servers.connections.remove(self.handle)
         self._cancel_progress_timer()
         self._detach_body()
+        busy = self._attempt is not None or self._stream is not None
+        self._note_close(EndReason.CONNECTION_LOST if busy else EndReason.CLOSED_IDLE)
         # An answer without a length is complete only if its close was announced and orderly.
         message = self._parser.eof() if isinstance(reason.value, ConnectionDone) else None
         if message is not None and message.keeps_open():
             message = None
         if self._stream is not None:
-            self._end_stream(message)
+            self._end_stream(message, EndReason.CONNECTION_LOST)
         elif self._attempt is not None:
             if message is not None and self._written:
                 end = outcome(message)
             else:
-                end = AttemptResult(Status.RESET if self._written else Status.UNREACHABLE)
+                status = Status.RESET if self._written else Status.UNREACHABLE
+                end = AttemptResult(status, why=EndReason.CONNECTION_LOST)
             attempt, self._attempt = self._attempt, None
             attempt.connection = None
             attempt.end(end)
--- a/lupinlink/net/application_servers/dialling.py
+++ b/lupinlink/net/application_servers/dialling.py
@@ -11,7 +11,7 @@
 from lupinlink.net.application_servers.attempts import Attempt, ServerPools
 from lupinlink.net.application_servers.connection import Connection
 from lupinlink.net.application_servers.pool import Pool, PooledConnection
-from lupinlink.net.request_types import AttemptResult
+from lupinlink.net.request_types import AttemptResult, EndReason
 from lupinlink.net.timer_wheel import Timer
 from lupinlink.net.twisted_types import Connector, Reactor
 
@@ -48,7 +48,7 @@
         self.pool.record_dial(self._servers.clock.now() - self._began)
         attempt = self._take_attempt()
         if attempt is None:
-            connection.drop()
+            connection.drop(EndReason.GIVEN_UP)
         else:
             connection.carry(attempt)
 
@@ -58,7 +58,7 @@
         if attempt is not None:
             self._servers.counters["dials_failed"] += 1
             self.pool.record_dial(why=reason.getErrorMessage())
-            attempt.end(AttemptResult(Status.UNREACHABLE))
+            attempt.end(AttemptResult(Status.UNREACHABLE, why=EndReason.DIAL_FAILED))
 
     def abandon(self) -> None:
         """Stop connecting: nobody waits for it any more."""
@@ -73,7 +73,7 @@
         if attempt is not None:
             self._servers.counters["dials_too_slow"] += 1
             self.pool.record_dial(why="too slow")
-            attempt.end(AttemptResult(Status.UNREACHABLE))
+            attempt.end(AttemptResult(Status.UNREACHABLE, why=EndReason.DIAL_SLOW))
 
     def _take_attempt(self) -> Attempt | None:
         attempt, self._attempt = self._attempt, None
--- a/lupinlink/net/application_servers/idle_connections.py
+++ b/lupinlink/net/application_servers/idle_connections.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 from lupinlink.net.application_servers.attempts import Attempt
+from lupinlink.net.request_types import EndReason
 
 if TYPE_CHECKING:
     from lupinlink.net.application_servers.pool import Pool
@@ -24,7 +25,7 @@
 
     def carry(self, attempt: Attempt) -> None: ...
     def stale(self) -> bool: ...
-    def drop(self) -> None: ...
+    def drop(self, why: EndReason) -> None: ...
 
 
 class IdleConnections:
--- a/lupinlink/net/application_servers/pool.py
+++ b/lupinlink/net/application_servers/pool.py
@@ -8,6 +8,7 @@
 
 from lupinlink.net.application_servers.idle_connections import IdleConnections
 from lupinlink.net.application_servers.idle_connections import PooledConnection as PooledConnection
+from lupinlink.net.request_types import EndReason
 
 log = logging.getLogger("lupinlink.net.application_servers")
 RECENTLY_SENT_MS = 10_000.0  # a server that leaves service is logged if it was sent a request this recently
@@ -63,4 +64,4 @@
         """Close the idle connections; busy ones are closed after their attempts."""
         self.current = False
         while self.idle:
-            self.take().drop()
+            self.take().drop(EndReason.NOT_IN_SERVICE)
--- a/lupinlink/net/application_servers/pools.py
+++ b/lupinlink/net/application_servers/pools.py
@@ -16,7 +16,8 @@
 from lupinlink.net.application_servers.pool import Pool
 from lupinlink.net.application_servers.request_encoding import encode_request
 from lupinlink.net.counters import Counters
-from lupinlink.net.request_types import AttemptResult, ClientRequest
+from lupinlink.net.log import LineLimit
+from lupinlink.net.request_types import AttemptResult, ClientRequest, EndReason
 from lupinlink.net.slots import Slots
 from lupinlink.net.timer_wheel import ReactorClock
 from lupinlink.net.twisted_types import Reactor
@@ -42,6 +43,7 @@
         self.connections: Slots[object] = Slots(cap)
         self.list_is_held: Callable[[], bool] = lambda: False
         self.read_pending_updates: Callable[[], bool] = lambda: False
+        self.unrequested_lines = LineLimit()
         self._reactor = reactor
         self._pools: dict[str, Pool] = {}
         self._idle = IdleConnections()
@@ -90,7 +92,9 @@
         host = f"{pool.host}:{pool.port}" if pool is not None else server
         until = self.clock.now() + timeout_ms
         encode = partial(encode_request, request, host)
-        return self._send(Attempt(self, server, encode, until, begin_by_ms, wanted, request.method == "HEAD"))
+        only_head = request.method == "HEAD"
+        attempt = Attempt(self, server, encode, until, begin_by_ms, wanted, only_head, request.identity)
+        return self._send(attempt)
 
     def probe(self, server: str) -> Deferred[AttemptResult]:
         """Ask an application server whether it is alive, or for its load report."""
@@ -110,23 +114,26 @@
     def _send(self, attempt: Attempt) -> Attempt:
         pool, now = self._pools.get(attempt.server), self.clock.now()
         if pool is None or not pool.current:
-            attempt.end(AttemptResult(Status.NOT_SENT))
+            attempt.end(AttemptResult(Status.NOT_SENT, why=EndReason.NOT_IN_SERVICE))
             return attempt
         while pool.idle:
             connection = pool.take()
-            if now - connection.idle_since < self._idle_ms and not connection.stale():
+            if now - connection.idle_since >= self._idle_ms:
+                connection.drop(EndReason.IDLE)
+            elif connection.stale():
+                connection.drop(EndReason.CLOSED_IDLE)
+            else:
                 self.counters["connections_reused"] += 1
                 connection.carry(attempt)
                 return attempt
-            connection.drop()
         if not attempt.may_begin(0.0):
-            attempt.end(AttemptResult(Status.NOT_SENT))
+            attempt.end(AttemptResult(Status.NOT_SENT, why=EndReason.NOT_BEGUN))
             return attempt
         if self.connections.full:
             self._evict()
         if self.connections.full:
             self.counters["attempts_over_cap"] += 1
-            attempt.end(AttemptResult(Status.NOT_SENT))
+            attempt.end(AttemptResult(Status.NOT_SENT, why=EndReason.OVER_CAP))
             return attempt
         self.counters["connections_opened"] += 1
         attempt.dial = Dial(self, pool, attempt)
@@ -138,7 +145,7 @@
         oldest = self._idle.oldest()
         if oldest is not None:
             oldest.pool.forget(oldest)
-            oldest.drop()
+            oldest.drop(EndReason.MADE_ROOM)
             self.connections.remove(oldest.handle)
         return oldest is not None
 
@@ -147,7 +154,7 @@
         limit = self.clock.now() - self._idle_ms
         while (connection := self._idle.oldest(limit)) is not None:
             connection.pool.forget(connection)
-            connection.drop()
+            connection.drop(EndReason.IDLE)
         self.clock.after(SWEEP_MS, self._sweep)
 
     def gauges(self) -> dict[str, int]:
--- a/lupinlink/net/application_servers/sending.py
+++ b/lupinlink/net/application_servers/sending.py
@@ -1,66 +1,38 @@
-"""The sending half of a connection to an application server: heads, streamed bodies, return to the pool."""
+"""The sending half of a connection to an application server: heads and streamed bodies."""
 
 from __future__ import annotations
 
-import socket
-from contextlib import suppress
-from typing import Protocol
-
 from twisted.internet.interfaces import IPullProducer
-from twisted.internet.protocol import Protocol as TcpProtocol
 from zope.interface import implementer  # type: ignore[import-untyped]
 
 from lupinlink.interface import Status
 from lupinlink.net import http1
-from lupinlink.net.application_servers.attempts import Attempt, ServerPools
-from lupinlink.net.application_servers.pool import Pool, PooledConnection
-from lupinlink.net.bodies import SMALL_BODY_BYTES, Body
-from lupinlink.net.request_types import AttemptResult
+from lupinlink.net.application_servers.attempts import Attempt, Carrier, ServerPools
+from lupinlink.net.application_servers.kept_connection import ConnectionOpener, KeptConnection
+from lupinlink.net.application_servers.pool import Pool
+from lupinlink.net.request_types import AttemptResult, EndReason
 from lupinlink.net.socket_peek import peek
-from lupinlink.net.timer_wheel import Timer
-from lupinlink.net.twisted_types import READ_BYTES, Transport
 
 UPLOAD_STALL_MS = 5000.0  # time-out for an application server to accept more of a body
 WRITE_BYTES = 64 * 1024
 EARLY_READS = 4  # reads of data, such as 1xx answers, that a server may send before its request
 
 
-class ConnectionOpener(Protocol):
-    """Is notified when the connection that it opened is established."""
-
-    def connected(self, connection: PooledConnection) -> None: ...
-
-
 @implementer(IPullProducer)
-class SendingConnection(TcpProtocol):
-    """The sending half of a connection: it carries one attempt at a time and is idle in its pool otherwise.
+class SendingConnection(KeptConnection):
+    """The sending half of a connection.
 
     As a pull producer it learns when the kernel has accepted the last byte of a request: if the connection
     breaks before that, the request certainly never ran; after that it may have.
     """
 
-    transport: Transport  # type: ignore[assignment]
-
     def __init__(self, servers: ServerPools, pool: Pool, dial: ConnectionOpener) -> None:
-        self._servers, self.pool, self._dial = servers, pool, dial
-        self._attempt: Attempt | None = None
-        self._parser = http1.ResponseParser(http1.MAX_MESSAGE)
+        super().__init__(servers, pool, dial)
         self._unsent: bytes | None = None
-        self._body: Body | None = None  # of the request, while some of it is still to be sent
         self._sent = 0  # bytes of the body that were sent
         self._awaiting_body = False  # all that was received of the body is sent
         self._written = True
         self._beginning = False  # ``carry`` is handing a request to the kernel
-        self._progress_timer: Timer | None = None
-        self._paused = False  # not read, as the client does not read its streamed answer
-        self.idle_since = 0.0
-        self.handle = 0
-
-    def connectionMade(self) -> None:
-        self.transport.setTcpNoDelay(True)
-        self.transport.bufferSize = READ_BYTES
-        self.idle_since = self._servers.clock.now()
-        self._dial.connected(self)
 
     def carry(self, attempt: Attempt) -> None:
         """Send an attempt's request, after a last check that it may be sent.
@@ -81,6 +53,9 @@
             self._drop_unsent(attempt)
             return
         self._attempt, attempt.connection = attempt, self
+        rested_ms = self._servers.clock.now() - self.idle_since
+        attempt.sent_on(Carrier(self.handle, self.requests_carried, rested_ms))
+        self.requests_carried, self.last_identity = self.requests_carried + 1, attempt.identity
         self._unsent, self._body = unsent, body
         self._written, self._sent, self._awaiting_body = False, 0, False
         self._parser.for_head_request = attempt.only_head
@@ -107,8 +82,8 @@
     def _drop_unsent(self, attempt: Attempt) -> None:
         """End an attempt that may not be sent any more; its connection returns to the pool."""
         self._servers.counters["attempts_not_begun"] += 1
-        self._release(reuse=True, used=False)
-        attempt.end(AttemptResult(Status.NOT_SENT))
+        self._release(None, used=False)
+        attempt.end(AttemptResult(Status.NOT_SENT, why=EndReason.NOT_BEGUN))
 
     def _write_now(self) -> None:
         """Hand the request to the kernel within this call; what it does not accept is written later.
@@ -149,7 +124,7 @@
         assert body is not None
         if body.truncated:
             # The request is never completed, so it never runs.
-            self._finish(AttemptResult(Status.NOT_SENT), reuse=False)
+            self._finish(AttemptResult(Status.NOT_SENT, why=EndReason.BODY_CUT), EndReason.BODY_CUT)
             return
         data = body.read(self._sent, WRITE_BYTES)
         self._sent += len(data)
@@ -175,68 +150,17 @@
         # attempt.
         if attempt is not None and self._attempt is attempt and not self._written:
             self._servers.counters["uploads_stalled"] += 1
-            self._finish(AttemptResult(Status.NOT_SENT), reuse=False)
+            why = EndReason.UPLOAD_STALLED
+            self._finish(AttemptResult(Status.NOT_SENT, why=why), why)
 
     def stopProducing(self) -> None:
         pass  # connectionLost follows
 
-    def drop(self) -> None:
-        """Close at once: Twisted alone would close it in the next loop iteration, after other writes."""
-        self._attempt = None
-        self._cancel_progress_timer()
-        self._detach_body()
-        with suppress(OSError, AttributeError):
-            self.transport.getHandle().shutdown(socket.SHUT_RDWR)
-        self.transport.abortConnection()
-
-    def stale(self) -> bool:
-        """Whether this idle connection must not be used: it was closed, or unsolicited data has arrived.
-
-        Bytes after the last answer would be taken for the answer to the next request.
-        """
-        return peek(self.transport) is not None
-
-    def read_pending(self) -> None:
-        """Read what has arrived of an answer, at most as much as an answer that is not streamed can have.
-
-        Bytes that are seen in the socket may not be returned by a read yet, so the number of tries is
-        limited.
-        """
-        for _ in range(SMALL_BODY_BYTES // READ_BYTES + 1):
-            if self._attempt is None or not peek(self.transport):
-                break
-            self.transport.doRead()
-
-    def _cancel_progress_timer(self) -> None:
-        if self._progress_timer is not None:
-            self._progress_timer.drop()
-            self._progress_timer = None
-
-    def _finish(self, end: AttemptResult, reuse: bool) -> None:
+    def _finish(self, end: AttemptResult, why_not_kept: EndReason | None) -> None:
+        """End the attempt; its connection returns to the pool, or is closed for this reason."""
         self._cancel_progress_timer()
         attempt, self._attempt = self._attempt, None
         assert attempt is not None
         attempt.connection = None
-        self._release(reuse)
+        self._release(why_not_kept)
         attempt.end(end)
-
-    def _release(self, reuse: bool, used: bool = True) -> None:
-        """Return the connection to the pool, or close it."""
-        self._resume()
-        if reuse and self.pool.current:
-            if used:
-                self.idle_since = self._servers.clock.now()
-            self.pool.rest(self)
-        else:
-            self.drop()
-
-    def _resume(self) -> None:
-        if self._paused:
-            self._paused = False
-            self.transport.resumeProducing()
-
-    def _detach_body(self) -> None:
-        """Stop sending the request's body."""
-        body, self._body = self._body, None
-        if body is not None:
-            body.on_data = None
--- a/lupinlink/net/log.py
+++ b/lupinlink/net/log.py
@@ -4,6 +4,7 @@
 
 import json
 import logging
+import math
 import sys
 import time
 from collections.abc import Mapping
@@ -22,6 +23,24 @@
     return f"{key}={text if plain else json.dumps(text)}"
 
 
+class LineLimit:
+    """Limits a warning to one line in ``interval_ms``, with the number of events since the last one."""
+
+    def __init__(self, interval_ms: float = 1000.0) -> None:
+        self._interval_ms = interval_ms
+        self._next_at_ms = -math.inf
+        self._events = 0
+
+    def take(self, now_ms: float) -> int:
+        """Count an event; returns how many the line is to tell, or 0 if none is due."""
+        self._events += 1
+        if now_ms < self._next_at_ms:
+            return 0
+        self._next_at_ms = now_ms + self._interval_ms
+        events, self._events = self._events, 0
+        return events
+
+
 class KeyValueFormatter(logging.Formatter):
     """Formats time, level, proxy, source and message, then the record's pairs (``extra={"kv": {...}}``)."""
 
--- a/lupinlink/net/open_requests.py
+++ b/lupinlink/net/open_requests.py
@@ -10,6 +10,7 @@
 from lupinlink import interface as api
 from lupinlink.clock import Clock
 from lupinlink.interface import Status
+from lupinlink.net import request_log
 from lupinlink.net.counters import Counters
 from lupinlink.net.request_types import ClientRequest, FailureReason, OpenAttempt, RefusalReason, Responder
 from lupinlink.net.slots import Slots
@@ -71,7 +72,7 @@
             responder.failed(FailureReason.DUPLICATE)
             return None
         if self._requests.full:
-            self._answer_refused(responder, RefusalReason.TABLE_FULL, 0.0)
+            self._answer_refused(request, responder, RefusalReason.TABLE_FULL, 0.0)
             return None
         if self.quota_check is not None and not self._within_quota(request, responder):
             return None
@@ -105,11 +106,22 @@
             responder.failed(FailureReason.INTERNAL)
             return False
         if retry_after_ms is not None:
-            self._answer_refused(responder, RefusalReason.QUOTA, retry_after_ms)
+            self._answer_refused(request, responder, RefusalReason.QUOTA, retry_after_ms)
         return retry_after_ms is None
 
-    def _answer_refused(self, responder: Responder, why: RefusalReason, retry_after_ms: float) -> None:
-        """Refuse a request, which says that a retry is safe. The one place that counts refusals."""
+    def _answer_refused(
+        self,
+        request: ClientRequest,
+        responder: Responder,
+        why: RefusalReason,
+        retry_after_ms: float,
+        cause: str = "",
+    ) -> None:
+        """Refuse a request, which says that a retry is safe. The one place that counts refusals.
+
+        ``cause``: why the decision module refused it.
+        """
+        request_log.refused(request, why, cause)
         self.counters["refused"] += 1
         self.counters[f"refused_{why.value}"] += 1
         responder.refused(retry_after_ms, why is RefusalReason.QUOTA)
@@ -170,7 +182,8 @@
         """Answer a request that the module has not answered: at a defect, past its deadline, or at a stop."""
         entry = self._requests.get(handle)
         if entry is not None and entry.responder is not None:
-            log.warning("request ended without the module", extra={"kv": {"why": why.value}})
+            kv = {"id": entry.request.identity, "why": why.value, "attempts": len(entry.attempts)}
+            log.warning("request ended without the module", extra={"kv": kv})
             self._answer_failed(entry, why)
             self._abandon(handle, entry)
 
@@ -210,4 +223,5 @@
         responder = self._take_responder(entry)
         if responder is not None:
             self.counters["failed"] += 1
+            request_log.failed(entry.request, why)
             responder.failed(why)
--- a/lupinlink/net/proxy.py
+++ b/lupinlink/net/proxy.py
@@ -15,6 +15,7 @@
 from lupinlink.brain import Balancer
 from lupinlink.clock import Clock
 from lupinlink.interface import MembershipKind, Status
+from lupinlink.net import request_log
 from lupinlink.net.counters import Counters
 from lupinlink.net.open_requests import OpenRequest, OpenRequests
 from lupinlink.net.request_types import (
@@ -133,9 +134,8 @@
         left = entry.deadline - now
         timeout = left if action.timeout_ms == 0.0 else min(action.timeout_ms, left)
         self.counters["attempts"] += 1
-        if log.isEnabledFor(logging.DEBUG):
-            log.debug("attempt", extra={"kv": {"id": entry.request.identity, "server": action.endpoint}})
         index = len(entry.attempts)
+        request_log.attempt_began(entry.request, index, action.endpoint)
         entry.server = action.endpoint
         entry.attempts_in_flight += 1  # before start(), which may find out that the client has left
         try:
@@ -195,11 +195,8 @@
         cls = self._settings.classes[entry.request.class_index]
         responder = self._take_responder(entry)
         if responder is not None:
-            self._answer_refused(
-                responder,
-                RefusalReason.NEVER_RAN,
-                min(self._settings.max_retry_after_ms, cls.target_latency_ms / 2.0),
-            )
+            wait_ms = min(self._settings.max_retry_after_ms, cls.target_latency_ms / 2.0)
+            self._answer_refused(entry.request, responder, RefusalReason.NEVER_RAN, wait_ms)
 
     def _attempt_broken(self, failure: object, handle: int) -> None:
         log.error("attempt failed inside", extra={"kv": {"why": str(failure)}})
@@ -215,9 +212,10 @@
         handle = int(action.request_id)
         entry = self._requests.get(handle)
         responder = self._take_responder(entry) if entry is not None else None
-        if responder is not None:
-            self.counters[f"refused_for_{action.cause.value}"] += 1
-            self._answer_refused(responder, RefusalReason.MODULE, action.retry_after_ms)
+        if entry is not None and responder is not None:
+            cause = action.cause.value
+            self.counters[f"refused_for_{cause}"] += 1
+            self._answer_refused(entry.request, responder, RefusalReason.MODULE, action.retry_after_ms, cause)
         self._release(handle)
 
     def _fail(self, action: api.Fail) -> None:
--- a/lupinlink/net/request_types.py
+++ b/lupinlink/net/request_types.py
@@ -34,6 +34,30 @@
     QUOTA = "quota"
 
 
+class EndReason(Enum):
+    """Why an attempt ended or a connection to an application server was closed; the value is for the log."""
+
+    ANSWERED = "answered"
+    ANSWERED_EARLY = "answered before the request was written"
+    BROKEN_ANSWER = "broken answer"
+    ANSWER_STALLED = "answer did not go on"
+    CONNECTION_LOST = "connection ended"
+    CLOSED_IDLE = "idle connection ended"
+    UPLOAD_STALLED = "application server took no more of the body"
+    BODY_CUT = "client stopped sending the body"
+    GIVEN_UP = "given up"
+    CLIENT_LEFT = "client left"
+    NOT_BEGUN = "might not be sent any more"
+    NOT_IN_SERVICE = "application server not in service"
+    OVER_CAP = "no room for a connection"
+    MADE_ROOM = "made room"
+    DIAL_FAILED = "no connection"
+    DIAL_SLOW = "connection not established in time"
+    IDLE = "idle for too long"
+    NOT_KEPT = "application server closes it"
+    UNREQUESTED_BYTES = "unrequested bytes"
+
+
 @dataclass(slots=True)
 class ClientRequest:
     """A client's request."""
@@ -71,6 +95,7 @@
     status: Status
     reply: Reply | None = None
     report: dict[str, float] | None = None
+    why: EndReason = EndReason.ANSWERED
 
 
 class Responder(Protocol):
--- a/tests/test_idle_connections.py
+++ b/tests/test_idle_connections.py
@@ -14,6 +14,7 @@
 from lupinlink.net.application_servers.idle_connections import IdleConnections, PooledConnection
 from lupinlink.net.application_servers.pool import Pool
 from lupinlink.net.counters import Counters
+from lupinlink.net.request_types import EndReason
 from lupinlink.settings import Settings
 from tests.helpers import SAFE
 from tests.recording_reactor import RecordingReactor
@@ -26,7 +27,7 @@
     pool: Any = field(default=None)
     dropped: bool = False
 
-    def drop(self) -> None:
+    def drop(self, why: EndReason) -> None:
         self.dropped = True
 
 
