Let connections rest, and doubt servers that send bytes nobody asked for

Cause: HTTP/1.1 ties an answer to its request by order alone. The connection used last was used first, at once, so a second answer some ms late met the next request, and that one's own answer the request after it. A late 503 with X-Never-Ran was believed.

Change: a connection rests 0.1 s after an answer; those used lately are used in turn, the longest rested first; a request waits a hundredth of its time for that, else gets a new connection (up to 12 at rest to a server). A server that was seen to send unrequested bytes gets one request a connection for 60 s, longer each time; all servers do where the bytes came late in the rest. Answers that are in doubt (a reused connection to such a server) count as resets: it may have run. 408 on an idle connection is no such sign.

Why it works: late bytes find a connection at rest, where they prove themselves, and from then on no request follows another on a connection they could reach.

Tests: those that took a kept connection at once wait until it has rested; each cut of late bytes gets pools of its own, since the first one changes what the next may use.

--- a/lupinlink/net/application_servers/attempts.py
+++ b/lupinlink/net/application_servers/attempts.py
@@ -11,6 +11,7 @@
 from twisted.internet.defer import Deferred
 
 from lupinlink.interface import Status
+from lupinlink.limits.connection_reuse import ConnectionReuse
 from lupinlink.net.bodies import Body
 from lupinlink.net.counters import Counters
 from lupinlink.net.log import LineLimit
@@ -31,8 +32,13 @@
     connections: Slots[object]  # established, or being established
     unrequested_lines: LineLimit
     list_is_held: Callable[[], bool]  # whether no request may be written at present
+    reuse: ConnectionReuse
     read_pending_updates: Callable[[], bool]  # reads what discovery sent; True if an update is incomplete
 
+    def close_idle(self, why: EndReason) -> None:
+        """Close the idle connections to all servers."""
+        ...
+
 
 class AttemptConnection(Protocol):
     """The connection that carries an attempt."""
@@ -99,13 +105,17 @@
         """Whether it has not ended yet."""
         return self._open
 
+    def left_ms(self) -> float:
+        """The time left until its time-out."""
+        return self._until - self._servers.clock.now()
+
     def sent_on(self, carrier: Carrier) -> None:
         """Note the connection that it is sent on."""
         self._carrier = carrier
 
     def request(self) -> tuple[bytes, Body | None]:
         """The bytes to write now, and the body that follows them, if any."""
-        return self._encode(self._until - self._servers.clock.now())
+        return self._encode(self.left_ms())
 
     def set_deadline(self, at_ms: float) -> None:
         """Change the time of its time-out."""
--- a/lupinlink/net/application_servers/connection.py
+++ b/lupinlink/net/application_servers/connection.py
@@ -41,8 +41,7 @@
     def dataReceived(self, data: bytes) -> None:
         if self._attempt is None and self._stream is None:
             self.pool.forget(self)
-            self._note_unrequested(data)
-            self.drop(EndReason.UNREQUESTED_BYTES)
+            self._idle_bytes(data)
             return
         self._parser.feed(data)
         try:
@@ -66,14 +65,10 @@
         elif not self._written:
             self._answered_early(message)
         elif message is not None:
-            end = outcome(message)
-            if self._parser.for_head_request and end.reply is not None:
-                length = message.get("content-length")
-                end.reply.length = int(length.partition(",")[0]) if length is not None else None
-            self._finish(end, self._why_not_kept(message))
+            self._finish_with(message, self._why_not_kept(message))
         elif self._parser.started():
             self._cancel_progress_timer()
-            if self._is_streamable():
+            if self._is_streamable() and not self._is_doubtful(Status.OK):
                 self._start_stream()
             else:
                 attempt = self._attempt
@@ -90,17 +85,42 @@
         if message is None and not self._parser.started():
             return
         self._servers.counters["early_answers"] += 1
+        if self._is_reused and self._unsent is not None:
+            self._note_unrequested(b"", self._servers.clock.now() - self.idle_since)
         end = outcome(message) if message is not None else AttemptResult(Status.NOT_SENT)
         if end.status != Status.OVERLOADED:
             end = AttemptResult(Status.NOT_SENT)
         end.why = EndReason.ANSWERED_EARLY
         self._finish(end, EndReason.ANSWERED_EARLY)
 
+    def _finish_with(self, message: http1.Message, why_not_kept: EndReason | None) -> None:
+        """End the attempt with a whole answer, unless that may have been made for another request."""
+        end = outcome(message)
+        if self._is_doubtful(end.status):
+            self._servers.counters["answers_not_believed"] += 1
+            why_not_kept = EndReason.ANSWER_IN_DOUBT
+            end = AttemptResult(Status.RESET, why=why_not_kept)
+        elif self._parser.for_head_request and end.reply is not None:
+            length = message.get("content-length")
+            end.reply.length = int(length.partition(",")[0]) if length is not None else None
+        self._finish(end, why_not_kept)
+
+    def _is_doubtful(self, status: Status) -> bool:
+        """Whether an answer may have been made for an earlier request: one was seen out of turn lately.
+
+        If only other servers showed it, doubt is cast on no more than the claim that a request never ran.
+        """
+        if not self._is_reused:
+            return False
+        now = self._servers.clock.now()
+        if status == Status.OVERLOADED:
+            return not self._servers.reuse.is_allowed(self.pool.suspicion, now)
+        return self.pool.suspicion.holds(now)
+
     def _why_not_kept(self, message: http1.Message) -> EndReason | None:
         """Why the connection has to be closed after this answer, if it has to."""
         if self._parser.buffer:
-            self.idle_since = self._servers.clock.now()
-            self._note_unrequested(bytes(self._parser.buffer))
+            self._note_unrequested(bytes(self._parser.buffer), 0.0)
             return EndReason.UNREQUESTED_BYTES
         return None if message.keeps_open() else EndReason.NOT_KEPT
 
@@ -193,6 +213,7 @@
         self._detach_body()
         busy = self._attempt is not None or self._stream is not None
         self._note_close(EndReason.CONNECTION_LOST if busy else EndReason.CLOSED_IDLE)
+        self._end_reservation()
         # An answer without a length is complete only if its close was announced and orderly.
         message = self._parser.eof() if isinstance(reason.value, ConnectionDone) else None
         if message is not None and message.keeps_open():
@@ -200,9 +221,8 @@
         if self._stream is not None:
             self._end_stream(message, EndReason.CONNECTION_LOST)
         elif self._attempt is not None:
-            if message is not None and self._written:
-                end = outcome(message)
-            else:
+            end = outcome(message) if message is not None and self._written else None
+            if end is None or self._is_doubtful(end.status):
                 status = Status.RESET if self._written else Status.UNREACHABLE
                 end = AttemptResult(status, why=EndReason.CONNECTION_LOST)
             attempt, self._attempt = self._attempt, None
--- a/lupinlink/net/application_servers/idle_connections.py
+++ b/lupinlink/net/application_servers/idle_connections.py
@@ -4,6 +4,7 @@
 
 import math
 from bisect import bisect_left, insort
+from collections.abc import Callable
 from operator import itemgetter
 from typing import TYPE_CHECKING, Protocol
 
@@ -21,10 +22,12 @@
 
     handle: int
     idle_since: float
+    requests_carried: int
+    on_closed: Callable[[], None] | None  # called when it ends while it is reserved
     pool: Pool
 
     def carry(self, attempt: Attempt) -> None: ...
-    def stale(self) -> bool: ...
+    def usable(self) -> bool: ...
     def drop(self, why: EndReason) -> None: ...
 
 
--- a/lupinlink/net/application_servers/kept_connection.py
+++ b/lupinlink/net/application_servers/kept_connection.py
@@ -4,6 +4,7 @@
 
 import logging
 import socket
+from collections.abc import Callable
 from contextlib import suppress
 from typing import Protocol
 
@@ -20,6 +21,8 @@
 
 log = logging.getLogger("lupinlink.net.application_servers")
 LOGGED_BYTES = 24  # of unrequested ones
+# Some servers say so before they close an idle connection (RFC 9110, 15.5.9).
+IDLE_TIMEOUT_ANSWERS = (b"HTTP/1.1 408 ", b"HTTP/1.0 408 ")
 
 
 class ConnectionOpener(Protocol):
@@ -41,6 +44,7 @@
         self._progress_timer: Timer | None = None
         self._paused = False  # not read, as the client does not read its streamed answer
         self._closed = False  # the reason of its close is logged
+        self.on_closed: Callable[[], None] | None = None  # called when it ends while it is reserved
         self.requests_carried = 0
         self.last_identity = ""  # of the last request that it carried
         self.idle_since = 0.0
@@ -65,6 +69,7 @@
         with suppress(OSError, AttributeError):
             self.transport.getHandle().shutdown(socket.SHUT_RDWR)
         self.transport.abortConnection()
+        self._end_reservation()
 
     def _note_close(self, why: EndReason) -> None:
         """Count and log why it is closed; only the first reason counts."""
@@ -77,28 +82,55 @@
                   "requests": self.requests_carried, "last": self.last_identity}  # fmt: skip
             log.debug("connection closed", extra={"kv": kv})
 
-    def _note_unrequested(self, data: bytes) -> None:
-        """Log bytes that are not the answer to a request.
+    def _end_reservation(self) -> None:
+        """Tell who has reserved it that it has ended."""
+        on_closed, self.on_closed = self.on_closed, None
+        if on_closed is not None:
+            on_closed()
+
+    @property
+    def _is_reused(self) -> bool:
+        """Whether the request that it carries, or carried last, was not its first."""
+        return self.requests_carried > 1
+
+    def _idle_bytes(self, data: bytes) -> None:
+        """Close it, as bytes have come while no request was out."""
+        if not self.requests_carried or data.startswith(IDLE_TIMEOUT_ANSWERS):
+            return self.drop(EndReason.CLOSED_IDLE)
+        self._note_unrequested(data, self._servers.clock.now() - self.idle_since)
+        self.drop(EndReason.UNREQUESTED_BYTES)
+
+    def _note_unrequested(self, data: bytes, after_ms: float) -> None:
+        """Log bytes that are not the answer to a request; connections there carry one request for a while.
 
         The last request is named: if the connection was reused for it, what was passed on as its answer may
         have been made for the request before, and these bytes may be its own.
         """
         now = self._servers.clock.now()
+        if self._servers.reuse.note_unrequested(self.pool.suspicion, after_ms, now):
+            self._servers.close_idle(EndReason.ONE_REQUEST_ONLY)
+        else:
+            self.pool.close_idle(EndReason.ONE_REQUEST_ONLY)
         self._servers.counters["unrequested_bytes"] += 1
-        self._servers.counters["answers_in_doubt"] += self.requests_carried > 1
+        self._servers.counters["answers_in_doubt"] += self._is_reused
         if (count := self._servers.unrequested_lines.take(now)) == 0:
             return
         kv = {"server": self.pool.name, "connection": self.handle, "last": self.last_identity,
-              "reused": self.requests_carried - 1, "after_ms": round(now - self.idle_since, 1),
+              "reused": self.requests_carried - 1, "after_ms": round(after_ms, 1),
               "bytes": len(data), "begin": repr(data[:LOGGED_BYTES]), "count": count}  # fmt: skip
         log.warning("unrequested bytes", extra={"kv": kv})
 
-    def stale(self) -> bool:
-        """Whether this idle connection must not be used: it was closed, or unsolicited data has arrived.
+    def usable(self) -> bool:
+        """Whether this idle connection may be used: it was not closed, and no unrequested bytes have arrived.
 
-        Bytes after the last answer would be taken for the answer to the next request.
+        If it may not, it is closed here.
         """
-        return peek(self.transport) is not None
+        waiting = peek(self.transport)
+        if waiting:
+            self.transport.doRead()  # as no attempt is out on it, this closes it
+        if waiting is not None and not self._closed:
+            self.drop(EndReason.CLOSED_IDLE)
+        return waiting is None
 
     def read_pending(self) -> None:
         """Read what has arrived of an answer, at most as much as an answer that is not streamed can have.
@@ -114,9 +146,12 @@
     def _release(self, why_not_kept: EndReason | None, used: bool = True) -> None:
         """Return the connection to the pool, or close it for this reason."""
         self._resume()
+        now = self._servers.clock.now()
+        if used and not self._servers.reuse.is_allowed(self.pool.suspicion, now):
+            why_not_kept = why_not_kept or EndReason.ONE_REQUEST_ONLY
         if why_not_kept is None and self.pool.current:
             if used:
-                self.idle_since = self._servers.clock.now()
+                self.idle_since = now
             self.pool.rest(self)
         else:
             self.drop(why_not_kept or EndReason.NOT_IN_SERVICE)
--- a/lupinlink/net/application_servers/pool.py
+++ b/lupinlink/net/application_servers/pool.py
@@ -4,13 +4,18 @@
 
 import logging
 import math
+from bisect import bisect_left, insort
 from dataclasses import dataclass, field
+from operator import attrgetter
 
+from lupinlink.limits.connection_reuse import REST_MS, Suspicion
 from lupinlink.net.application_servers.idle_connections import IdleConnections
 from lupinlink.net.application_servers.idle_connections import PooledConnection as PooledConnection
 from lupinlink.net.request_types import EndReason
 
 log = logging.getLogger("lupinlink.net.application_servers")
+LATELY_MS = 1000.0  # connections that were used this recently are used in turn
+_idle_since = attrgetter("idle_since")
 RECENTLY_SENT_MS = 10_000.0  # a server that leaves service is logged if it was sent a request this recently
 
 
@@ -27,6 +32,7 @@
     round_trip_ms: float = math.inf  # the shortest time in which a connection was established
     reached: bool = True  # whether the last connection was established; only changes are logged
     sent_at: float = -math.inf  # when the first byte of the last request was sent
+    suspicion: Suspicion = field(default_factory=Suspicion)  # of sending bytes that were not requested
     idle: list[PooledConnection] = field(default_factory=list)  # the most recently used last
 
     def record_dial(self, took_ms: float = math.inf, why: str = "") -> None:
@@ -48,12 +54,25 @@
         self.idle.append(connection)
         self.all_idle.add(connection)
 
-    def take(self) -> PooledConnection:
-        """Take out the most recently used idle connection; there has to be one."""
-        connection = self.idle.pop()
-        self.all_idle.remove(connection)
+    def take(self, now: float) -> PooledConnection:
+        """Take out the idle connection to use next; there has to be one.
+
+        It is the one that has rested longest among those used lately; the others are left to grow too old.
+        """
+        first = bisect_left(self.idle, now - LATELY_MS, key=_idle_since)
+        is_rested = first < len(self.idle) and now - self.idle[first].idle_since >= REST_MS
+        connection = self.idle[first if is_rested else max(0, first - 1)]
+        self.forget(connection)
         return connection
 
+    def return_unused(self, connection: PooledConnection) -> None:
+        """Return a connection that was taken and not used; it goes on resting."""
+        if not self.current:
+            connection.drop(EndReason.NOT_IN_SERVICE)
+            return
+        insort(self.idle, connection, key=_idle_since)
+        self.all_idle.add(connection)
+
     def forget(self, connection: PooledConnection) -> None:
         """Remove a connection, if it is idle here."""
         if connection in self.idle:
@@ -63,5 +82,10 @@
     def retire(self) -> None:
         """Close the idle connections; busy ones are closed after their attempts."""
         self.current = False
-        while self.idle:
-            self.take().drop(EndReason.NOT_IN_SERVICE)
+        self.close_idle(EndReason.NOT_IN_SERVICE)
+
+    def close_idle(self, why: EndReason) -> None:
+        """Close the idle connections."""
+        for connection in list(self.idle):
+            self.forget(connection)
+            connection.drop(why)
--- a/lupinlink/net/application_servers/pools.py
+++ b/lupinlink/net/application_servers/pools.py
@@ -8,13 +8,15 @@
 from twisted.internet.defer import Deferred
 
 from lupinlink.interface import Endpoint, EndpointState, Status
+from lupinlink.limits.connection_reuse import ConnectionReuse, wait_ms
 from lupinlink.net import http1
 from lupinlink.net.application_servers.attempts import Attempt
 from lupinlink.net.application_servers.dialling import Dial
-from lupinlink.net.application_servers.idle_connections import IdleConnections
+from lupinlink.net.application_servers.idle_connections import IdleConnections, PooledConnection
 from lupinlink.net.application_servers.outcomes import read_report
 from lupinlink.net.application_servers.pool import Pool
 from lupinlink.net.application_servers.request_encoding import encode_request
+from lupinlink.net.application_servers.resting import RestingConnection
 from lupinlink.net.counters import Counters
 from lupinlink.net.log import LineLimit
 from lupinlink.net.request_types import AttemptResult, ClientRequest, EndReason
@@ -25,6 +27,7 @@
 
 IDLE_LIMIT_SHARE = 0.6  # of the server's idle time-out, so that no request crosses the close
 SWEEP_MS = 250.0
+MAX_OPEN_SHARE = 0.5  # of the limit on connections; above it none is opened because others have not rested
 PROBE_TIMEOUT_MS = 1000.0
 
 
@@ -43,7 +46,7 @@
         self.connections: Slots[object] = Slots(cap)
         self.list_is_held: Callable[[], bool] = lambda: False
         self.read_pending_updates: Callable[[], bool] = lambda: False
-        self.unrequested_lines = LineLimit()
+        self.reuse, self.unrequested_lines = ConnectionReuse(), LineLimit()
         self._reactor = reactor
         self._pools: dict[str, Pool] = {}
         self._idle = IdleConnections()
@@ -87,21 +90,21 @@
         begin_by_ms: float,
         wanted: Callable[[], bool],
     ) -> Attempt:
-        """Start an attempt on an idle connection, or on a new one."""
+        """Start an attempt to send a client's request."""
         pool = self._pools.get(server)
         host = f"{pool.host}:{pool.port}" if pool is not None else server
         until = self.clock.now() + timeout_ms
         encode = partial(encode_request, request, host)
         only_head = request.method == "HEAD"
         attempt = Attempt(self, server, encode, until, begin_by_ms, wanted, only_head, request.identity)
-        return self._send(attempt)
+        return self.send(attempt)
 
     def probe(self, server: str) -> Deferred[AttemptResult]:
         """Ask an application server whether it is alive, or for its load report."""
         target = "/metrics/load" if self.settings.reports_in_probes else "/alive"
         data = http1.request("GET", target, [("Host", server)])
         attempt = Attempt(self, server, lambda left: (data, None), self.clock.now() + PROBE_TIMEOUT_MS)
-        return self._send(attempt).ended.addCallback(self._probed)
+        return self.send(attempt).ended.addCallback(self._probed)
 
     @staticmethod
     def _probed(end: AttemptResult) -> AttemptResult:
@@ -111,20 +114,45 @@
             end.report = read_report(end.reply.body.decode("latin-1"))
         return end
 
-    def _send(self, attempt: Attempt) -> Attempt:
+    def _rest_needed_ms(self, connection: PooledConnection, attempt: Attempt, now: float) -> float | None:
+        """How long an attempt waits for this connection, which is out of its pool; None: open another."""
+        if not connection.requests_carried:
+            return 0.0
+        may_open = len(self.connections) < MAX_OPEN_SHARE * self.connections.capacity
+        return wait_ms(
+            now - connection.idle_since, attempt.left_ms(), len(connection.pool.idle) + 1, may_open
+        )
+
+    def carry_on_kept(self, connection: PooledConnection, attempt: Attempt) -> bool:
+        """Send the attempt on a connection that has rested; False if that may not be used any more."""
+        now = self.clock.now()
+        if now - connection.idle_since >= self._idle_ms:
+            connection.drop(EndReason.IDLE)
+        elif connection.requests_carried and not self.reuse.is_allowed(connection.pool.suspicion, now):
+            connection.drop(EndReason.ONE_REQUEST_ONLY)
+        elif connection.usable():
+            self.counters["connections_reused"] += 1
+            connection.carry(attempt)
+            return True
+        return False
+
+    def send(self, attempt: Attempt) -> Attempt:
+        """Start an attempt on an idle connection, or on a new one."""
         pool, now = self._pools.get(attempt.server), self.clock.now()
         if pool is None or not pool.current:
             attempt.end(AttemptResult(Status.NOT_SENT, why=EndReason.NOT_IN_SERVICE))
             return attempt
         while pool.idle:
-            connection = pool.take()
-            if now - connection.idle_since >= self._idle_ms:
-                connection.drop(EndReason.IDLE)
-            elif connection.stale():
-                connection.drop(EndReason.CLOSED_IDLE)
-            else:
-                self.counters["connections_reused"] += 1
-                connection.carry(attempt)
+            connection = pool.take(now)
+            rest_ms = self._rest_needed_ms(connection, attempt, now)
+            if rest_ms is None:
+                pool.return_unused(connection)
+                break
+            if rest_ms > 0.0:
+                self.counters["attempts_waiting_for_rest"] += 1
+                RestingConnection(self, connection, attempt, rest_ms)
+                return attempt
+            if self.carry_on_kept(connection, attempt):
                 return attempt
         if not attempt.may_begin(0.0):
             attempt.end(AttemptResult(Status.NOT_SENT, why=EndReason.NOT_BEGUN))
@@ -173,6 +201,12 @@
         pool = self._pools.get(server)
         return pool is None or pool.reached
 
+    def close_idle(self, why: EndReason) -> None:
+        """Close the idle connections to all servers."""
+        while (connection := self._idle.oldest()) is not None:
+            connection.pool.forget(connection)
+            connection.drop(why)
+
     def close(self) -> None:
         """Close all idle connections, before the process exits."""
         for pool in self._pools.values():
--- a/lupinlink/net/request_types.py
+++ b/lupinlink/net/request_types.py
@@ -56,6 +56,8 @@
     IDLE = "idle for too long"
     NOT_KEPT = "application server closes it"
     UNREQUESTED_BYTES = "unrequested bytes"
+    ANSWER_IN_DOUBT = "answered more than once on a connection that had carried other requests"
+    ONE_REQUEST_ONLY = "unrequested bytes were seen lately"
 
 
 @dataclass(slots=True)
--- a/tests/test_crossing_answers.py
+++ b/tests/test_crossing_answers.py
@@ -15,6 +15,7 @@
 from twisted.internet.epollreactor import EPollReactor
 
 from lupinlink.interface import Endpoint, Status
+from lupinlink.limits.connection_reuse import REST_MS
 from lupinlink.net.application_servers import ApplicationServers
 from lupinlink.net.application_servers.attempts import Attempt
 from lupinlink.net.bodies import SMALL_BODY_BYTES, Body
@@ -85,14 +86,16 @@
             self.assertTrue(piece, got)
 
     def idle_connection(self) -> tuple[socket.socket, Any]:
-        """An idle connection of the pool: the server's end, and the proxy's."""
+        """An idle connection of the pool that has rested: the server's end, and the proxy's."""
         _, ends = self.attempt()
         server = self.accept_request()
         server.sendall(OK)
         self.iterate_until(lambda: ends)
         self.assertEqual(ends[0].status, Status.OK)
         (pool,) = self.servers._pools.values()
-        return server, pool.idle[0]
+        connection = pool.idle[0]
+        self.iterate_until(lambda: self.clock.now() >= connection.idle_since + REST_MS)
+        return server, connection
 
     def wait_for_data(self, connection: Any) -> None:
         """Wait until data of the server has arrived, without reading it."""
@@ -153,19 +156,20 @@
 
     def test_an_idle_connection_with_late_bytes_or_a_close_is_not_used(self) -> None:
         for cut in (OK, OK[:5], b""):
-            server, connection = self.idle_connection()
+            case = Crossings()  # late bytes change what its connections are used for
+            case.setUp()
+            self.addCleanup(case.doCleanups)
+            server, connection = case.idle_connection()
             if cut:
                 server.sendall(cut)
             else:
                 server.shutdown(socket.SHUT_WR)
-            self.wait_for_data(connection)
-            _, ends = self.attempt()
-            other = self.accept_request()
+            case.wait_for_data(connection)
+            _, ends = case.attempt()
+            other = case.accept_request()
             other.sendall(OK)
-            self.iterate_until(ends.copy)
+            case.iterate_until(ends.copy)
             self.assertEqual((ends[0].status, server.recv(1)), (Status.OK, b""))
-            self.close_all()
-            self.update_server()
 
     def test_a_break_before_the_kernel_has_the_last_byte_proves_that_it_never_ran(self) -> None:
         server, connection = self.idle_connection()
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -78,10 +78,10 @@
         self.assertTrue(got.index(b"a0") < got.index(b"a1") < got.index(b"a2") < got.index(b"a3"))
 
     def test_connections_are_kept_on_both_sides(self) -> None:
-        # A handshake costs the application server work: it is made once here, not five times.
-        client = self.client()
+        client = self.client()  # a handshake costs the application server work
         for _ in range(5):
             self.assertEqual(self.ask(client).read(), b"ok")
+            time.sleep(0.2)  # a connection has to rest for 0.1 s
         self.assertEqual(self.server.accepted, 1)
 
     def test_up_and_counters_on_a_signal_and_at_exit(self) -> None:
--- a/tests/test_updates_before_write.py
+++ b/tests/test_updates_before_write.py
@@ -81,13 +81,13 @@
     def test_an_attempt_that_ends_meanwhile_is_not_written_and_its_connection_stays_idle(self) -> None:
         server, connection = self.loop.idle_connection()
         attempts: list[Any] = []
-        start = self.servers._send
+        start = self.servers.send
 
         def send(attempt: Any) -> Any:
             attempts.append(attempt)
             return start(attempt)
 
-        self.servers._send = send  # type: ignore[method-assign]
+        self.servers.send = send  # type: ignore[method-assign]
         self.servers.read_pending_updates = update_that(lambda: attempts[0].give_up(Status.CANCELLED))
         _, ends = self.loop.attempt()
         self.iterate()
--- a/tests/test_written_at_once.py
+++ b/tests/test_written_at_once.py
@@ -119,6 +119,7 @@
 
     def test_late_bytes_are_no_answer(self) -> None:
         for late in (OK, OK[:5]):
+            self.setUp()  # late bytes change what the connections are used for
             server, ends = self.crossed(lambda server, late=late: server.sendall(late))  # type: ignore[misc]
             self.assertEqual((ends[0].status, self.end_of(server)), (Status.NOT_SENT, b""))
 
@@ -130,7 +131,7 @@
         server, connection = self.loop.idle_connection()
         server.sendall(b"HTTP/1.1 100 Continue\r\n\r\n")
         self.loop.wait_for_data(connection)
-        with patch.object(type(connection), "stale", lambda connection: False):
+        with patch.object(type(connection), "usable", lambda connection: True):
             _, ends = self.loop.attempt(b"body")
         self.assertTrue(self.received_by(server).endswith(b"body"))
         server.sendall(OK)
