Make each call to the agreement service on a connection of its own

What callers would see: a lease that nobody holds. The transport kept connections; a second answer to a call that came as the next one was out was taken for that one's answer, and every later answer on the connection was shifted by one.

Change: no call follows another on a connection. Calls are few: renewals, commits, and a blocking query at a time.

--- a/lupinlink/coordination/consul.py
+++ b/lupinlink/coordination/consul.py
@@ -37,8 +37,6 @@
 _not_sent: Any = web.RequestNotSent  # type: ignore[attr-defined]
 NOT_SENT = (ConnectError, ConnectingCancelledError, DNSLookupError, _not_sent)
 MAX_BODY_BYTES = 16 * 1024 * 1024  # of a response: a proxy has about 100 MB of memory in all
-MAX_CONNECTIONS = 16  # to the service; each blocking query occupies one
-IDLE_TIMEOUT_S = 30.0  # for which an idle connection is kept
 CONSUL_WAIT_JITTER = 1.0 / 16.0  # share of a blocking query's wait by which Consul may prolong it
 
 
@@ -108,9 +106,8 @@
 
     def __init__(self, reactor: Any, settings: ConsulSettings) -> None:
         self._reactor, self._settings = reactor, settings
-        self._pool: Any = web.HTTPConnectionPool(reactor, persistent=True)  # type: ignore[no-untyped-call]
-        self._pool.maxPersistentPerHost = MAX_CONNECTIONS
-        self._pool.cachedConnectionTimeout = IDLE_TIMEOUT_S
+        # One call a connection: on a kept one, bytes after an answer would be taken for the next call's.
+        self._pool: Any = web.HTTPConnectionPool(reactor, persistent=False)  # type: ignore[no-untyped-call]
         # Retries by the pool would be neither counted nor spread in time.
         self._pool.retryAutomatically = False
         agent: Any = web.Agent
@@ -120,7 +117,7 @@
         self._headers = Headers({"X-Consul-Token": [settings.token]} if settings.token else {})
 
     def stop(self) -> Deferred[None]:
-        """Close the idle connections."""
+        """Close what the pool keeps, which is nothing while every call has a connection of its own."""
         closed: Deferred[None] = self._pool.closeCachedConnections()
         return closed
 
--- a/tests/agreements.py
+++ b/tests/agreements.py
@@ -142,6 +142,10 @@
     def busy(self, on: bool = True) -> None:
         self._fault("too_many", on)
 
+    def hang(self, on: bool = True) -> None:
+        """Connections come up, nothing is answered and nothing is done."""
+        self._fault("hang", on)
+
     def no_leader(self, on: bool = True) -> None:
         self._fault("no_leader", on)
 
--- a/tests/test_agreement.py
+++ b/tests/test_agreement.py
@@ -158,11 +158,12 @@
 
     @async_test
     async def test_a_time_out_makes_a_write_uncertain_and_a_read_unreachable(self: Any) -> None:
-        await self.a.read("r")  # establishes a connection
-        self.service.cut(0)
+        self.service.hang()
         await self.assert_commit_fails(UncertainError, Put("r", b"1", None))
         await self.assert_fails(UnreachableError, self.a.read("r"))
+        self.service.hang(False)
         self.assertIsNone(await self.value("r"))
+        self.service.cut(0)
         await self.assert_commit_fails(UnreachableError, Put("r", b"1", None))  # no connection, so never sent
 
     @async_test
