Do not take a second copy of discovery's list for the answer to the watch

What it does to callers: after SIGHUP to another discovery, or once older lists came, the list is asked for and then, on the same connection, a watch. A second copy of the list that came late was applied as the watch's first word: it confirmed the list with what had been read before, while the watch's own answer was lost with the connection.

A watch's answer has no declared length, the list's has; so the two can be told apart. Bytes behind the list end the call, and no watch is asked for on that connection.

--- a/lupinlink/net/watch.py
+++ b/lupinlink/net/watch.py
@@ -14,6 +14,7 @@
 
 from lupinlink.brain.discovery_times import DiscoveryTimes
 from lupinlink.net import http1
+from lupinlink.net.discovery_requests import full_list_request, watch_request
 from lupinlink.net.list_format import MAX_OBJECT_BYTES, ListError, ObjectSplitter
 from lupinlink.net.socket_peek import peek
 from lupinlink.net.timer_wheel import ReactorClock, Timer
@@ -82,16 +83,12 @@
         self._listener.on_reached(self)
 
     def _send_request(self) -> None:
-        # Version numbers of one discovery mean nothing to another, so its full list is requested first.
-        query = "" if self._awaits_full_list else f"?watch=1&from={self._listener.version}"
-        headers = [("Host", self.address[0])] + ([] if self._awaits_full_list else [("Connection", "close")])
-        self.transport.write(http1.request("GET", f"/discovery/hosts{query}", headers))
+        # Versions of one discovery mean nothing to another, so its full list is requested first.
+        host, full = self.address[0], self._awaits_full_list
+        self.transport.write(full_list_request(host) if full else watch_request(host, self._listener.version))
 
     def _note_activity(self) -> None:
-        """Activity is a response head, an empty line, or the beginning or the end of an object.
-
-        Other bytes don't count: an object that trickles in without end would keep a dead watch open.
-        """
+        """Note a response head, an empty line, or an object's begin or end; other bytes may only drip in."""
         self._last_active_at = self._clock.now()
         self._restart_silence_timer(self._times.silence_timeout_ms)
 
@@ -150,6 +147,9 @@
             self._set_partial(False)  # an error response carries no update
             self.refused = True
             raise ListError(f"discovery answered {head.status}")
+        after_list = self.requests_full_list and not self._awaits_full_list
+        if begins and after_list and head.get("content-length") is not None:  # a watch's answer has none
+            raise ListError("a second answer to the request for the list")
         if begins:
             self.answered = True
             self._cancel_late_timer()
@@ -195,7 +195,7 @@
     def _process_full_list(self, message: http1.Message) -> None:
         self._listener.on_object(self, json.loads(message.body), full=True)
         self._awaits_full_list = False
-        if message.keeps_open():
+        if message.keeps_open() and not self._parser.buffer:
             self._restart_silence_timer(self._times.answer_timeout_ms)
             self._send_request()
         else:
