Do not take an informational answer of discovery for a refusal

What it does to callers: a 1xx before discovery's answer ended the call as turned down, which is taken as proof that no update was sent, though the answer with one could follow.

Cause: any status but 200 counted as a refusal. 1xx are passed over now, as on connections to application servers. The test failed before and passes now.

--- a/lupinlink/net/watch.py
+++ b/lupinlink/net/watch.py
@@ -128,7 +128,8 @@
         self._parser.feed(data)
         begins, message, broken = self._parser.head is None, None, None
         try:
-            message = self._parser.next()
+            while (message := self._parser.next()) is not None and message.status < 200:
+                pass
         except http1.MessageError as exc:
             broken = exc  # what came before it counts as notified
         head = message or self._parser.head
--- a/tests/test_discovery_answers.py
+++ b/tests/test_discovery_answers.py
@@ -5,8 +5,10 @@
 import json
 from unittest.mock import Mock
 
-from tests.watch_test_case import WatchTestCase, entry
+from lupinlink.interface import DiscoveryCallFailed
+from tests.watch_test_case import HEAD, WatchTestCase, entry
 
+EARLY_HINTS = b"HTTP/1.1 103 Early Hints\r\nX: y\r\n\r\n"
 WHOLE = json.dumps({"rev": 3, "all": True, "targets": [entry("s-3")]}).encode()
 KEPT_LIST = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(WHOLE), WHOLE)
 
@@ -36,3 +38,13 @@
             self.watch.dataReceived(KEPT_LIST + more)
             self.watch.transport.write.assert_not_called()
             self.assertEqual((len(self.kinds), self.watch.ended.called), (1, True))
+
+    # Guards against taking 1xx for a refusal, which says that no update was sent.
+    def test_informational_answers_are_no_refusal(self) -> None:
+        self.watch.dataReceived(EARLY_HINTS)
+        self.assert_watch_open()
+        self.assertFalse(any(isinstance(event, DiscoveryCallFailed) for event in self.events))
+        self.send_object(
+            {"rev": 42, "all": False, "targets": [entry("s-1", "terminating")]}, EARLY_HINTS + HEAD
+        )
+        self.assertEqual(self.ready(), ["s-2"])
