--- a/lupinlink/lab/emulated.py
+++ b/lupinlink/lab/emulated.py
@@ -5,7 +5,6 @@
 import asyncio
 import json
 import math
-import os
 import socket
 from collections.abc import Callable
 from contextlib import suppress
@@ -17,6 +16,7 @@
 from lupinlink.lab.model.referee import End
 from lupinlink.lab.model.servers import NEVER_RUN, Ending, Job, Server
 from lupinlink.lab.model.world import World
+from lupinlink.lab.passage import Passage
 from lupinlink.net import http1
 
 HOST = "127.0.0.1"
@@ -28,6 +28,10 @@
 BACKLOG = 1024  # connections that wait to be accepted
 BEAT_MS = 2000.0  # an empty line on a watch, as long as nothing changes
 NOISE = b"\x00\xffthis is no answer\r\n\r\n"
+OTHER_SECOND_ANSWERS = (
+    http1.response(503, [("X-Never-Ran", "1")], b"", close=False),
+    http1.response(500, [], b"", close=False),
+)
 
 
 def listen(port: int = 0, backlog: int = BACKLOG, host: str = HOST) -> socket.socket:
@@ -42,65 +46,6 @@
     return listener
 
 
-class Passage(asyncio.Protocol):
-    """One connection of a proxy to an application server."""
-
-    def __init__(self, front: ServerFront) -> None:
-        self.front = front
-        self._parser = http1.RequestParser()
-        self.transport: asyncio.Transport | None = None
-        self.ask: Ask | None = None  # whose attempt is out here
-        self.number = -1
-        self.proxy = -1  # where the address that it came to tells
-        self.hushed = False  # its way is cut: nothing comes or goes
-        self.job: Job | None = None
-        self.fresh = True
-        self.process: Server | None = None
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        assert isinstance(transport, asyncio.Transport)
-        self.transport = transport
-        sock = transport.get_extra_info("socket")
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self.front.opened(self)
-
-    def data_received(self, data: bytes) -> None:
-        self._parser.feed(data)
-        try:
-            message = self._parser.next()
-        except http1.MessageError:
-            self.abort()
-            return
-        if message is not None:
-            self.front.asked(self, message)
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        self.front.closed(self)
-
-    def gone(self) -> bool:
-        """Whether the other side has ended, though that was not read yet."""
-        if self.transport is None or self.transport.is_closing():
-            return True
-        # asyncio's wrapper lacks recv: the descriptor is looked at under another number.
-        number = self.transport.get_extra_info("socket").fileno()
-        with socket.socket(fileno=os.dup(number)) as other:
-            other.setblocking(False)
-            try:
-                return other.recv(1, socket.MSG_PEEK) == b""
-            except BlockingIOError:
-                return False
-            except ConnectionError:
-                return True
-
-    def write(self, data: bytes) -> None:
-        if self.transport is not None and not self.transport.is_closing() and not self.hushed:
-            self.transport.write(data)
-
-    def abort(self) -> None:
-        if self.transport is not None:
-            self.transport.abort()
-
-
 class ServerFront:
     """One place's listener: HTTP/1.1 before the model's server that runs there."""
 
@@ -281,18 +226,28 @@
             return  # on its way: the connection stays open and says nothing
         headers = self._report(report)
         if how is Ending.SERVED:
-            self.end(passage, End.SERVED)
-            passage.write(http1.response(200, headers, ask.name.encode(), close=False))
+            end, data = End.SERVED, http1.response(200, headers, ask.name.encode(), close=False)
         elif how in NEVER_RUN:
-            self.end(passage, End.NEVER_RAN)
             status = 503 if how is Ending.FULL else 504
-            passage.write(http1.response(status, [*headers, ("X-Never-Ran", "1")], b"", close=False))
+            end = End.NEVER_RAN
+            data = http1.response(status, [*headers, ("X-Never-Ran", "1")], b"", close=False)
         elif how is Ending.SPOILT:
-            self.end(passage, End.ERROR)
-            passage.write(NOISE)
+            end, data = End.ERROR, NOISE
         else:
-            self.end(passage, End.ERROR)
-            passage.write(http1.response(500, headers, b"", close=False))
+            end, data = End.ERROR, http1.response(500, headers, b"", close=False)
+        self.end(passage, end)
+        passage.write(data)
+        self._answer_again(passage, data)
+
+    def _answer_again(self, passage: Passage, data: bytes) -> None:
+        """Write a second answer some time later, where a fault says so: the same, or another one."""
+        troubles, draws, clock = self.process.troubles, self.fronts.chance, self.fronts.world.clock
+        if troubles.second_answers <= 0.0 or draws.even() >= troubles.second_answers:
+            return
+        kinds = (data, *OTHER_SECOND_ANSWERS)
+        second = kinds[int(draws.even() * len(kinds))]
+        at = clock.now() + draws.even() * troubles.second_answer_ms
+        clock.at(at, partial(passage.write, second))
 
     def _report(self, report: dict[str, float]) -> list[tuple[str, str]]:
         if not self.fronts.world.scenario.rules.reports:
--- a/lupinlink/lab/fleet/backends.py
+++ b/lupinlink/lab/fleet/backends.py
@@ -11,13 +11,14 @@
 from collections.abc import Callable
 from urllib.parse import parse_qs
 
-from lupinlink.lab.emulated import Fronts, Passage, ServerFront, listen
+from lupinlink.lab.emulated import Fronts, ServerFront, listen
 from lupinlink.lab.fleet import addresses
 from lupinlink.lab.fleet.gate import Hush, claim
 from lupinlink.lab.model.clients import Ask, Want
 from lupinlink.lab.model.servers import Server
 from lupinlink.lab.model.windows import ServerSecond
 from lupinlink.lab.model.world import World
+from lupinlink.lab.passage import Passage
 from lupinlink.net import http1
 
 SAMPLE_MS = 50.0  # between two looks at what servers hold
--- a/lupinlink/lab/model/fault_kinds.py
+++ b/lupinlink/lab/model/fault_kinds.py
@@ -22,6 +22,7 @@
     "vanish": ("count",),
     "reset": ("count", "share"),
     "spoil": ("count", "share"),
+    "second_answers": ("count", "share", "ms"),
     "errors": ("count", "share"),
     "zone_lost": ("zone",),
     "roster_down": (),
@@ -63,6 +64,7 @@
 AGREEMENT_KINDS = tuple(kind for kind in FAULTS if kind.startswith("agreement_"))
 MEETS_SERVERS = (
     "crash", "restart", "hang", "slow", "vanish", "reset", "spoil", "errors", "lost",
+    "second_answers",
 )  # fmt: skip
 FLEET_ONLY = (*PROXY_KINDS, *AGREEMENT_KINDS, "cut", "power_loss")  # need a fleet of processes behind relays
 ORDERS = ("together", "discovery_last", "servers_first", "half_first")  # of a fleet's return
@@ -77,7 +79,7 @@
         "zone_shift", "roster_busy", "proxies_killed", "proxies_rolled", "proxies_stopped",
         "proxies_reloaded", "cut", "power_loss", "agreement_gone", "agreement_hangs", "agreement_leaderless",
         "agreement_busy", "agreement_slow", "agreement_restarted", "agreement_restored", "agreement_cut",
-        "agreement_loses_answers",
+        "agreement_loses_answers", "second_answers",
     ]  # fmt: skip
     at_s: Instant
     for_s: Span = 1.0
@@ -87,7 +89,7 @@
     member: str | None = None
     zone: str | None = None
     proxy: Annotated[int, Meta(ge=0)] | None = None
-    ms: Positive | None = None  # more on every way between two zones
+    ms: Positive | None = None  # more on every way between two zones; the longest delay of a second answer
     order: Literal["together", "discovery_last", "servers_first", "half_first", "drawn"] | None = None
     spread_s: Span | None = None  # over which what gets its power back at one moment starts
     whom: Literal["lead", "holder"] | None = None  # in place of a share: who leads, or holds a permit
--- a/lupinlink/lab/model/faults.py
+++ b/lupinlink/lab/model/faults.py
@@ -179,7 +179,8 @@
 
     def _some(self, fault: Fault, targets: list[str], end: float) -> None:
         """A share of what passes there goes wrong in the way the fault is named after."""
-        name = {"reset": "resets", "spoil": "spoilt", "errors": "errors", "lost": "lost"}[fault.kind]
+        names = {"reset": "resets", "spoil": "spoilt"}
+        name = names.get(fault.kind, fault.kind)
         share = fault.share or 0.0
         for place in map(self._farm.places.__getitem__, targets):
             troubles = place.server.troubles
@@ -190,6 +191,11 @@
 
             self._clock.at(end, over)
 
+    def _second_answers(self, fault: Fault, targets: list[str], end: float) -> None:
+        for place in map(self._farm.places.__getitem__, targets):
+            place.server.troubles.second_answer_ms = fault.ms or 0.0
+        self._some(fault, targets, end)
+
     _reset = _spoil = _errors = _lost = _some
 
     def _delay(self, fault: Fault, targets: list[str], end: float) -> None:
--- a/lupinlink/lab/model/servers.py
+++ b/lupinlink/lab/model/servers.py
@@ -17,6 +17,7 @@
 
 from lupinlink.clock import Clock
 from lupinlink.lab.model.streams import Draws
+from lupinlink.lab.model.troubles import Troubles
 
 OVERHEAD = -1.0  # the wait of a job that belongs to no request and holds no slot
 WARM_STEPS, WARM_STEP_MS = 100.0, 100.0  # of its warming, and longest: how often its speed is revised then
@@ -107,19 +108,6 @@
     refused: int = 0
 
 
-@dataclass(slots=True)
-class Troubles:
-    """What is wrong with a server just now."""
-
-    hangs: bool = False  # takes, and says nothing
-    slow: float = 1.0  # times slower
-    errors: float = 0.0  # share of answers that are errors
-    spoilt: float = 0.0  # share of answers that cannot be read
-    resets: float = 0.0  # share of connections reset under a request
-    lost: float = 0.0  # share of answers that get lost on their way
-    silent: bool = False  # vanished: nothing comes or goes, nothing is refused
-
-
 class Server:
     """One process on one machine, from its start to its end."""
 
