Rest longer where unrequested bytes were seen, and wait rather than open connections

Change: a server that sent such bytes has its connections rest 25 times the longest delay seen, a minute long; one request a connection, at all servers, only once bytes came later than half of the rest. A request waits for a quarter of the server's usual answer time before a connection is opened for it, a tenth of its own time at most. Answers that are out on reused connections to a server whose bytes came so late count as resets.

--- a/lupinlink/limits/connection_reuse.py
+++ b/lupinlink/limits/connection_reuse.py
@@ -2,68 +2,85 @@
 
 HTTP/1.1 ties an answer to its request by nothing but their order on the connection. Bytes that a server or
 a middlebox sends late, after an answer, would be taken for the answer to the next request there, and that
-request's own answer for the one after it. So a connection rests after each answer, and whoever was seen to
-send such bytes gets one request a connection for a while.
+request's own answer for the one after it. So a connection rests after each answer: for longer where such
+bytes were seen, and it carries one request only once they came nearly too late for the rest.
 """
 
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 REST_MS = 100.0  # after an answer, until the next request on the same connection
+RESTS_PER_DELAY = 25.0  # at a server that sent unrequested bytes: rests by the longest delay of those
 COVERED_SHARE = 0.5  # of the rest; bytes that come later than this show that it is too short for all servers
-SUSPECT_MS = 60_000.0  # for the first time, then as many times as long as there were times
-MAX_SUSPECT_MS = 3_600_000.0
-MAX_WAIT_SHARE = 0.01  # of a request's time left, that it waits for a connection to have rested
+REMEMBERED_MS = 60_000.0  # how long unrequested bytes count; where not covered, times their occasions
+MAX_REMEMBERED_MS = 3_600_000.0
+WAIT_PER_ANSWER = 0.25  # longest wait for a connection to rest, in usual answer times of its server
+MAX_WAIT_SHARE = 0.1  # the same, of a request's time left
 MAX_RESTING = 12  # idle connections to a server; with more, none is opened because they have not rested
 
 
 @dataclass(slots=True)
-class Suspicion:
-    """Whether connections carry one request only, and since how often."""
+class LateBytes:
+    """The unrequested bytes that one server has sent lately."""
 
-    until_ms: float = -math.inf
-    times: int = 0
+    longest_ms: float = 0.0  # after the answer before
+    until_ms: float = -math.inf  # when they are forgotten
+    uncovered_until_ms: float = -math.inf  # the same, of those that the rest hardly covers
 
-    def holds(self, now_ms: float) -> bool:
-        return now_ms < self.until_ms
-
-    def renew(self, now_ms: float) -> None:
-        """Begin again, for longer than before if the last time is over."""
-        if not self.holds(now_ms):
-            self.times += 1
-        self.until_ms = now_ms + min(MAX_SUSPECT_MS, SUSPECT_MS * self.times)
+    def rest_ms(self, now_ms: float) -> float:
+        """How long its connections have to rest."""
+        if now_ms >= self.until_ms:
+            return REST_MS
+        return max(REST_MS, RESTS_PER_DELAY * self.longest_ms)
 
 
+@dataclass(slots=True)
 class ConnectionReuse:
-    """The suspicion of all servers together; that of a single one is kept with its connections."""
+    """Whether connections to any server may carry more than one request, and after which rest."""
 
-    def __init__(self) -> None:
-        self.all_servers = Suspicion()
+    forbidden_until_ms: float = -math.inf
+    occasions: int = field(default=0)  # on which it was forbidden
 
-    def is_allowed(self, server: Suspicion, now_ms: float) -> bool:
-        """Whether a connection to this server may carry more than one request."""
-        return not (server.holds(now_ms) or self.all_servers.holds(now_ms))
+    def is_allowed(self, now_ms: float) -> bool:
+        """Whether connections may carry more than one request."""
+        return now_ms >= self.forbidden_until_ms
 
-    def note_unrequested(self, server: Suspicion, after_ms: float, now_ms: float) -> bool:
-        """Note bytes that came ``after_ms`` after the last answer; returns whether all servers are suspected.
+    def may_carry(self, server: LateBytes, rested_ms: float, now_ms: float) -> bool:
+        """Whether a used connection to this server may carry another request.
 
-        A delay that the rest hardly covers may be met at any server, before that one has shown it.
+        The usual rest may be cut short where connections are scarce, a longer one not.
         """
-        server.renew(now_ms)
-        if after_ms > COVERED_SHARE * REST_MS:
-            self.all_servers.renew(now_ms)
-        return self.all_servers.holds(now_ms)
+        rest_ms = server.rest_ms(now_ms)
+        return self.is_allowed(now_ms) and (rest_ms <= REST_MS or rested_ms >= rest_ms)
+
+    def note_unrequested(self, server: LateBytes, after_ms: float, now_ms: float) -> None:
+        """Note bytes that came ``after_ms`` after the last answer of this server."""
+        known_ms = server.longest_ms if now_ms < server.until_ms else 0.0
+        server.longest_ms, server.until_ms = max(known_ms, after_ms), now_ms + REMEMBERED_MS
+        if after_ms <= COVERED_SHARE * REST_MS:
+            return
+        if self.is_allowed(now_ms):
+            self.occasions += 1
+        remembered_ms = min(MAX_REMEMBERED_MS, self.occasions * REMEMBERED_MS)
+        self.forbidden_until_ms = server.uncovered_until_ms = now_ms + remembered_ms
+
+
+def patience_ms(left_ms: float, usual_answer_ms: float) -> float:
+    """How long a request with this time left may wait, at a server that usually takes so long to answer."""
+    return max(0.0, min(MAX_WAIT_SHARE * left_ms, WAIT_PER_ANSWER * usual_answer_ms))
 
 
-def wait_ms(rested_ms: float, left_ms: float, resting: int, may_open: bool) -> float | None:
+def wait_ms(rested_ms: float, rest_ms: float, patience: float, resting: int, may_open: bool) -> float | None:
     """How long a request waits for the connection that has rested longest, or None: it gets a new one.
 
-    ``left_ms``: of the request's time; ``resting``: idle connections to the server; ``may_open``: whether
-    this process has room for more connections.
+    ``rest_ms``: that is required; ``patience``: the longest wait, in ms; ``resting``: idle connections to the
+    server; ``may_open``: whether this process has room for more connections.
     """
-    missing_ms, patience_ms = max(0.0, REST_MS - rested_ms), MAX_WAIT_SHARE * left_ms
-    if missing_ms > patience_ms and may_open and resting < MAX_RESTING:
+    missing_ms = max(0.0, rest_ms - rested_ms)
+    if missing_ms <= patience:
+        return missing_ms
+    if rest_ms > REST_MS or (may_open and resting < MAX_RESTING):
         return None
-    return min(missing_ms, max(0.0, patience_ms))
+    return patience
--- a/lupinlink/net/application_servers/connection.py
+++ b/lupinlink/net/application_servers/connection.py
@@ -103,19 +103,21 @@
         elif self._parser.for_head_request and end.reply is not None:
             length = message.get("content-length")
             end.reply.length = int(length.partition(",")[0]) if length is not None else None
+        if end.status == Status.OK:
+            self.pool.record_answer(self._servers.clock.now() - self.sent_at)
         self._finish(end, why_not_kept)
 
     def _is_doubtful(self, status: Status) -> bool:
-        """Whether an answer may have been made for an earlier request: one was seen out of turn lately.
+        """Whether an answer may have been made for an earlier request: bytes came too late for the rest.
 
-        If only other servers showed it, doubt is cast on no more than the claim that a request never ran.
+        If only other servers sent them, doubt is cast on no more than the claim that a request never ran.
         """
         if not self._is_reused:
             return False
         now = self._servers.clock.now()
         if status == Status.OVERLOADED:
-            return not self._servers.reuse.is_allowed(self.pool.suspicion, now)
-        return self.pool.suspicion.holds(now)
+            return not self._servers.reuse.is_allowed(now)
+        return now < self.pool.late_bytes.uncovered_until_ms
 
     def _why_not_kept(self, message: http1.Message) -> EndReason | None:
         """Why the connection has to be closed after this answer, if it has to."""
--- a/lupinlink/net/application_servers/kept_connection.py
+++ b/lupinlink/net/application_servers/kept_connection.py
@@ -10,6 +10,7 @@
 
 from twisted.internet.protocol import Protocol as TcpProtocol
 
+from lupinlink.limits.connection_reuse import MAX_RESTING, REST_MS
 from lupinlink.net import http1
 from lupinlink.net.application_servers.attempts import Attempt, ServerPools
 from lupinlink.net.application_servers.pool import Pool, PooledConnection
@@ -47,6 +48,7 @@
         self.on_closed: Callable[[], None] | None = None  # called when it ends while it is reserved
         self.requests_carried = 0
         self.last_identity = ""  # of the last request that it carried
+        self.sent_at = 0.0  # when the last request was written
         self.idle_since = 0.0
         self.handle = 0
 
@@ -101,16 +103,15 @@
         self.drop(EndReason.UNREQUESTED_BYTES)
 
     def _note_unrequested(self, data: bytes, after_ms: float) -> None:
-        """Log bytes that are not the answer to a request; connections there carry one request for a while.
+        """Log bytes that are not the answer to a request; they change how connections are used again.
 
         The last request is named: if the connection was reused for it, what was passed on as its answer may
         have been made for the request before, and these bytes may be its own.
         """
         now = self._servers.clock.now()
-        if self._servers.reuse.note_unrequested(self.pool.suspicion, after_ms, now):
+        self._servers.reuse.note_unrequested(self.pool.late_bytes, after_ms, now)
+        if not self._servers.reuse.is_allowed(now):
             self._servers.close_idle(EndReason.ONE_REQUEST_ONLY)
-        else:
-            self.pool.close_idle(EndReason.ONE_REQUEST_ONLY)
         self._servers.counters["unrequested_bytes"] += 1
         self._servers.counters["answers_in_doubt"] += self._is_reused
         if (count := self._servers.unrequested_lines.take(now)) == 0:
@@ -147,8 +148,8 @@
         """Return the connection to the pool, or close it for this reason."""
         self._resume()
         now = self._servers.clock.now()
-        if used and not self._servers.reuse.is_allowed(self.pool.suspicion, now):
-            why_not_kept = why_not_kept or EndReason.ONE_REQUEST_ONLY
+        if used and why_not_kept is None and not self._may_be_kept(now):
+            why_not_kept = EndReason.ONE_REQUEST_ONLY
         if why_not_kept is None and self.pool.current:
             if used:
                 self.idle_since = now
@@ -156,6 +157,12 @@
         else:
             self.drop(why_not_kept or EndReason.NOT_IN_SERVICE)
 
+    def _may_be_kept(self, now: float) -> bool:
+        """Whether it may be of use again; connections that rest for long are kept in a limited number."""
+        must_rest_longer = self.pool.late_bytes.rest_ms(now) > REST_MS
+        too_many = must_rest_longer and len(self.pool.idle) >= MAX_RESTING
+        return self._servers.reuse.is_allowed(now) and not too_many
+
     def _resume(self) -> None:
         if self._paused:
             self._paused = False
--- a/lupinlink/net/application_servers/pool.py
+++ b/lupinlink/net/application_servers/pool.py
@@ -8,13 +8,14 @@
 from dataclasses import dataclass, field
 from operator import attrgetter
 
-from lupinlink.limits.connection_reuse import REST_MS, Suspicion
+from lupinlink.limits.connection_reuse import LateBytes
 from lupinlink.net.application_servers.idle_connections import IdleConnections
 from lupinlink.net.application_servers.idle_connections import PooledConnection as PooledConnection
 from lupinlink.net.request_types import EndReason
 
 log = logging.getLogger("lupinlink.net.application_servers")
 LATELY_MS = 1000.0  # connections that were used this recently are used in turn
+ANSWER_GAIN = 0.1  # of the moving average
 _idle_since = attrgetter("idle_since")
 RECENTLY_SENT_MS = 10_000.0  # a server that leaves service is logged if it was sent a request this recently
 
@@ -31,8 +32,9 @@
     current: bool = True  # False: the process is gone, or takes no new requests
     round_trip_ms: float = math.inf  # the shortest time in which a connection was established
     reached: bool = True  # whether the last connection was established; only changes are logged
+    usual_answer_ms: float = 0.0  # from a request to its answer, a moving average
     sent_at: float = -math.inf  # when the first byte of the last request was sent
-    suspicion: Suspicion = field(default_factory=Suspicion)  # of sending bytes that were not requested
+    late_bytes: LateBytes = field(default_factory=LateBytes)
     idle: list[PooledConnection] = field(default_factory=list)  # the most recently used last
 
     def record_dial(self, took_ms: float = math.inf, why: str = "") -> None:
@@ -43,6 +45,11 @@
             what = "application server out of reach" if why else "application server in reach again"
             log.info(what, extra={"kv": {"server": self.name, "why": why or "connected"}})
 
+    def record_answer(self, took_ms: float) -> None:
+        """Note how long a server took to answer a request that it served."""
+        gain = ANSWER_GAIN if self.usual_answer_ms else 1.0
+        self.usual_answer_ms += gain * (took_ms - self.usual_answer_ms)
+
     def log_out_of_service(self, now: float) -> None:
         """Log that it takes no new requests and when it was last sent one, which shows if one was late."""
         if now - self.sent_at < RECENTLY_SENT_MS:
@@ -59,8 +66,9 @@
 
         It is the one that has rested longest among those used lately; the others are left to grow too old.
         """
+        rest_ms = self.late_bytes.rest_ms(now)
         first = bisect_left(self.idle, now - LATELY_MS, key=_idle_since)
-        is_rested = first < len(self.idle) and now - self.idle[first].idle_since >= REST_MS
+        is_rested = first < len(self.idle) and now - self.idle[first].idle_since >= rest_ms
         connection = self.idle[first if is_rested else max(0, first - 1)]
         self.forget(connection)
         return connection
--- a/lupinlink/net/application_servers/pools.py
+++ b/lupinlink/net/application_servers/pools.py
@@ -8,7 +8,7 @@
 from twisted.internet.defer import Deferred
 
 from lupinlink.interface import Endpoint, EndpointState, Status
-from lupinlink.limits.connection_reuse import ConnectionReuse, wait_ms
+from lupinlink.limits.connection_reuse import ConnectionReuse, patience_ms, wait_ms
 from lupinlink.net import http1
 from lupinlink.net.application_servers.attempts import Attempt
 from lupinlink.net.application_servers.dialling import Dial
@@ -118,17 +118,19 @@
         """How long an attempt waits for this connection, which is out of its pool; None: open another."""
         if not connection.requests_carried:
             return 0.0
+        pool, rested_ms = connection.pool, now - connection.idle_since
         may_open = len(self.connections) < MAX_OPEN_SHARE * self.connections.capacity
-        return wait_ms(
-            now - connection.idle_since, attempt.left_ms(), len(connection.pool.idle) + 1, may_open
-        )
+        rest_ms = pool.late_bytes.rest_ms(now)
+        patience = patience_ms(attempt.left_ms(), pool.usual_answer_ms)
+        return wait_ms(rested_ms, rest_ms, patience, len(pool.idle) + 1, may_open)
 
     def carry_on_kept(self, connection: PooledConnection, attempt: Attempt) -> bool:
         """Send the attempt on a connection that has rested; False if that may not be used any more."""
         now = self.clock.now()
-        if now - connection.idle_since >= self._idle_ms:
+        rested_ms, late_bytes = now - connection.idle_since, connection.pool.late_bytes
+        if rested_ms >= self._idle_ms:
             connection.drop(EndReason.IDLE)
-        elif connection.requests_carried and not self.reuse.is_allowed(connection.pool.suspicion, now):
+        elif connection.requests_carried and not self.reuse.may_carry(late_bytes, rested_ms, now):
             connection.drop(EndReason.ONE_REQUEST_ONLY)
         elif connection.usable():
             self.counters["connections_reused"] += 1
--- a/lupinlink/net/application_servers/sending.py
+++ b/lupinlink/net/application_servers/sending.py
@@ -63,7 +63,7 @@
             self._body.on_data = self._body_has_more
         if not self._server_spoke_first():
             self._write_now()
-            self.pool.sent_at = self._servers.clock.now()
+            self.pool.sent_at = self.sent_at = self._servers.clock.now()
 
     def _server_spoke_first(self) -> bool:
         """Whether the server closed the connection or answered before its request, which is then not sent.
