--- a/tests/drain_fleet.py
+++ b/tests/drain_fleet.py
@@ -60,12 +60,18 @@
                     return
                 at = at or self.received(ancillary)
                 head += data
+            trace = ""
             for line in head.decode("latin-1").split("\r\n"):
                 if line.lower().startswith("x-trace-id:"):
-                    self.receipts.append(Receipt(at, line.partition(":")[2].strip()))
+                    trace = line.partition(":")[2].strip()
+                    self.receipts.append(Receipt(at, trace))
             if self.answer == b"":
                 return reset(connection)
-            connection.sendall(self.answer or b"")
+            self.send_answer(connection, trace)
+
+    def send_answer(self, connection: socket.socket, trace: str) -> None:
+        """Answer the request of this id."""
+        connection.sendall(self.answer or b"")
 
     @staticmethod
     def received(ancillary: list[tuple[int, int, bytes]]) -> float:
@@ -140,11 +146,12 @@
 
     forms: ClassVar[tuple[Form, ...]] = (Form.DELTA,)  # of the watches, in rotation
     peers: ClassVar[int] = 4  # size of the fleet in the settings
+    backend: ClassVar[Callable[[], Backend]] = Backend
     more_backends: ClassVar[int] = 0  # backends that share the listeners of the four
 
     def setUp(self) -> None:
         super().setUp()
-        self.backends = {uid: self.peer(Backend()) for uid in UIDS}
+        self.backends = {uid: self.peer(type(self).backend()) for uid in UIDS}
         self.rows = [row(uid, backend) for uid, backend in self.backends.items()]
         self.rows += [
             row(f"{uid}/{number}", backend)  # it drains together with that backend
--- a/tests/soak_fleet.py
+++ b/tests/soak_fleet.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import http.client
 import signal
 import socket
 import threading
@@ -16,24 +15,24 @@
 from typing import ClassVar
 
 from tests.discovery_replies import REPLIES, Form
-from tests.drain_fleet import GRACE_S, NOTIFIED_AFTER_END_S, PACE_S, SLACK_S, UIDS, FleetProcessTest
+from tests.drain_fleet import GRACE_S, NOTIFIED_AFTER_END_S, SLACK_S, UIDS
 from tests.drain_oracle import DrainOracle, OpenWatch, Outage, Process
 from tests.loopback_servers import WAIT
+from tests.soak_backends import NamingBackend
+from tests.soak_clients import SoakClients
 from tests.soak_verdict import Life, Verdict
 
 KILL_S = 2.7  # the longest deadline of the settings and 0.7 s after SIGTERM: the earliest kill
-EXPIRES_S, LOST_AFTER_S = 1.5, 0.5  # a client's time, and what it waits beyond it
-CROSSED_S = 0.1  # an end so soon after the request was written has crossed it unread
 EVENTS_S, QUIET_S = 8.0, 8.0  # events fall into so long, and so long is judged after them
 CROWD = 150
-CONNECTIONS = 3  # of each client
+SECOND_ANSWERS_SHARE = 0.5  # of the seeds
 PEERS = (5, 12, 40, 200)
 MORE_BACKENDS = (0, 0, 3200)
 DISCOVERY_STEPS = ("silence", "end_all", "end_instead", "outage", "cut", "replies")
 PROCESS_STEPS = ("term", "kill", "reloads", "crowd")
 
 
-class SoakStage(FleetProcessTest):
+class SoakStage(SoakClients):
     """Three proxies; each is started anew after it ended."""
 
     size: ClassVar[int] = 3
@@ -54,9 +53,11 @@
         for lives in self.lives:
             self.clients(lives[0])
             lives[0].frontend.watching.get(timeout=WAIT)
-        plan = sorted((self.rng.uniform(0.2, EVENTS_S), step) for step in self.steps())
+        plan = [(self.rng.uniform(0.2, EVENTS_S), step) for step in self.steps()]
+        if self.second_answers_at:
+            plan.append((self.second_answers_at, "second_answers"))
         begin = time.monotonic()
-        for at, step in plan:
+        for at, step in sorted(plan):
             self.pass_time(begin + at)
             self.verdict.events.append(f"{at:.1f} {step}")
             getattr(self, step)()
@@ -69,6 +70,9 @@
     def steps(self) -> list[str]:
         steps = self.rng.choices(DISCOVERY_STEPS, k=self.rng.randint(1, 3))
         steps += self.rng.choices(PROCESS_STEPS, k=self.rng.randint(1, 3))
+        # Drawn apart, so that a seed's other steps and their times stay as they were.
+        drawn = Random(f"second answers {self.verdict.seed}")
+        self.second_answers_at = drawn.uniform(0.2, EVENTS_S) * (drawn.random() < SECOND_ANSWERS_SHARE)
         return ["drain_one", "drain_one", *steps]
 
     def life(self, rank: int) -> Life:
@@ -105,6 +109,12 @@
         self.pass_time(begin + self.rng.uniform(0.5, 3.0))
         self.outages.append(Outage(begin * 1000.0, self.shared.come_back() * 1000.0))
 
+    def second_answers(self) -> None:
+        """From now on some answers are followed by another one."""
+        for backend in self.backends.values():
+            assert isinstance(backend, NamingBackend)
+            backend.second_answers = True
+
     def cut(self) -> None:
         for lives in self.lives:
             lives[-1].frontend.form, lives[-1].frontend.cut_bytes = Form.CUT, self.rng.choice((1, 4, 9, 60))
@@ -163,58 +173,6 @@
         self.await_serving(life.member)
         self.clients(life)
 
-    def clients(self, life: Life) -> None:
-        for _ in range(CONNECTIONS):
-            threading.Thread(target=self._client, args=(life,), daemon=True).start()
-
-    def _client(self, life: Life) -> None:
-        """One connection at a time, kept for as long as it stays open, also after SIGTERM."""
-        client = self._connected(life)
-        while client is not None and not life.member.halt.wait(PACE_S):
-            if not self._asked(life, client):
-                client.close()
-                client = self._connected(life)
-
-    def _asked(self, life: Life, client: http.client.HTTPConnection) -> bool:
-        """One request; whether its connection stays open."""
-        trace = f"{life.member.name}.{next(life.member.traces)}-{life.frontend.port}"
-        headers = {"X-Trace-Id": trace, "X-Customer": "acme", "X-Expires-In-Ms": str(int(EXPIRES_S * 1000))}
-        at = time.monotonic()
-        try:
-            client.request("GET", "/look/1", headers=headers)
-            answer = client.getresponse()
-            answer.read()
-        except (OSError, http.client.HTTPException) as exc:
-            self._unanswered(life, trace, at, exc)
-            return False
-        with self.lock:
-            self.verdict.answers[answer.status] += 1
-        return answer.headers.get("Connection", "").lower() != "close"
-
-    def _connected(self, life: Life) -> http.client.HTTPConnection | None:
-        """A new connection; none once its process takes no more."""
-        if life.termed_at and time.monotonic() > life.termed_at + 0.4:
-            return None
-        client = http.client.HTTPConnection("127.0.0.1", life.member.port, timeout=EXPIRES_S + LOST_AFTER_S)
-        try:
-            client.connect()
-        except OSError:
-            return None if life.termed_at else client
-        return client
-
-    def _unanswered(self, life: Life, trace: str, at: float, exc: Exception) -> None:
-        if life.member.halt.is_set() and not life.termed_at:
-            return  # its process was killed outright
-        took = time.monotonic() - at
-        time.sleep(CROSSED_S)  # a backend may be about to note it
-        seen = any(r.trace == trace for b in self.backends.values() for r in list(b.receipts))
-        if seen or took > CROSSED_S:
-            since = at - life.termed_at if life.termed_at else 0.0
-            with self.lock:
-                self.verdict.lost.append(
-                    f"{trace} after {took:.2f} s ({exc!r}), sent {since:.2f} s after SIGTERM, seen={seen}"
-                )
-
     def judge_drains(self) -> None:
         """Every first byte at a backend that drains, against when that counts as told to its process."""
         for lives in self.lives:
--- a/tests/soak_verdict.py
+++ b/tests/soak_verdict.py
@@ -26,16 +26,18 @@
     seed: int
     answers: Counter[int] = field(default_factory=Counter)
     lost: list[str] = field(default_factory=list)
+    wrong: list[str] = field(default_factory=list)  # answered with what was made for another request
     late: list[str] = field(default_factory=list)
     survived: list[str] = field(default_factory=list)  # still there at the kill
     events: list[str] = field(default_factory=list)
 
     @property
     def sound(self) -> bool:
-        return not (self.lost or self.late or self.survived) and self.answers[200] > 0
+        return not (self.lost or self.wrong or self.late or self.survived) and self.answers[200] > 0
 
     def __str__(self) -> str:
         return (
             f"seed={self.seed} sound={self.sound} answers={dict(self.answers)} lost={self.lost[:3]} "
+            f"wrong={self.wrong[:3]} "
             f"late={self.late[:3]} survived={self.survived} events={', '.join(self.events)}"
         )
