Keep pools in order, and take an idle time-out that crosses a request for a close

A connection that was taken and not used went back to the end of its pool, though it had rested longer: pools are kept by the time since when they are idle. A 408 of a server that closes an idle connection, read in the moment before a request is written there, would have ended all reuse for a minute; it is an ordinary close, tested now.

--- a/lupinlink/net/application_servers/connection.py
+++ b/lupinlink/net/application_servers/connection.py
@@ -85,7 +85,8 @@
         if message is None and not self._parser.started():
             return
         self._servers.counters["early_answers"] += 1
-        if self._is_reused and self._unsent is not None:
+        closes_idle = message is not None and message.status == http1.REQUEST_TIMEOUT
+        if self._is_reused and self._unsent is not None and not closes_idle:
             self._note_unrequested(b"", self._servers.clock.now() - self.idle_since)
         end = outcome(message) if message is not None else AttemptResult(Status.NOT_SENT)
         if end.status != Status.OVERLOADED:
--- a/lupinlink/net/application_servers/kept_connection.py
+++ b/lupinlink/net/application_servers/kept_connection.py
@@ -22,8 +22,7 @@
 
 log = logging.getLogger("lupinlink.net.application_servers")
 LOGGED_BYTES = 24  # of unrequested ones
-# Some servers say so before they close an idle connection (RFC 9110, 15.5.9).
-IDLE_TIMEOUT_ANSWERS = (b"HTTP/1.1 408 ", b"HTTP/1.0 408 ")
+IDLE_TIMEOUT_ANSWERS = tuple(b"HTTP/1.%d %d " % (minor, http1.REQUEST_TIMEOUT) for minor in (0, 1))
 
 
 class ConnectionOpener(Protocol):
--- a/lupinlink/net/application_servers/pool.py
+++ b/lupinlink/net/application_servers/pool.py
@@ -35,7 +35,7 @@
     usual_answer_ms: float = 0.0  # from a request to its answer, a moving average
     sent_at: float = -math.inf  # when the first byte of the last request was sent
     late_bytes: LateBytes = field(default_factory=LateBytes)
-    idle: list[PooledConnection] = field(default_factory=list)  # the most recently used last
+    idle: list[PooledConnection] = field(default_factory=list)  # by ``idle_since``
 
     def record_dial(self, took_ms: float = math.inf, why: str = "") -> None:
         """Note that a connection was established in this time, or why it failed."""
@@ -58,7 +58,7 @@
 
     def rest(self, connection: PooledConnection) -> None:
         """Return a connection to the pool."""
-        self.idle.append(connection)
+        insort(self.idle, connection, key=_idle_since)
         self.all_idle.add(connection)
 
     def take(self, now: float) -> PooledConnection:
@@ -75,11 +75,10 @@
 
     def return_unused(self, connection: PooledConnection) -> None:
         """Return a connection that was taken and not used; it goes on resting."""
-        if not self.current:
+        if self.current:
+            self.rest(connection)
+        else:
             connection.drop(EndReason.NOT_IN_SERVICE)
-            return
-        insort(self.idle, connection, key=_idle_since)
-        self.all_idle.add(connection)
 
     def forget(self, connection: PooledConnection) -> None:
         """Remove a connection, if it is idle here."""
--- a/lupinlink/net/http1.py
+++ b/lupinlink/net/http1.py
@@ -16,6 +16,7 @@
 from lupinlink.net.http1_writers import response as response
 from lupinlink.net.http1_writers import response_head as response_head
 
+REQUEST_TIMEOUT = 408  # some servers say so before they close an idle connection (RFC 9110, 15.5.9)
 MAX_HEAD = 16 * 1024
 MAX_BODY = 64 * 1024
 MAX_HEADERS = 100
--- a/tests/test_crossing_answers.py
+++ b/tests/test_crossing_answers.py
@@ -94,9 +94,13 @@
         self.assertEqual(ends[0].status, Status.OK)
         (pool,) = self.servers._pools.values()
         connection = pool.idle[0]
-        self.iterate_until(lambda: self.clock.now() >= connection.idle_since + REST_MS)
+        self.until_rested(connection)
         return server, connection
 
+    def until_rested(self, connection: Any) -> None:
+        """Wait until an idle connection may be used again."""
+        self.iterate_until(lambda: self.clock.now() >= connection.idle_since + REST_MS)
+
     def wait_for_data(self, connection: Any) -> None:
         """Wait until data of the server has arrived, without reading it."""
         self.assertTrue(select.select([connection.transport.getHandle()], [], [], WAIT)[0])
@@ -111,6 +115,7 @@
             attempt.give_up(status)
             self.assertEqual([end.status for end in ends], [Status.OK])
             self.assertEqual(self.servers.gauges()["server_connections_idle"], 1)
+            self.until_rested(connection)
 
     def test_a_time_out_of_the_last_attempt_does_not_end_the_next_on_its_connection(self) -> None:
         # Timers that are due together all run, even one that another of them has dropped.
@@ -123,6 +128,7 @@
         server.sendall(OK[-1:])
         self.wait_for_data(connection)
         attempt.give_up(Status.TIMEOUT)
+        self.until_rested(connection)
         _, next_ends = self.attempt()
         late()
         self.receive_request(server)
--- a/tests/test_resting_connections.py
+++ b/tests/test_resting_connections.py
@@ -58,6 +58,14 @@
                 server.close()
             self.assert_sent_anew(ends)
 
+    # Guards against taking a server's idle time-out for a second answer, which would end all reuse.
+    def test_an_idle_time_out_is_an_ordinary_close(self) -> None:
+        server, connection = self.loop.idle_connection()
+        server.sendall(b"HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\n\r\n")
+        self.loop.iterate_until(lambda: not connection.pool.idle)
+        self.assertTrue(self.servers.reuse.is_allowed(self.loop.clock.now()))
+        self.assertEqual(self.servers.counters["unrequested_bytes"], 0)
+
     def test_given_up_it_is_never_written_and_its_connection_goes_on_resting(self) -> None:
         server, connection, attempt, ends = self.waiting()
         idle_since = connection.idle_since
