Shared parts of the review's cases: descriptors told, kept record lines, no doors

What: the platform of the cases tells a proxy's descriptors, writes lines that were kept, and drops the operators' door that no case uses.

--- a/review/common/platform.py
+++ b/review/common/platform.py
@@ -138,6 +138,10 @@
         self._record.write(f"{time.monotonic() - self.began:8.3f} {text}\n")
         self._record.flush()
 
+    def say_all(self, lines: list[tuple[float, str]]) -> None:
+        """Write lines that were kept, each with its time by the monotonic clock."""
+        self._record.write("".join(f"{at - self.began:8.3f} {text}\n" for at, text in lines))
+
     def proxy(self, rank: int, discovery: Discovery, **more: Any) -> Proxy:
         """Prepare a proxy; ``start`` starts a process of it."""
         return Proxy(self, f"n{rank}", rank, discovery.port, dict(discovery.object()), **more)
@@ -175,14 +179,14 @@
 
 @dataclass
 class Proxy:
-    """One proxy of the deployment; an upgrade starts a second process of it."""
+    """One proxy of the deployment, whose processes keep its name and address."""
 
     platform: Platform
     name: str
     rank: int
     discovery: int
     known: dict[str, Any]
-    settings: dict[str, Any] = field(default_factory=dict)
+    sockets: int = 1024
     port: int = field(default_factory=free_port)
 
     def __post_init__(self) -> None:
@@ -196,20 +200,18 @@
         text = json.dumps({
             "name": self.name, "listen": f"127.0.0.1:{self.port}",
             "discovery": f"127.0.0.1:{self.discovery}", "seed": f"8c1f30d27a5be9{self.rank:02x}",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "known": self.known,
-            "settings": {**SETTINGS, "Rank": self.rank, "MyZone": self.rank % 2, **self.settings},
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.sockets}, "known": self.known,
+            "settings": {**SETTINGS, "Rank": self.rank, "MyZone": self.rank % 2},
         })  # fmt: skip
         new = self.config.with_suffix(".new")
         new.write_text(text)
         new.replace(self.config)
 
-    def start(self, door: int = 0) -> subprocess.Popen[bytes]:
-        """Start a process; ``door``: the port of its address for operators."""
+    def start(self) -> subprocess.Popen[bytes]:
+        """Start a process."""
         env = {"LB_NAME": self.name, "LB_LISTEN": f"127.0.0.1:{self.port}",
                "LB_DISCOVERY": f"127.0.0.1:{self.discovery}", "LB_CONFIG": str(self.config),
                "TMPDIR": str(self.scratch)}  # fmt: skip
-        if door:
-            env["LB_MGMT"] = f"127.0.0.1:{door}"
         return self.platform.run(self.name, env)
 
     async def up(self, wait_s: float = 1.0) -> int:
@@ -226,11 +228,6 @@
         self.platform.say(f"front: {self.name} is up")
 
 
-async def door_call(port: int, method: str, path: str) -> int:
-    """One call of an operator, who waits 1 s; 0: no answer."""
-    return (await ask(port, method, path, "-", 1000, 1.0)).status
-
-
 def play(folder: str, case: Callable[[Platform], Awaitable[int]]) -> int:
     """Play a case; returns its exit code."""
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
