Read a header line in time in proportion to its length, so that no head hangs a process

Cause: in HEADER three neighbouring parts matched spaces. A line that can't match was tried in every way to share them: third power of their number (250, 500, 1,000 spaces: 0.02, 0.15, 1.1 s). Valid lines with spaces inside took the second power (4,000, 8,000, 16,000: 0.05, 0.27, 0.93 s). Answers of backends and discovery, and operators' calls, are read by the same expression.

--- a/lupinlink/net/http1.py
+++ b/lupinlink/net/http1.py
@@ -27,7 +27,9 @@
 # Clients of a proxy may send the target in absolute form; only its path and query are used.
 REQUEST_LINE = re.compile(rf"({TOKEN}) (?:[Hh][Tt][Tt][Pp]://[^/?# ]+)?(/[\x21-\x7e]*) HTTP/1\.([01])")
 STATUS_LINE = re.compile(r"HTTP/1\.([01]) ([1-5][0-9][0-9])(?: [^\x00-\x08\x0a-\x1f\x7f]*)?")
-HEADER = re.compile(rf"({TOKEN}):[ \t]*([^\x00-\x08\x0a-\x1f\x7f]*?)[ \t]*")
+# The value begins at the first character that is no white space, so a line matches in one way at most. Were
+# neighbouring parts to match the same characters, the time would grow faster than the length of the line.
+HEADER = re.compile(rf"({TOKEN}):[ \t]*([^\x00-\x20\x7f][^\x00-\x08\x0a-\x1f\x7f]*|)")
 CHUNK_SIZE = re.compile(rb"0{0,16}([0-9A-Fa-f]{1,8})[ \t]*(?:;[^\r\n]*)?")
 BARE_LF = re.compile(rb"(?<!\r)\n")
 
@@ -139,7 +141,7 @@
             match = HEADER.fullmatch(line)
             if match is None:
                 raise MessageError(400, "malformed header")
-            name, value = match.group(1), match.group(2)
+            name, value = match.group(1), match.group(2).rstrip(" \t")
             message.headers.append((name, value))
             low = name.lower()
             known = message.lookup.get(low)
--- /dev/null
+++ b/tests/test_input_cost.py
@@ -0,0 +1,80 @@
+"""The work for what a peer sends is in proportion to its length: one peer can't hold up the event loop."""
+
+from __future__ import annotations
+
+import unittest
+from collections.abc import Callable
+from contextlib import suppress
+
+from lupinlink.net import http1
+from tests.work_growth import MAX_GROWTH, SIZE_RATIO, Build, work_growth
+
+HEAD_BYTES = http1.MAX_HEAD // 9  # with the larger size, eight times this, a head is still below its limit
+REQUEST, ANSWER = b"GET /a HTTP/1.1\r\n", b"HTTP/1.1 200 OK\r\n"
+Fill = Callable[[int], bytes]  # a message, or its begin, with about so many bytes
+
+# What may stand in a head, by name; ``n`` is its size in bytes.
+HEAD_LINES: dict[str, Fill] = {
+    "spaces, then a control character": lambda n: b"X:" + b" " * n + b"\x01\r\n\r\n",
+    "tabs, then a control character": lambda n: b"X:" + b"\t" * n + b"\x01\r\n\r\n",
+    "spaces and tabs only": lambda n: b"X:" + b" \t" * (n // 2) + b"\r\n\r\n",
+    "spaces within a value": lambda n: b"X: a" + b" " * n + b"b\r\n\r\n",
+    "spaces within a value, then a control character": lambda n: b"X: a" + b" " * n + b"b\x01\r\n\r\n",
+    "words, then a control character": lambda n: b"X: " + b"a " * (n // 2) + b"\x01\r\n\r\n",
+    "a name without a colon": lambda n: b"X" * n + b"\r\n\r\n",
+    "spaces before a colon": lambda n: b"X" + b" " * n + b": a\r\n\r\n",
+    "one field again and again": lambda n: (b"X: " + b"a" * (n // 90) + b"\r\n") * 90 + b"\r\n",
+    "connection options": lambda n: b"Connection: " + b"a, " * (n // 3) + b"\r\n\r\n",
+    "content lengths": lambda n: b"Content-Length: " + b"1," * (n // 2) + b"1\r\n\r\n",
+    "digits of a content length": lambda n: b"Content-Length: " + b"0" * n + b"\r\n\r\n",
+    "codings": lambda n: b"Transfer-Encoding: " + b"chunked, " * (n // 9) + b"\r\n\r\n",
+}
+FIRST_LINES: dict[str, Fill] = {
+    "a method": lambda n: b"G" * n + b"\r\n\r\n",
+    "spaces after the method": lambda n: b"GET " + b" " * n + b"/ HTTP/1.1\r\n\r\n",
+    "a target": lambda n: b"GET /" + b"/" * n + b" HTTP/1.x\r\n\r\n",
+    "an absolute target": lambda n: b"GET http://" + b"a" * n + b" HTTP/1.1\r\n\r\n",
+    "many absolute targets": lambda n: b"GET " + b"http://" * (n // 7) + b"\r\n\r\n",
+    "a reason": lambda n: b"HTTP/1.1 200 " + b" " * n + b"\x01\r\n\r\n",
+    "empty lines": lambda n: b"\r\n" * (n // 2) + b"GET",
+}
+
+
+def parse(parser: http1.Parser, data: bytes, piece: int) -> None:
+    """Feed data in pieces of this size, and take the messages."""
+    with suppress(http1.MessageError):
+        for at in range(0, len(data), piece):
+            parser.feed(data[at : at + piece])
+            while parser.next() is not None:
+                pass
+
+
+def parsing(make: Callable[[], http1.Parser], fill: Fill, piece: int | None = None) -> Build:
+    """The parsing of a message, whole by default, else in pieces of this size."""
+
+    def build(size: int) -> Callable[[], None]:
+        parser, data = make(), fill(size)
+        return lambda: parse(parser, data, piece or len(data))
+
+    return build
+
+
+class InputCost(unittest.TestCase):
+    def check(self, what: str, build: Build, small: int) -> None:
+        with self.subTest(what):
+            for size in (small // SIZE_RATIO, small):  # the first one tells sooner where time grows fast
+                self.assertLess(work_growth(build, size), MAX_GROWTH, (what, size))
+
+    def test_a_head_with_long_runs_of_any_character_does_not_hang_the_process(self) -> None:
+        # Guards against the hang by one head of 6 kB (review case 1): its time grew by the third power.
+        for what, line in HEAD_LINES.items():
+            for make, first in ((http1.RequestParser, REQUEST), (http1.ResponseParser, ANSWER)):
+                message = parsing(make, lambda n, first=first, line=line: first + line(n))  # type: ignore[misc]
+                self.check(f"{make.__name__}: {what}", message, HEAD_BYTES)
+        for what, fill in FIRST_LINES.items():
+            for make in (http1.RequestParser, http1.ResponseParser):
+                self.check(f"{make.__name__}: {what}", parsing(make, fill), HEAD_BYTES)
+
+
+if __name__ == "__main__":
+    unittest.main()
