Parse a list of discovery in work in proportion to its size, whatever pieces it comes in

What could be seen: an open object whose pieces or lines each end in a brace was parsed again, whole, with each of them: 20,000, 40,000, 80,000 bytes in 12-byte pieces took 0.2, 0.95, 4.1 s of the event loop; 4 MB are allowed. An object on one line was copied and stripped anew with each piece (400 kB in pieces of 64 bytes: 0.6 s). While that lasts no client is answered and no drain is heeded.

The splitter keeps one buffer and counts the braces and brackets that are open outside of strings, each byte once. An object is parsed when that count is back at zero; before that after its first line, and at lines that end in a brace each time it has doubled, so malformed bytes still end the watch soon. What closes more than it opened, or follows an object on its line in the same piece, is an error at once, no longer at the end of its line.

--- a/lupinlink/net/watch.py
+++ b/lupinlink/net/watch.py
@@ -164,9 +164,9 @@
             return
         # Line by line: an object counts as notified even if the one after it is malformed.
         data = message.body if message is not None else self._parser.take_body()
-        for line in self._splitter.take_inner_lines(data).splitlines(keepends=True):
+        for line in self._splitter.pieces(data):
             activity = self._splitter.activity
-            found = self._splitter.feed(line)
+            found = self._splitter.feed_piece(line)
             for item in found:
                 if not self._closed:
                     self._delivered = True
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -38,12 +38,13 @@
     "net.clients.queue_wait net.clients.request_reader net.clients.requests net.clients.responses "
     "net.components net.counters net.deadlines net.discovery_client net.discovery_log net.discovery_requests "
     "net.handover net.handover.capacity net.handover.channel net.handover.messages net.handover.upgrade "
-    "net.http1 net.http1_lines net.http1_messages net.http1_writers net.lifecycle net.list_entries "
-    "net.list_format net.list_reader net.list_update_queue net.list_updater net.listener_takeover net.log "
-    "net.loop_iterations net.management net.open_requests net.process net.proxy net.request_log "
-    "net.request_types net.service net.slots net.socket_peek net.timer_wheel net.twisted_types net.watch "
-    "net.watch_factory net.watch_listener node records settings settings.config settings.model "
-    "settings.parser spread spread.aperture spread.key_affinity spread.recent_use spread.weighted_buckets"
+    "net.http1 net.http1_lines net.http1_messages net.http1_writers net.json_nesting net.lifecycle "
+    "net.list_entries net.list_format net.list_reader net.list_update_queue net.list_updater "
+    "net.listener_takeover net.log net.loop_iterations net.management net.open_requests net.process "
+    "net.proxy net.request_log net.request_types net.service net.slots net.socket_peek net.timer_wheel "
+    "net.twisted_types net.watch net.watch_factory net.watch_listener node records settings "
+    "settings.config settings.model settings.parser spread spread.aperture spread.key_affinity spread.recent_use "
+    "spread.weighted_buckets"
 )
 
 
--- a/tests/test_discovery_watch.py
+++ b/tests/test_discovery_watch.py
@@ -139,10 +139,12 @@
 
 class ObjectsOverLines(unittest.TestCase):
     def test_objects_may_be_indented_and_split_anywhere(self) -> None:
-        wanted = [{"rev": 1, "targets": [{"uid": "a"}, {"uid": "b", "x": {}}]}, {"rev": 2, "targets": []}]
+        quoted = '}"]{\\'  # what looks like the end of an object, or of a string
+        targets = [{"uid": "a"}, {"uid": quoted, "x": {quoted: [[]]}}]
+        wanted = [{"rev": 1, "targets": targets}, {"rev": 2, "targets": []}]
         for indent in (None, 1, 4):
             text = "".join(json.dumps(one, indent=indent) + "\n" for one in wanted).encode()
-            for size in (1, 7, len(text)):
+            for size in (1, 2, 3, 7, len(text)):
                 objects, found = ObjectSplitter(), []
                 for i in range(0, len(text), size):
                     found += objects.feed(text[i : i + size])
@@ -157,6 +159,10 @@
             b'{"rev" 1}\n',
             b'{"a": "b\n"}\n',
             b"[1]\n",
+            b'{"rev": 1} {"rev": 2}\n',
+            b'{"rev": 1}}',
+            b'{"rev": 1,\n"targets": [{}\n{}]}\n',
+            b'{"rev": ]}\n',
         ):
             with self.assertRaises(ListError):
                 ObjectSplitter().feed(broken)
--- a/tests/test_input_cost.py
+++ b/tests/test_input_cost.py
@@ -7,12 +7,31 @@
 from contextlib import suppress
 
 from lupinlink.net import http1
+from lupinlink.net.list_format import ListError, ObjectSplitter
 from tests.work_growth import MAX_GROWTH, SIZE_RATIO, Build, work_growth
 
 HEAD_BYTES = http1.MAX_HEAD // 9  # with the larger size, eight times this, a head is still below its limit
 REQUEST, ANSWER = b"GET /a HTTP/1.1\r\n", b"HTTP/1.1 200 OK\r\n"
 CHUNK_LINE_BYTES = http1.MAX_CHUNK_LINE // 9
 CHUNKED = b"POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+LIST_BYTES = 4000  # of a list of discovery; the larger ones have eight and 64 times as many
+LISTS: dict[str, tuple[bytes, bytes]] = {  # how an object begins, and the piece that follows again and again
+    "a long string on one line": (b'{"a": "', b"aaaaaaaa"),
+    "pieces that end in a brace": (b'{"targets": [{}', b',{"uid": "a"}'),
+    "lines that end in a brace": (b'{"targets": [{}\n', b',{"uid": "a"}\n'),
+    "lines with line ends inside each entry": (b'{"targets": [{}\n', b',{"uid":\n"a"}\n'),
+    "an array on many lines": (b"[\n", b"{}\n,"),
+    "braces that close too much": (b"{\n", b"}"),
+    "escaped quotes": (b'{"a": "', b'\\"'),
+    "backslashes": (b'{"a": "', b"\\"),
+    "quotes": (b'{"a": ["', b'","'),
+    "a brace within a string": (b'{"a": "', b"}"),
+    "white space": (b'{"a": ', b"  "),
+    "empty lines": (b"", b"\n"),
+    "empty lines with spaces": (b"", b" \r\n"),
+    "white space without a line end": (b"", b"   "),
+    "deltas": (b"", b'{"rev": 1, "targets": []}\n'),
+}
 Fill = Callable[[int], bytes]  # a message, or its begin, with about so many bytes
 
 # What may stand in a head, by name; ``n`` is its size in bytes.
@@ -71,6 +90,25 @@
     return build
 
 
+def splitting(begin: bytes, piece: bytes, whole: bool) -> Build:
+    """The splitting of an object of discovery that comes in these pieces, or ``whole``."""
+
+    def build(size: int) -> Callable[[], None]:
+        pieces = [begin] + [piece] * (size // len(piece))
+        return lambda: split([b"".join(pieces)] if whole else pieces)
+
+    return build
+
+
+def split(pieces: list[bytes]) -> None:
+    """Feed the pieces, until one of them shows that it is no object."""
+    splitter = ObjectSplitter()
+    with suppress(ListError):
+        for piece in pieces:
+            splitter.feed(piece)
+            splitter.has_partial  # noqa: B018
+
+
 class InputCost(unittest.TestCase):
     def check(self, what: str, build: Build, small: int) -> None:
         with self.subTest(what):
@@ -116,6 +154,12 @@
             for piece in (None, 5):
                 self.check(f"{what}, pieces {piece}", parsing(http1.RequestParser, fill, piece), HEAD_BYTES)
 
+    def test_a_list_of_discovery_is_not_parsed_again_with_each_piece_or_line(self) -> None:
+        # Guards against a hang by an object of discovery whose pieces or lines each end in a brace.
+        for what, (begin, piece) in LISTS.items():
+            for whole in (False, True):
+                self.check(f"{what}, whole {whole}", splitting(begin, piece, whole), LIST_BYTES)
+
 
 if __name__ == "__main__":
     unittest.main()
