Read a handover message in work in proportion to its length, whatever pieces it comes in

The reader of the channel between the two processes of an upgrade split and copied all it had with each piece: a message of 200, 400, 800 kB in pieces of 64 bytes took 0.25, 1.0, 3.6 s of the event loop, where up to 4 MB are allowed. The old process serves meanwhile, so its clients wait.

Now only the new bytes are searched for a line end. The new test compares the work for messages of two sizes; it failed before (37 times the work for eight times the bytes, 20 allowed).

--- a/lupinlink/net/handover/messages.py
+++ b/lupinlink/net/handover/messages.py
@@ -35,12 +35,22 @@
 
     def feed(self, data: bytes) -> list[Mapping[str, Any]]:
         """The messages that ``data`` completes."""
-        self._buffer += data
-        *lines, rest = self._buffer.split(b"\n")
-        if max(len(rest), *map(len, lines), 0) > MAX_LINE_BYTES:
+        *ends, rest = data.split(b"\n")
+        lines = [self._complete_line(end) for end in ends]
+        self._buffer += rest
+        self._check_size()
+        return [self._read(text) for text in lines]
+
+    def _complete_line(self, end: bytes) -> bytes:
+        self._buffer += end
+        self._check_size()
+        text = bytes(self._buffer)
+        self._buffer.clear()
+        return text
+
+    def _check_size(self) -> None:
+        if len(self._buffer) > MAX_LINE_BYTES:
             raise HandoverError(f"message of more than {MAX_LINE_BYTES} bytes")
-        self._buffer = rest
-        return [self._read(bytes(text)) for text in lines]
 
     @staticmethod
     def _read(text: bytes) -> Mapping[str, Any]:
--- a/tests/test_input_cost.py
+++ b/tests/test_input_cost.py
@@ -7,6 +7,7 @@
 from contextlib import suppress
 
 from lupinlink.net import http1
+from lupinlink.net.handover.messages import Reader
 from lupinlink.net.list_format import ListError, ObjectSplitter
 from tests.work_growth import MAX_GROWTH, SIZE_RATIO, Build, work_growth
 
@@ -109,6 +110,12 @@
             splitter.has_partial  # noqa: B018
 
 
+def receive(reader: Reader, pieces: list[bytes]) -> None:
+    """Feed the pieces of one message."""
+    messages = [message for piece in pieces for message in reader.feed(piece)]
+    assert len(messages) == 1
+
+
 class InputCost(unittest.TestCase):
     def check(self, what: str, build: Build, small: int) -> None:
         with self.subTest(what):
@@ -160,6 +167,14 @@
             for whole in (False, True):
                 self.check(f"{what}, whole {whole}", splitting(begin, piece, whole), LIST_BYTES)
 
+    def test_a_handover_message_in_pieces_is_not_copied_again_with_each(self) -> None:
+        # Guards against a hang of a serving process by what its successor, or predecessor, writes in pieces.
+        def build(size: int) -> Callable[[], None]:
+            reader, pieces = Reader(), [b"aaaaaaaa"] * (size // 8) + [b'"}\n']
+            return lambda: receive(reader, [b'{"say": "no", "why": "', *pieces])
+
+        self.check("a message", build, LIST_BYTES)
+
 
 if __name__ == "__main__":
     unittest.main()
