Keep one silence timer a watch, so that a flood of empty lines does not fill the memory

Each empty line of discovery dropped the watch's timer and added a new one; a dropped one stays on the wheel until its time, seconds later. One read of 64 KiB of line ends left some 64,000 timers with their callbacks, and each read more.

A timer now starts itself again when it fires before it is due.

--- a/lupinlink/net/watch.py
+++ b/lupinlink/net/watch.py
@@ -16,6 +16,7 @@
 from lupinlink.net import http1
 from lupinlink.net.discovery_requests import full_list_request, watch_request
 from lupinlink.net.list_format import MAX_OBJECT_BYTES, ListError, ObjectSplitter
+from lupinlink.net.silence_timer import SilenceTimer
 from lupinlink.net.socket_peek import peek
 from lupinlink.net.timer_wheel import ReactorClock, Timer
 from lupinlink.net.twisted_types import READ_BYTES, Connector, Reactor, Transport
@@ -54,7 +55,7 @@
         self.refused = False  # the head of a response with another status has arrived
         self.partial = False  # an update may have begun to arrive, and has not been completed
         self._delivered = False  # an object or an empty line has arrived
-        self._silence_timer: Timer | None = None  # ends the call or watch unless there is activity
+        self._silence = SilenceTimer(clock, lambda: self._end("silence", silent=True))
         self._late_timer: Timer | None = None
         self._connector: Connector | None = None
         self._closed = False
@@ -65,7 +66,7 @@
 
     def dial(self, reactor: Reactor) -> None:
         """Connect. The timers here cover the dial as well, so Twisted's own timeout is off."""
-        self._restart_silence_timer(self._times.answer_timeout_ms)
+        self._silence.restart(self._times.answer_timeout_ms)
         self._late_timer = self._clock.after(self._times.late_call_after_ms, self._on_late)
         connector = reactor.connectTCP(*self.address, WatchFactory(self), timeout=None)
         if self._closed:
@@ -76,7 +77,7 @@
     def connectionMade(self) -> None:
         self.transport.setTcpNoDelay(True)
         self.reached = True
-        self._restart_silence_timer(self._times.answer_timeout_ms)
+        self._silence.restart(self._times.answer_timeout_ms)
         if not self._pushed:
             self._cancel_late_timer()
         self._send_request()
@@ -90,18 +91,7 @@
     def _note_activity(self) -> None:
         """Note a response head, an empty line, or an object's begin or end; other bytes may only drip in."""
         self._last_active_at = self._clock.now()
-        self._restart_silence_timer(self._times.silence_timeout_ms)
-
-    def _restart_silence_timer(self, within_ms: float) -> None:
-        """End this call unless there is activity within that time."""
-        if self._silence_timer is not None:
-            self._silence_timer.drop()
-        self._silence_timer = self._clock.after(within_ms, self._on_silence)
-
-    def _on_silence(self) -> None:
-        # After a pause of this process an update may lie unread in the socket, and it counts as notified:
-        # one more iteration of the event loop reads it before the watch ends.
-        self._silence_timer = self._clock.after(0.0, lambda: self._end("silence", silent=True))
+        self._silence.restart(self._times.silence_timeout_ms)
 
     def _on_late(self) -> None:
         self._late_timer = None
@@ -197,7 +187,7 @@
         self._listener.on_object(self, json.loads(message.body), full=True)
         self._awaits_full_list = False
         if message.keeps_open() and not self._parser.buffer:
-            self._restart_silence_timer(self._times.answer_timeout_ms)
+            self._silence.restart(self._times.answer_timeout_ms)
             self._send_request()
         else:
             self.end("the list came, the watch is still to be asked for")
@@ -238,8 +228,7 @@
             return
         self._closed = True
         self._cancel_late_timer()
-        if self._silence_timer is not None:
-            self._silence_timer.drop()
+        self._silence.stop()
         if self.transport is not None:
             self.transport.abortConnection()
         elif self._connector is not None:
