Look at the next waiting requests without a copy of the whole queue

Each end of an attempt, and each pass that releases held requests, copied the queue of all that wait to look at the first 16. With n waiting that is n times n for the n answers that free them: work in the event loop that grows faster than what came in.

The queue gives the oldest or newest few; it is an OrderedDict, whose first entry is found at once after others were removed in front of it.

--- a/lupinlink/brain/dispatching.py
+++ b/lupinlink/brain/dispatching.py
@@ -183,7 +183,7 @@
             return
         if self.must_hold(now):
             return self.plan_release(now)
-        for waiting in self.waiting.queue(WaitingFor.LIST)[:MAX_SENT_PER_PASS]:
+        for waiting in self.waiting.oldest(WaitingFor.LIST, MAX_SENT_PER_PASS):
             if not self.try_send(waiting.request, now):
                 self.waiting.move(waiting, WaitingFor.BACKEND)
         self.plan_scan(now)
@@ -212,7 +212,7 @@
 
     def server_freed(self, server: Server, now: float) -> None:
         """An attempt has ended: a waiting request may take its place."""
-        for waiting in self.waiting.newest(WaitingFor.BACKEND)[:MAX_SENT_PER_PASS]:
+        for waiting in self.waiting.newest(WaitingFor.BACKEND, MAX_SENT_PER_PASS):
             request = waiting.request
             if self.is_exhausted(request, now) or self.must_hold(now) or not self.has_room(server, now):
                 return
--- a/lupinlink/brain/waiting.py
+++ b/lupinlink/brain/waiting.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+from collections import OrderedDict
 from dataclasses import dataclass
 from enum import Enum
+from itertools import islice
 
 from lupinlink.interface import Request
 
@@ -32,7 +34,10 @@
     """One queue for each cause, in the order of arrival."""
 
     def __init__(self) -> None:
-        self._queues: dict[WaitingFor, dict[str, WaitingRequest]] = {cause: {} for cause in WaitingFor}
+        # Ordered ones find their first entry at once, even where those before it were removed.
+        self._queues: dict[WaitingFor, OrderedDict[str, WaitingRequest]] = {
+            cause: OrderedDict() for cause in WaitingFor
+        }
 
     def __len__(self) -> int:
         return sum(map(len, self._queues.values()))
@@ -61,13 +66,13 @@
                 return waiting
         return None
 
-    def queue(self, cause: WaitingFor) -> list[WaitingRequest]:
-        """The entries of a queue, oldest first."""
-        return list(self._queues[cause].values())
+    def oldest(self, cause: WaitingFor, most: int) -> list[WaitingRequest]:
+        """The oldest entries of a queue, the oldest first; not more than ``most``."""
+        return list(islice(self._queues[cause].values(), most))
 
-    def newest(self, cause: WaitingFor) -> list[WaitingRequest]:
-        """The same, newest first: under overload an answer to the oldest would come too late."""
-        return self.queue(cause)[::-1]
+    def newest(self, cause: WaitingFor, most: int | None = None) -> list[WaitingRequest]:
+        """The same, the newest first: under overload an answer to the oldest would come too late."""
+        return list(islice(reversed(self._queues[cause].values()), most))
 
     def any(self, cause: WaitingFor) -> bool:
         """Whether the queue has any request."""
