Let a stopping process deliver the answers it has begun, however long that takes

Fix: an answer that its client is owed, or has not read (stream, transport or kernel), holds the exit back. Each such connection ends by a time-out for lack of progress, none by a total. What follows from a longer stay: the listener is closed for good once no new connection can come (0.7 s after SIGTERM and the queue empty, 3.6 s at most), so the next process finds the address free, and a successor that ends does not bring it back. From 0.3 s before the earliest kill every request is answered at once without the decision module; discovery's watch ends, and a successor is then offered neither listener nor list. Open requests are still answered at that time, as the kill may be near (a request counts from its last byte, so that of an upload would come too late). Further signals change nothing.

--- a/lupinlink/net/clients/connection.py
+++ b/lupinlink/net/clients/connection.py
@@ -166,6 +166,10 @@
         """Reset the connection."""
         self.transport.abortConnection()
 
+    def has_undelivered(self) -> bool:
+        """Whether its client is owed an answer, or has not received all that was written to it."""
+        raise NotImplementedError
+
     def _unread_by_client(self) -> float:
         with suppress(OSError, AttributeError):
             waiting = fcntl.ioctl(self.transport.getHandle(), termios.TIOCOUTQ, b"\0" * 4)
--- a/lupinlink/net/clients/listener.py
+++ b/lupinlink/net/clients/listener.py
@@ -195,6 +195,17 @@
         """Whether the accept queue has connections that this process is to accept."""
         return self.port is not None and self._lifecycle.accepts() and waiting(self.port)
 
+    @property
+    def undelivered(self) -> int:
+        """The number of connections whose client has not received all of its answer."""
+        return sum(client.has_undelivered() for client in self.connections)
+
+    def close_listener(self) -> None:
+        """Accept nothing any more; a successor's descriptor of the same socket stays open."""
+        port, self.port = self.port, None
+        if port is not None:
+            port.stopListening()
+
     def close_idle(self, include_new: bool) -> None:
         """Close connections between requests; ``include_new``: also those without a request so far."""
         self._table.close_idle(include_new)
--- a/lupinlink/net/clients/responses.py
+++ b/lupinlink/net/clients/responses.py
@@ -45,6 +45,10 @@
         """Take the next request if none is open."""
         raise NotImplementedError
 
+    def has_undelivered(self) -> bool:
+        """Whether its client is owed an answer, or has not received all that was written to it."""
+        return self._waiting or self._unread_by_client() > 0.0
+
     def pauseProducing(self) -> None:
         self._not_reading, self.not_reading_since = True, self._clients.clock.now()
         if self._stream is not None:
--- a/lupinlink/net/discovery_client.py
+++ b/lupinlink/net/discovery_client.py
@@ -58,7 +58,7 @@
         self._needs_full = False  # the next call has to request the full list before it watches
         self._moved = False  # the list, and so its version, is still that of the former discovery
         self._pushed = not settings.subscribe  # a local agent is called, which pushes the lists
-        self._stopped = False
+        self.stopped = False  # for good: the list is not kept up to date any more
 
     def __len__(self) -> int:
         return len(self._updater)
@@ -90,7 +90,7 @@
 
     def call(self) -> None:
         """Call discovery for a watch, and for the full list before it where that is needed."""
-        if self._stopped or (self._watch is not None and not self._needs_full):
+        if self.stopped or (self._watch is not None and not self._needs_full):
             return
         self._counters["watches"] += 1
         watch = Watch(self, self.clock, self._times, self._discovery, self._needs_full, self._pushed)
@@ -208,7 +208,7 @@
     def stop(self) -> None:
         """Close all connections, without further events."""
         self.on_event = lambda event: None
-        self._stopped = True
+        self.stopped = True
         self._close_calls("stopping")
         if self._watch is not None:
             self._watch.end("stopping")
@@ -229,7 +229,7 @@
     def _recheck(self) -> None:
         """Request the full list if it is still needed; the old watch stays open until it has come."""
         self._recheck_scheduled = False
-        if self._updater.is_incomplete and not self._needs_full and not self._stopped:
+        if self._updater.is_incomplete and not self._needs_full and not self.stopped:
             log.warning("older lists came, the whole one is asked for", extra={"kv": {"rev": self.version}})
             self._request_full_list("the whole list is asked for")
 
--- a/lupinlink/net/handover/upgrade.py
+++ b/lupinlink/net/handover/upgrade.py
@@ -29,8 +29,8 @@
 class UpgradeHost(Protocol):
     """What the service does for an upgrade."""
 
-    def make_offer(self) -> tuple[int, dict[str, Any]]:
-        """The listening socket's descriptor, and the fields of the offer."""
+    def make_offer(self) -> tuple[int | None, dict[str, Any]]:
+        """The listening socket's descriptor, None if it is closed already, and the fields of the offer."""
 
     def start_listening(self, descriptor: int | None, offer: Mapping[str, Any]) -> None:
         """Listen on the descriptor that was handed over, or open a socket if it is None."""
--- a/lupinlink/net/lifecycle.py
+++ b/lupinlink/net/lifecycle.py
@@ -17,7 +17,8 @@
 # After SIGTERM, new connections arrive for up to 0.4 s; one that arrives after 0.7 s and is open at the kill
 # is lost. The kill comes at the earliest 0.7 s plus the longest deadline (at most 3 s) after SIGTERM.
 # So idle connections are closed after the last new one can have arrived, and open requests are answered
-# shortly before the kill. The deadlines come from the settings, the other times from the protocol.
+# shortly before the kill. The deadlines come from the settings, the other times from the protocol. A kill may
+# come later or not at all, and an answer that is being delivered must not be cut: it delays the exit.
 STOP_IDLE_MS, STOP_STAY_MS = 500.0, 700.0
 KILL_AFTER_DEADLINE_MS, MAX_DEADLINE_MS = 700.0, 3000.0
 # A new process is sent no clients until discovery has confirmed its list, since it would hold their
@@ -56,6 +57,7 @@
         self._drained_at: float | None = None
         self._handed_over_at: float | None = None
         self._stopping_at: float | None = None
+        self._accepting_ended = False
 
     @property
     def state(self) -> LifecycleState:
@@ -134,7 +136,17 @@
 
     def accepts(self) -> bool:
         """Whether this process, and not a successor, accepts new connections."""
-        return self._serving and self._handed_over_at is None
+        return self._serving and self._handed_over_at is None and not self._accepting_ended
+
+    def ends_accepting(self, now: float, queued: bool) -> bool:
+        """Whether to close the listener for good: no more new connections come, and the address gets free.
+
+        ``queued``: whether the accept queue has connections; they are accepted for as long as there is time.
+        """
+        since = now - self._stopping_at if self._stopping_at is not None else 0.0
+        if since >= STOP_STAY_MS and (not queued or since >= self.exit_ms):
+            self._accepting_ended = True
+        return self._accepting_ended
 
     def keeps_connections(self) -> bool:
         """Whether a connection stays open after its answer."""
@@ -156,12 +168,16 @@
         """Whether all open requests must be answered now, since the kill is near."""
         return self._stopping_at is not None and now - self._stopping_at >= self.answer_all_ms
 
-    def may_exit(self, now: float, left: int) -> bool:
-        """Whether the process may exit; ``left``: client connections and requests that remain."""
+    def may_exit(self, now: float, left: int, undelivered: int) -> bool:
+        """Whether the process may exit.
+
+        ``left``: client connections and requests that remain; ``undelivered``: those of them with an answer
+        that is not delivered yet. The latter end by themselves: each has a time-out for lack of progress.
+        """
         if self._stopping_at is not None:
             since = now - self._stopping_at
             quiet = since >= STOP_STAY_MS or self._handed_over_at is not None
-            return since >= self.exit_ms or (quiet and not left)
+            return not undelivered and (since >= self.exit_ms or (quiet and not left))
         return (
             self._handed_over_at is not None
             and now - self._handed_over_at >= HANDED_OVER_STAY_MS
--- a/lupinlink/net/listener_takeover.py
+++ b/lupinlink/net/listener_takeover.py
@@ -103,13 +103,16 @@
         self._upgrade.tick(self._clock.now())
         self._schedule_tick()
 
-    def make_offer(self) -> tuple[int, dict[str, Any]]:
-        """For a successor: our listening socket, the list from discovery, and whether we are drained."""
-        assert self._clients.port is not None
-        return self._clients.port.fileno(), {
-            "known": self._discovery_client.snapshot(),
-            "drained": self._lifecycle.drained,
-        }
+    def make_offer(self) -> tuple[int | None, dict[str, Any]]:
+        """For a successor: our listening socket, the list from discovery, and whether we are drained.
+
+        A process that is stopping may have closed the socket, and may keep no list any more.
+        """
+        offer: dict[str, Any] = {"drained": self._lifecycle.drained}
+        if not self._discovery_client.stopped:
+            offer["known"] = self._discovery_client.snapshot()
+        port = self._clients.port
+        return port.fileno() if port is not None else None, offer
 
     def start_listening(self, descriptor: int | None, offer: Mapping[str, Any]) -> None:
         """Listen on the descriptor or on a socket of our own, and serve once there are ready backends."""
@@ -162,7 +165,7 @@
         if self._upgrade.busy and not (self._discovery_client.ready and self._lifecycle.list_settled):
             self._clock.after(TICK_MS, self._serve_when_ready)
             return
-        if self._lifecycle.serving:
+        if self._lifecycle.serving or self._clients.port is None:  # None: this process is stopping
             return
         if self._reactor.running:
             self._start_serving()
@@ -170,7 +173,8 @@
             self._reactor.callWhenRunning(self._start_serving)
 
     def _start_serving(self) -> None:
-        assert self._clients.port is not None
+        if self._clients.port is None:
+            return
         self._lifecycle.serve()
         self._clients.listen()
         self._upgrade.on_serving()
--- a/lupinlink/net/open_requests.py
+++ b/lupinlink/net/open_requests.py
@@ -51,6 +51,7 @@
         # in ms after which to retry. ``on_settled``: the request is answered or its client has left.
         self.quota_check: Callable[[ClientRequest], float | None] | None = None
         self.on_settled: Callable[[ClientRequest], None] | None = None
+        self._closed = False  # every request is answered at once
 
     def handle(self, event: api.Event) -> None:
         """Pass an event to the decision module and carry out its actions."""
@@ -66,6 +67,11 @@
 
         Its body is complete, or it is streamed and ``body_completed`` follows.
         """
+        if self._closed:
+            self.counters["failed"] += 1
+            request_log.failed(request, FailureReason.TOO_LATE)
+            responder.failed(FailureReason.TOO_LATE)
+            return None
         if request.identity in self._identities:
             # Application servers would take it for a copy of the open request with this identity.
             self.counters["duplicates"] += 1
@@ -188,10 +194,15 @@
             self._abandon(handle, entry)
 
     def end_all(self) -> None:
-        """Answer every open request now, as the process is about to exit."""
+        """Answer every open request now."""
         for handle in self._requests.handles():
             self.end(handle, FailureReason.TOO_LATE)
 
+    def close(self) -> None:
+        """Answer every open request now, and each further one at once: the process may be killed any time."""
+        self.end_all()
+        self._closed = True
+
     def _take_responder(self, entry: OpenRequest) -> Responder | None:
         """Mark the request as settled; returns its responder, None if it was settled before."""
         responder, entry.responder = entry.responder, None
--- a/lupinlink/net/proxy.py
+++ b/lupinlink/net/proxy.py
@@ -96,6 +96,8 @@
 
     def _run(self) -> None:
         """Pass the queued events to the module."""
+        if self._closed:
+            self._events.clear()  # nothing is left to decide
         if self._handling:
             return
         self._handling = True
--- a/tests/test_crossing_shutdown.py
+++ b/tests/test_crossing_shutdown.py
@@ -69,7 +69,11 @@
     def addReader(self, reader: Any) -> None:  # noqa: N802
         """The test reads."""
 
-    removeReader = addReader  # noqa: N815
+    removeReader = removeWriter = addReader  # noqa: N815
+
+    def callLater(self, delay: float, call: Any, *args: Any) -> None:  # noqa: N802
+        """A socket is closed at once, not in the next iteration."""
+        call(*args)
 
 
 class Queue(unittest.TestCase):
@@ -78,7 +82,8 @@
     def setUp(self) -> None:
         reactor, settings = cast(Any, Clock()), Settings(classes=(RequestClass(300.0, 1000.0),))
         self.clock, self.lifecycle = ReactorClock(reactor), Lifecycle(1000.0)
-        self.proxy = cast(Any, SimpleNamespace(open=0, end_all=lambda: None))
+        self.proxy = cast(Any, SimpleNamespace(open=0, close=lambda: None))
+        self.discovery_client = SimpleNamespace(stop=lambda: None)
         self.clients = Clients(
             self.proxy, cast(Any, None), self.clock, settings, self.lifecycle, 8, 8.0, Counters()
         )
--- /dev/null
+++ b/tests/test_long_answers.py
@@ -0,0 +1,147 @@
+"""Long answers that are being delivered while the process stops, is replaced or its clients read slowly."""
+
+from __future__ import annotations
+
+import http.client
+import signal
+import socket
+import tempfile
+import time
+from contextlib import suppress
+from typing import Any, ClassVar
+
+from tests.loopback_servers import WAIT, LoopbackServer, read_request
+from tests.proxy_process import ProxyProcessTest, row
+
+SIZE, PIECES = 2_000_000, 40
+PIECE_S = 0.0625  # between two pieces: an answer takes 2.5 s
+EXIT_S = 1.6  # after SIGTERM, where nothing is being delivered and deadlines are 1 s
+
+
+class GradualServer(LoopbackServer):
+    """Gives each answer in pieces."""
+
+    def __init__(self, piece_s: float = PIECE_S) -> None:
+        self._piece_s = piece_s
+        super().__init__()
+
+    def talk(self, connection: socket.socket) -> None:
+        stream = connection.makefile("rb")
+        while read_request(stream) is not None:
+            connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % SIZE)
+            for _ in range(PIECES):
+                connection.sendall(b"x" * (SIZE // PIECES))
+                time.sleep(self._piece_s)
+
+
+def body_length(answer: http.client.HTTPResponse) -> int:
+    """How much of an answer arrives."""
+    try:
+        return len(answer.read())
+    except (http.client.IncompleteRead, OSError) as exc:
+        return len(exc.partial) if isinstance(exc, http.client.IncompleteRead) else 0
+
+
+class LongAnswers(ProxyProcessTest):
+    settings: ClassVar[dict[str, Any]] = {
+        "Classes": [{"Name": "look", "AimMs": 300.0, "HardLimitMs": 1000.0, "Effect": "pure"}],
+    }
+
+    def folder(self) -> tempfile.TemporaryDirectory[str]:
+        """A folder that two processes share."""
+        return tempfile.TemporaryDirectory()
+
+    def free_port(self) -> int:
+        """A port that nobody listens at."""
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            port: int = listener.getsockname()[1]
+            return port
+
+    def config_at(self, port: int) -> dict[str, Any]:
+        """The configuration of another process at the same address."""
+        return {**self.config(row("s-1", self.server)), "listen": f"127.0.0.1:{port}"}
+
+    def begin(self, env: dict[str, str] | None = None, **more: Any) -> http.client.HTTPResponse:
+        """Start the process and an answer."""
+        self.server = self.peer(GradualServer())
+        config = {**self.config(row("s-1", self.server)), **more}
+        self.process, self.log = self.launch(config, env)
+        self.port = int(self.line("msg=serving").rsplit("port=", 1)[1])
+        self.await_up()
+        return self.ask(ms=1000)
+
+    def test_a_stop_delivers_a_long_answer_whole_however_often_it_is_told(self) -> None:
+        # Guards against the cut of long answers 3.6 s after SIGTERM (review case 3).
+        answer = self.begin()
+        for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM, signal.SIGINT):
+            self.process.send_signal(number)
+        self.assertEqual(body_length(answer), SIZE)
+        self.assertEqual(self.process.wait(WAIT), 0)
+
+    def test_the_old_process_of_an_upgrade_delivers_a_long_answer_whole(self) -> None:
+        # Guards against the same cut after a handover, and against one when the new process ends.
+        env = {"TMPDIR": self.enterContext(self.folder())}
+        answer = self.begin(env, listen=f"127.0.0.1:{self.free_port()}")
+        new, log = self.launch(self.config_at(self.port), env)
+        self.line("msg=serving", log)
+        self.process.send_signal(signal.SIGTERM)
+        time.sleep(EXIT_S / 2)
+        new.kill()
+        self.assertEqual(body_length(answer), SIZE)
+        self.assertEqual(self.process.wait(WAIT), 0)
+
+    def test_the_address_is_free_for_the_next_process_while_an_answer_is_delivered(self) -> None:
+        # Guards against a restart that fails with "address in use", as the last process is still delivering.
+        answer = self.begin()
+        self.process.send_signal(signal.SIGTERM)
+        time.sleep(EXIT_S / 2)
+        _, log = self.launch(self.config_at(self.port))
+        self.line("msg=serving", log)
+        self.await_up()
+        self.assertIsNone(self.process.poll())
+        self.assertEqual(body_length(answer), SIZE)
+        self.assertEqual(self.process.wait(WAIT), 0)
+
+    def test_a_next_process_in_the_same_folder_serves_while_an_answer_is_delivered(self) -> None:
+        # Guards against a new process that waits for the listener of one that has closed it.
+        env = {"TMPDIR": self.enterContext(self.folder())}
+        answer = self.begin(env, listen=f"127.0.0.1:{self.free_port()}")
+        self.process.send_signal(signal.SIGTERM)
+        time.sleep(EXIT_S)
+        _, log = self.launch(self.config_at(self.port), env)
+        self.line("msg=serving", log)
+        self.await_up()
+        self.assertIsNone(self.process.poll())
+        self.assertEqual(body_length(answer), SIZE)
+        self.assertEqual(self.process.wait(WAIT), 0)
+
+    def test_a_process_that_only_delivers_holds_no_watch_any_more(self) -> None:
+        # Guards against calls and connections to discovery by processes that need no list any more.
+        answer = self.begin()
+        watch = self.discovery.watch()
+        self.process.send_signal(signal.SIGTERM)
+        watch.settimeout(WAIT)
+        with suppress(ConnectionError):
+            self.assertEqual(watch.recv(1), b"")
+        self.assertIsNone(self.process.poll())
+        self.assertEqual(body_length(answer), SIZE)
+
+    def test_an_answer_that_its_client_has_not_read_yet_outlasts_a_stop(self) -> None:
+        # Guards against the loss of what was written to a connection, but not read, when the process exits.
+        server = self.peer(GradualServer(0.0))
+        self.start(row("s-1", server))
+        self.await_up()
+        client = socket.socket()
+        self.addCleanup(client.close)
+        client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16384)
+        client.settimeout(WAIT)
+        client.connect(("127.0.0.1", self.port))
+        client.sendall(b"GET /look/1 HTTP/1.1\r\nX-Trace-Id: a\r\nConnection: close\r\n\r\n")
+        time.sleep(0.3)
+        self.process.send_signal(signal.SIGTERM)
+        time.sleep(2 * EXIT_S)
+        got = 0
+        while piece := client.recv(1 << 16):
+            got += len(piece)
+        self.assertGreater(got, SIZE)
+        self.assertEqual(self.process.wait(WAIT), 0)
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -51,7 +51,7 @@
             (False, True, False),
         )
         self.assertEqual(self.lifecycle.close_idle_from(), 1000.0 + DRAIN_IDLE_MS)
-        self.assertFalse(self.lifecycle.may_exit(1e9, 0))
+        self.assertFalse(self.lifecycle.may_exit(1e9, 0, 0))
         self.lifecycle.in_service()
         self.lifecycle.in_service()
         self.assertEqual(
@@ -73,21 +73,43 @@
         self.assertEqual([self.lifecycle.must_answer_now(100.0 + t) for t in (3399.0, 3400.0)], [False, True])
         at = [(STOP_STAY_MS - 1.0, 0), (STOP_STAY_MS, 1), (STOP_STAY_MS, 0), (3600.0, 1)]
         self.assertEqual(
-            [self.lifecycle.may_exit(100.0 + t, left) for t, left in at], [False, False, True, True]
+            [self.lifecycle.may_exit(100.0 + t, left, 0) for t, left in at], [False, False, True, True]
         )
 
+    def test_an_answer_that_is_being_delivered_holds_the_exit_back_however_long(self) -> None:
+        # Guards against the cut of long answers 3.6 s after SIGTERM (review case 3).
+        self.lifecycle.serve()
+        self.lifecycle.stop(0.0)
+        self.assertEqual([self.lifecycle.may_exit(t, 1, 1) for t in (3600.0, 1e9)], [False, False])
+        self.assertTrue(self.lifecycle.may_exit(1e9, 1, 0))
+
+    def test_a_stopping_process_ends_accepting_when_no_new_connection_can_come(self) -> None:
+        # Guards against an address that the next process can't listen at while a long answer is delivered.
+        self.lifecycle.serve()
+        self.assertFalse(self.lifecycle.ends_accepting(1e9, False))
+        self.lifecycle.stop(0.0)
+        self.assertEqual(
+            [self.lifecycle.ends_accepting(t, True) for t in (STOP_STAY_MS, 3599.0)], [False, False]
+        )
+        self.assertFalse(self.lifecycle.ends_accepting(STOP_STAY_MS - 1.0, False))
+        self.assertTrue(self.lifecycle.accepts())
+        self.assertTrue(self.lifecycle.ends_accepting(STOP_STAY_MS, False))
+        self.lifecycle.hand_over(5000.0)
+        self.lifecycle.cancel_handover()  # a successor that ends does not bring it back
+        self.assertFalse(self.lifecycle.accepts())
+
     def test_with_a_successor_idle_connections_may_reach_their_limit(self) -> None:
         self.lifecycle.serve()
         self.lifecycle.hand_over(0.0)
         self.assertEqual(
-            (self.lifecycle.up(1), self.lifecycle.keeps_connections(), self.lifecycle.may_exit(1.0, 0)),
+            (self.lifecycle.up(1), self.lifecycle.keeps_connections(), self.lifecycle.may_exit(1.0, 0, 0)),
             (True, False, False),
         )
         self.lifecycle.stop(10.0)
         self.assertEqual(self.lifecycle.close_idle_from(), 10.0 + HANDED_OVER_IDLE_MS)
-        self.assertEqual([self.lifecycle.may_exit(11.0, left) for left in (1, 0)], [False, True])
+        self.assertEqual([self.lifecycle.may_exit(11.0, left, 0) for left in (1, 0)], [False, True])
         self.lifecycle.cancel_handover()
-        self.assertFalse(self.lifecycle.may_exit(11.0, 0))
+        self.assertFalse(self.lifecycle.may_exit(11.0, 0, 0))
 
 
 class OperationsUnderLoad(unittest.TestCase):
