Time out a slow client by what it has received, not by when its answer was written

Once all was written, its connection counted as idle, then as closing, and was reset when its kernel had taken nothing between two looks 1.5 s apart; kernels take bytes in large steps. A client whose streamed answer stood for 20 s since its buffers filled was reset too, though it went on reading.

Both now use one rule: 20 s without a byte received by the client's machine. One that has received all and does not close is reset after 1.5 s, as before, and closing connections still make room for others.

--- a/lupinlink/net/clients/connection.py
+++ b/lupinlink/net/clients/connection.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import fcntl
-import math
 import sys
 import termios
 from contextlib import suppress
@@ -13,6 +12,7 @@
 from twisted.internet.protocol import Protocol as Connection
 
 from lupinlink.limits.body_progress import FIRST_HEAD_TIMEOUT_MS, HEAD_TIMEOUT_MS, BodyProgress
+from lupinlink.limits.delivery_progress import DeliveryProgress
 from lupinlink.limits.idle_reuse import IdlePeriod
 from lupinlink.net import http1
 from lupinlink.net.bodies import BodyBudget
@@ -25,7 +25,6 @@
 from lupinlink.net.twisted_types import READ_BYTES, Transport, unsent
 
 MAX_READS = 4  # at most, to find a close behind unread data; other connections wait meanwhile
-NOT_READING_TIMEOUT_MS = 20000.0  # for a client that reads nothing of an answer that is streamed to it
 
 
 @dataclass(slots=True)
@@ -74,8 +73,8 @@
         self._incoming: IncomingRequest | None = None
         self._closing = self._not_reading = False
         self._paused_for: set[str] = set()  # the reasons for which it is not read
-        self._last_unread_bytes = math.inf  # that a closing client had still to read at the last check
-        self.not_reading_since = 0.0
+        self._delivery = DeliveryProgress()  # while its client does not read, or the connection closes
+        self._closes_late = False  # it has been found closing with bytes that its client has not received
         self.phase: Phase | None = None
         self.since = 0.0  # when the phase began
         self.connected_at = self.last_read_at = clients.clock.now()
@@ -127,8 +126,8 @@
         return self._parser.started()
 
     def is_stuck(self, now: float) -> bool:
-        """Whether it has not read its streamed answer for too long."""
-        return self._not_reading and now - self.not_reading_since > NOT_READING_TIMEOUT_MS
+        """Whether it has received nothing of its streamed answer for too long."""
+        return self._not_reading and self._delivery.is_stalled(now, self._unread_by_client())
 
     @property
     def not_reading(self) -> bool:
@@ -149,11 +148,10 @@
         """Close it, as its time is up (``overdue``) or others need the room."""
         if self.phase is Phase.CLOSING and overdue:
             # A client that is still reading its last answer gets more time: an abort would discard the rest.
-            before, self._last_unread_bytes = self._last_unread_bytes, self._unread_by_client()
-            if not 0 < self._last_unread_bytes < before:
-                self.transport.abortConnection()
-            else:
+            if self._is_delivering(self._clients.clock.now()):
                 self._clients.set_phase(self, Phase.CLOSING, anew=True)
+            else:
+                self.transport.abortConnection()
         elif self.phase is Phase.CLOSING:
             # Not an abort: its reset could overtake the answer. The sending direction is closed already.
             self.transport.loseConnection()
@@ -162,6 +160,14 @@
         else:
             self.close()
 
+    def _is_delivering(self, now: float) -> bool:
+        """Whether a closing connection still has something for its client, which goes on receiving it."""
+        unread_bytes = self._unread_by_client()
+        if not self._closes_late:
+            self._closes_late = True
+            self._delivery.restart(now, unread_bytes)
+        return unread_bytes > 0.0 and not self._delivery.is_stalled(now, unread_bytes)
+
     def abort(self) -> None:
         """Reset the connection."""
         self.transport.abortConnection()
--- a/lupinlink/net/clients/phases.py
+++ b/lupinlink/net/clients/phases.py
@@ -5,7 +5,7 @@
 import math
 from enum import Enum
 
-CLOSING_TIMEOUT_MS = 1500.0  # for a client that makes no progress in reading its last answer
+CLOSING_TIMEOUT_MS = 1500.0  # for a client that has received its last answer and does not close
 
 
 class Phase(Enum):
--- a/lupinlink/net/clients/responses.py
+++ b/lupinlink/net/clients/responses.py
@@ -50,7 +50,8 @@
         return self._waiting or self._unread_by_client() > 0.0
 
     def pauseProducing(self) -> None:
-        self._not_reading, self.not_reading_since = True, self._clients.clock.now()
+        self._not_reading = True
+        self._delivery.restart(self._clients.clock.now(), self._unread_by_client())
         if self._stream is not None:
             self._stream.pause()
 
--- a/tests/test_long_answers.py
+++ b/tests/test_long_answers.py
@@ -10,11 +10,13 @@
 from contextlib import suppress
 from typing import Any, ClassVar
 
-from tests.loopback_servers import WAIT, LoopbackServer, read_request
+from tests.loopback_servers import WAIT, ApplicationServer, LoopbackServer, read_request
 from tests.proxy_process import ProxyProcessTest, row
 
 SIZE, PIECES = 2_000_000, 40
 PIECE_S = 0.0625  # between two pieces: an answer takes 2.5 s
+# Small enough to be written at once, and larger than what the client's machine takes.
+LATE_PART = b"HTTP/1.1 200 OK\r\nContent-Length: 120000\r\n\r\n" + b"x" * 120_000
 EXIT_S = 1.6  # after SIGTERM, where nothing is being delivered and deadlines are 1 s
 
 
@@ -42,6 +44,15 @@
         return len(exc.partial) if isinstance(exc, http.client.IncompleteRead) else 0
 
 
+def received(client: socket.socket) -> int:
+    """How many bytes arrive until the connection ends."""
+    got = 0
+    with suppress(ConnectionError):
+        while piece := client.recv(1 << 16):
+            got += len(piece)
+    return got
+
+
 class LongAnswers(ProxyProcessTest):
     settings: ClassVar[dict[str, Any]] = {
         "Classes": [{"Name": "look", "AimMs": 300.0, "HardLimitMs": 1000.0, "Effect": "pure"}],
@@ -57,6 +68,16 @@
             port: int = listener.getsockname()[1]
             return port
 
+    def slow_client(self, request: bytes) -> socket.socket:
+        """A client whose machine takes little before the client reads."""
+        client = socket.socket()
+        self.addCleanup(client.close)
+        client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16384)
+        client.settimeout(WAIT)
+        client.connect(("127.0.0.1", self.port))
+        client.sendall(request)
+        return client
+
     def config_at(self, port: int) -> dict[str, Any]:
         """The configuration of another process at the same address."""
         return {**self.config(row("s-1", self.server)), "listen": f"127.0.0.1:{port}"}
@@ -118,11 +139,11 @@
     def test_a_process_that_only_delivers_holds_no_watch_any_more(self) -> None:
         # Guards against calls and connections to discovery by processes that need no list any more.
         answer = self.begin()
-        watch = self.discovery.watch()
+        self.discovery.watch()
+        ended_before = self.discovery.ends.qsize()
         self.process.send_signal(signal.SIGTERM)
-        watch.settimeout(WAIT)
-        with suppress(ConnectionError):
-            self.assertEqual(watch.recv(1), b"")
+        for _ in range(ended_before + 1):
+            self.discovery.ends.get(timeout=WAIT)
         self.assertIsNone(self.process.poll())
         self.assertEqual(body_length(answer), SIZE)
 
@@ -131,17 +152,18 @@
         server = self.peer(GradualServer(0.0))
         self.start(row("s-1", server))
         self.await_up()
-        client = socket.socket()
-        self.addCleanup(client.close)
-        client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16384)
-        client.settimeout(WAIT)
-        client.connect(("127.0.0.1", self.port))
-        client.sendall(b"GET /look/1 HTTP/1.1\r\nX-Trace-Id: a\r\nConnection: close\r\n\r\n")
+        client = self.slow_client(b"GET /look/1 HTTP/1.1\r\nX-Trace-Id: a\r\nConnection: close\r\n\r\n")
         time.sleep(0.3)
         self.process.send_signal(signal.SIGTERM)
         time.sleep(2 * EXIT_S)
-        got = 0
-        while piece := client.recv(1 << 16):
-            got += len(piece)
-        self.assertGreater(got, SIZE)
+        self.assertGreater(received(client), SIZE)
         self.assertEqual(self.process.wait(WAIT), 0)
+
+    def test_a_client_that_does_not_read_for_seconds_gets_the_end_of_its_answer(self) -> None:
+        # Guards against the reset of a slow client whose answer was all written, and so counted as delivered.
+        server = self.peer(ApplicationServer(LATE_PART))
+        self.start(row("s-1", server))
+        self.await_up()
+        client = self.slow_client(b"GET /look/1 HTTP/1.1\r\nX-Trace-Id: a\r\n\r\n")
+        time.sleep(6.0)
+        self.assertEqual(received(client), len(LATE_PART))
