Keep the listener that comes with an offer until the whole offer has been read

The descriptor came with the first 64 KiB of the offer; an offer of some 430 backends or more takes several reads, and the channel closed the descriptor after the first one, so the new process opened a listener of its own.

The channel keeps it until the offer is complete, closes it where the channel ends before that, and gives it to no other message (a "wait" read together with the offer's begin took it). The new tests run a channel over a pair of sockets; the first failed before.

--- a/lupinlink/net/handover/channel.py
+++ b/lupinlink/net/handover/channel.py
@@ -16,7 +16,7 @@
 from twisted.internet.interfaces import IReadWriteDescriptor
 from zope.interface import implementer  # type: ignore[import-untyped]
 
-from lupinlink.net.handover.messages import HandoverError, Reader, line
+from lupinlink.net.handover.messages import WITH_DESCRIPTOR, HandoverError, Reader, line
 from lupinlink.net.twisted_types import Reactor
 
 log = logging.getLogger(__name__)
@@ -63,6 +63,7 @@
         self._reader = Reader()
         self._unsent = bytearray()
         self._descriptor: int | None = None  # sent with the next bytes
+        self._received: int | None = None  # with the first bytes of an offer, which may take several reads
         self.open = True
         reactor.addReader(self)
 
@@ -86,6 +87,9 @@
             return
         except OSError:
             data, descriptors = b"", []
+        for number in descriptors:
+            self._drop_received()
+            self._received = number
         if not data:
             self.end()
             return
@@ -96,9 +100,16 @@
             messages = []
             self.end()
         for message in messages:
-            self._on_message(self, message, descriptors.pop() if descriptors else None)
-        for number in descriptors:
-            os.close(number)
+            received = None
+            if message["say"] == WITH_DESCRIPTOR:
+                received, self._received = self._received, None
+            self._on_message(self, message, received)
+
+    def _drop_received(self) -> None:
+        """Close a descriptor whose message has not arrived."""
+        if self._received is not None:
+            os.close(self._received)
+            self._received = None
 
     def doWrite(self) -> None:  # noqa: N802
         try:
@@ -126,6 +137,7 @@
             self._reactor.removeReader(self)
             self._reactor.removeWriter(self)
             self._socket.close()
+            self._drop_received()
             self._on_end()
 
 
--- a/lupinlink/net/handover/messages.py
+++ b/lupinlink/net/handover/messages.py
@@ -16,6 +16,8 @@
 MAX_LINE_BYTES = 4 * 1024 * 1024  # the largest message carries the list from discovery
 MESSAGE_KINDS = {"hello", "offer", "wait", "no", "ready", "holds", "drain", "undrain"}
 
+WITH_DESCRIPTOR = "offer"  # the one message that passes a descriptor along
+
 
 class HandoverError(ValueError):
     """The bytes received are not a message of this protocol."""
