Tell a successor of a drain that comes before it serves

It now tells every successor that has its offer; the message comes after the offer on the same channel. The new test failed before: nothing was sent.

--- a/lupinlink/net/handover/upgrade.py
+++ b/lupinlink/net/handover/upgrade.py
@@ -163,8 +163,8 @@
         self._host.on_predecessor_usage(None)
 
     def pass_on(self, drain: bool) -> None:
-        """Pass an operator's call on to the successor, since new clients connect to it."""
-        if self._successor_serves and self._successor is not None:
+        """Pass an operator's call on to the successor, also to one that has its offer and does not serve."""
+        if self._successor is not None:
             self._successor.send("drain" if drain else "undrain")
 
     def tick(self, now: float) -> None:
--- a/tests/test_handover_channel.py
+++ b/tests/test_handover_channel.py
@@ -9,7 +9,9 @@
 from typing import Any, cast
 
 from lupinlink.net.handover.channel import Channel
+from lupinlink.net.handover.upgrade import Upgrade
 from lupinlink.net.twisted_types import Reactor
+from tests.test_handover import RecordingChannel, RecordingHost
 
 LARGE_LIST = {"rev": 1, "all": True, "targets": [{"uid": f"s-{i}" * 40} for i in range(2000)]}
 
@@ -69,5 +71,16 @@
         self.assertEqual((self.got, len(os.listdir("/proc/self/fd"))), ([], before - 1))
 
 
+class EarlyCalls(unittest.TestCase):
+    def test_a_drain_between_the_offer_and_the_yes_reaches_the_new_process(self) -> None:
+        # Guards against a drain that the old process has answered with yes and the new one never hears of.
+        channel = RecordingChannel()
+        upgrade = Upgrade(RecordingHost(), "n1")
+        upgrade.on_message(channel, {"say": "hello", "v": 1, "name": "n1"}, None, 0.0)
+        upgrade.pass_on(drain=True)
+        upgrade.pass_on(drain=False)
+        self.assertEqual(channel.sent, ["offer", "drain", "undrain"])
+
+
 if __name__ == "__main__":
     unittest.main()
