Heed an update that arrives in pieces on a watch that followed a full list

The client of discovery passed over partial updates on each watch that had requested the full list, and after a move that stays set for the life of the watch.

Only a call that still awaits its full list is passed over now; after the list, what has begun to arrive counts, a head alone does not.

--- a/lupinlink/net/discovery_client.py
+++ b/lupinlink/net/discovery_client.py
@@ -195,10 +195,10 @@
         return self._has_partial()
 
     def _has_partial(self) -> bool:
-        # Requests for the full list are left out: after a move the former watch still delivers, and what the
-        # new discovery has counts as notified only some time later.
+        # Calls that await the full list are left out: after a move the former watch still delivers, and what
+        # the new discovery has counts as notified only some time later.
         return self._queue.busy or any(
-            watch.partial and not watch.requests_full_list for watch in self._connections()
+            watch.partial and not watch.awaits_full_list for watch in self._connections()
         )
 
     def _connections(self) -> list[Watch]:
--- a/lupinlink/net/watch.py
+++ b/lupinlink/net/watch.py
@@ -45,7 +45,7 @@
         self.ended: Deferred[WatchEnd] = Deferred()
         self.number = 0  # number of this call in this process; set by the caller
         self._listener, self._clock, self._times = listener, clock, times
-        self._awaits_full_list, self._pushed = full, pushed
+        self.awaits_full_list, self._pushed = full, pushed
         self.requests_full_list = full  # also after it has come
         self._parser = http1.ResponseParser(MAX_OBJECT_BYTES, sys.maxsize)
         self._splitter = ObjectSplitter()
@@ -85,7 +85,7 @@
 
     def _send_request(self) -> None:
         # Versions of one discovery mean nothing to another, so its full list is requested first.
-        host, full = self.address[0], self._awaits_full_list
+        host, full = self.address[0], self.awaits_full_list
         self.transport.write(full_list_request(host) if full else watch_request(host, self._listener.version))
 
     def _note_activity(self) -> None:
@@ -138,7 +138,7 @@
             self._set_partial(False)  # an error response carries no update
             self.refused = True
             raise ListError(f"discovery answered {head.status}")
-        after_list = self.requests_full_list and not self._awaits_full_list
+        after_list = self.requests_full_list and not self.awaits_full_list
         if begins and after_list and head.get("content-length") is not None:  # a watch's answer has none
             raise ListError("a second answer to the request for the list")
         if begins:
@@ -146,9 +146,9 @@
             self._cancel_late_timer()
             self._note_activity()
             self._listener.on_answered(self)
-            if not self._awaits_full_list and self._pushed:
+            if not self.awaits_full_list and self._pushed:
                 self._clock.after(self._times.unchanged_after_ms, self._on_quiet_agent)
-        if self._awaits_full_list:
+        if self.awaits_full_list:
             if message is not None:
                 self._process_full_list(message)
             return
@@ -171,8 +171,8 @@
 
     def _check_partial(self) -> None:
         # Part of a head or of an object, or a head with nothing after it: its update counts as notified,
-        # even if the rest never arrives.
-        undelivered = self._parser.head is not None and not self._delivered
+        # even if the rest never arrives. After the full list, only what has begun to arrive counts.
+        undelivered = self._parser.head is not None and not self._delivered and not self.requests_full_list
         partial = undelivered or self._parser.unfinished or self._splitter.has_partial
         if not self._closed:
             self._set_partial(partial)
@@ -185,7 +185,7 @@
 
     def _process_full_list(self, message: http1.Message) -> None:
         self._listener.on_object(self, json.loads(message.body), full=True)
-        self._awaits_full_list = False
+        self.awaits_full_list = False
         if message.keeps_open() and not self._parser.buffer:
             self._silence.restart(self._times.answer_timeout_ms)
             self._send_request()
@@ -214,7 +214,7 @@
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         # A full list without a Content-Length is complete when the connection closes without a reset.
         answer = self._parser.eof() if isinstance(reason.value, ConnectionDone) and not self._closed else None
-        if answer is not None and self._awaits_full_list and answer.status == 200:
+        if answer is not None and self.awaits_full_list and answer.status == 200:
             with suppress(ValueError, RecursionError):
                 self._listener.on_object(self, json.loads(answer.body), full=True)
         self.end("connection ended")
