--- a/lupinlink/net/client_drain.py
+++ b/lupinlink/net/client_drain.py
@@ -37,10 +37,11 @@
             self._clients.close_idle(include_new=state.stopping)
         # Connections in the accept queue count: their clients see them as open, and an exit would reset them.
         queued = self._clients.queued
-        if state.ends_accepting(now, queued):
+        if state.end_accepting(now, queued):
             self._clients.close_listener()
         left = len(self._clients.connections) + self._proxy.open + queued
-        if state.may_exit(now, left, self._clients.undelivered):
+        undelivered = self._clients.undelivered if state.must_answer_now(now) else left
+        if state.may_exit(now, left, undelivered):
             self._exit_process()
         else:
             self._clock.after(CHECK_MS, self._check)
--- a/lupinlink/net/fleet_extension.py
+++ b/lupinlink/net/fleet_extension.py
@@ -158,7 +158,8 @@
     def stopping(self) -> None:
         """This process is stopping: called once, at SIGTERM or when it exits after a handover.
 
-        The process goes on for some seconds after SIGTERM, but does not wait for work started here.
+        The process goes on for some seconds after SIGTERM, or until its last answer is delivered, but does
+        not wait for work started here.
         """
         ...
 
--- a/lupinlink/net/lifecycle.py
+++ b/lupinlink/net/lifecycle.py
@@ -138,8 +138,8 @@
         """Whether this process, and not a successor, accepts new connections."""
         return self._serving and self._handed_over_at is None and not self._accepting_ended
 
-    def ends_accepting(self, now: float, queued: bool) -> bool:
-        """Whether to close the listener for good: no more new connections come, and the address gets free.
+    def end_accepting(self, now: float, queued: bool) -> bool:
+        """End accepting for good once no new connections can come; returns whether it has ended.
 
         ``queued``: whether the accept queue has connections; they are accepted for as long as there is time.
         """
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -86,14 +86,14 @@
     def test_a_stopping_process_ends_accepting_when_no_new_connection_can_come(self) -> None:
         # Guards against an address that the next process can't listen at while a long answer is delivered.
         self.lifecycle.serve()
-        self.assertFalse(self.lifecycle.ends_accepting(1e9, False))
+        self.assertFalse(self.lifecycle.end_accepting(1e9, False))
         self.lifecycle.stop(0.0)
         self.assertEqual(
-            [self.lifecycle.ends_accepting(t, True) for t in (STOP_STAY_MS, 3599.0)], [False, False]
+            [self.lifecycle.end_accepting(t, True) for t in (STOP_STAY_MS, 3599.0)], [False, False]
         )
-        self.assertFalse(self.lifecycle.ends_accepting(STOP_STAY_MS - 1.0, False))
+        self.assertFalse(self.lifecycle.end_accepting(STOP_STAY_MS - 1.0, False))
         self.assertTrue(self.lifecycle.accepts())
-        self.assertTrue(self.lifecycle.ends_accepting(STOP_STAY_MS, False))
+        self.assertTrue(self.lifecycle.end_accepting(STOP_STAY_MS, False))
         self.lifecycle.hand_over(5000.0)
         self.lifecycle.cancel_handover()  # a successor that ends does not bring it back
         self.assertFalse(self.lifecycle.accepts())
