--- a/lupinlink/net/list_entries.py
+++ b/lupinlink/net/list_entries.py
@@ -142,6 +142,6 @@
         return None
     try:
         host, port = parse_address(value, "endpoint")
-    except (SettingsError, ValueError):  # ValueError: a port with more digits than int() accepts
+    except SettingsError:
         return None
     return (host, port) if port else None
--- a/lupinlink/settings/config.py
+++ b/lupinlink/settings/config.py
@@ -13,6 +13,7 @@
 from lupinlink.settings.parser import get_or_default, read_settings
 
 MIN_SOCKETS = 64  # with fewer, the reserved sockets would leave none for a request
+MAX_PORT, MAX_PORT_DIGITS = 65535, 5
 MAX_SOCKETS = 1024  # upper bound; a larger limit in the file is cut to it
 ENVIRONMENT_VARIABLES = ("LB_NAME", "LB_LISTEN", "LB_DISCOVERY", "LB_MGMT")  # these override the file
 
@@ -20,7 +21,8 @@
 def parse_address(text: str, what: str) -> tuple[str, int]:
     """Split ``host:port``; raises SettingsError, with ``what`` as the name of the setting."""
     host, colon, port = text.rpartition(":")
-    if not colon or not host or not port.isascii() or not port.isdigit() or not 0 <= int(port) <= 65535:
+    is_number = port.isascii() and port.isdigit() and len(port) <= MAX_PORT_DIGITS
+    if not colon or not host or not is_number or int(port) > MAX_PORT:
         raise SettingsError(f"{what}: {text!r} is not host:port with a port from 0 to 65535")
     return host, int(port)
 
