--- a/lupinlink/limits/delivery_progress.py
+++ b/lupinlink/limits/delivery_progress.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-STALL_TIMEOUT_MS = 20000.0  # without a byte received; a client's kernel takes bytes in large steps only
+DELIVERY_STALL_MS = 20000.0  # without a byte received; a client's kernel takes bytes in large steps only
 
 
 class DeliveryProgress:
@@ -21,4 +21,4 @@
         """Whether nothing was received for too long; to be asked from time to time."""
         if undelivered_bytes < self._least_bytes:
             self.restart(now, undelivered_bytes)
-        return now - self._since > STALL_TIMEOUT_MS
+        return now - self._since > DELIVERY_STALL_MS
--- a/lupinlink/net/clients/connection.py
+++ b/lupinlink/net/clients/connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import fcntl
+import math
 import sys
 import termios
 from contextlib import suppress
@@ -74,7 +75,6 @@
         self._closing = self._not_reading = False
         self._paused_for: set[str] = set()  # the reasons for which it is not read
         self._delivery = DeliveryProgress()  # while its client does not read, or the connection closes
-        self._closes_late = False  # it has been found closing with bytes that its client has not received
         self.phase: Phase | None = None
         self.since = 0.0  # when the phase began
         self.connected_at = self.last_read_at = clients.clock.now()
@@ -148,10 +148,14 @@
         """Close it, as its time is up (``overdue``) or others need the room."""
         if self.phase is Phase.CLOSING and overdue:
             # A client that is still reading its last answer gets more time: an abort would discard the rest.
-            if self._is_delivering(self._clients.clock.now()):
-                self._clients.set_phase(self, Phase.CLOSING, anew=True)
-            else:
+            unread_bytes = self._unread_by_client()
+            if not unread_bytes:
                 self.transport.abortConnection()
+            elif self._delivery.is_stalled(self._clients.clock.now(), unread_bytes):
+                self._clients.counters["answers_unread"] += 1
+                self.transport.abortConnection()
+            else:
+                self._clients.set_phase(self, Phase.CLOSING, anew=True)
         elif self.phase is Phase.CLOSING:
             # Not an abort: its reset could overtake the answer. The sending direction is closed already.
             self.transport.loseConnection()
@@ -160,21 +164,13 @@
         else:
             self.close()
 
-    def _is_delivering(self, now: float) -> bool:
-        """Whether a closing connection still has something for its client, which goes on receiving it."""
-        unread_bytes = self._unread_by_client()
-        if not self._closes_late:
-            self._closes_late = True
-            self._delivery.restart(now, unread_bytes)
-        return unread_bytes > 0.0 and not self._delivery.is_stalled(now, unread_bytes)
-
     def abort(self) -> None:
         """Reset the connection."""
         self.transport.abortConnection()
 
     def has_undelivered(self) -> bool:
         """Whether its client is owed an answer, or has not received all that was written to it."""
-        raise NotImplementedError
+        return self.phase is Phase.OPEN or self._unread_by_client() > 0.0
 
     def _unread_by_client(self) -> float:
         with suppress(OSError, AttributeError):
@@ -198,6 +194,7 @@
         """
         self._closing = True
         self._clients.set_phase(self, Phase.CLOSING)
+        self._delivery.restart(self._clients.clock.now(), math.inf)
         self._parser = http1.RequestParser()  # drops its buffer
         self._release_all()
         self.transport.unregisterProducer()
--- a/lupinlink/net/clients/responses.py
+++ b/lupinlink/net/clients/responses.py
@@ -45,10 +45,6 @@
         """Take the next request if none is open."""
         raise NotImplementedError
 
-    def has_undelivered(self) -> bool:
-        """Whether its client is owed an answer, or has not received all that was written to it."""
-        return self._waiting or self._unread_by_client() > 0.0
-
     def pauseProducing(self) -> None:
         self._not_reading = True
         self._delivery.restart(self._clients.clock.now(), self._unread_by_client())
--- a/lupinlink/net/handover/messages.py
+++ b/lupinlink/net/handover/messages.py
@@ -15,7 +15,6 @@
 VERSION = 1
 MAX_LINE_BYTES = 4 * 1024 * 1024  # the largest message carries the list from discovery
 MESSAGE_KINDS = {"hello", "offer", "wait", "no", "ready", "holds", "drain", "undrain"}
-
 WITH_DESCRIPTOR = "offer"  # the one message that passes a descriptor along
 
 
--- a/lupinlink/net/list_format.py
+++ b/lupinlink/net/list_format.py
@@ -89,12 +89,8 @@
         found = MAY_END.search(data, at)
         return data.rfind(b"\n", at, found.start() if found is not None else len(data)) + 1
 
-    def feed(self, data: bytes) -> list[Any]:
-        """Return the objects that these bytes complete; raises ListError for what is not a JSON object."""
-        return [found for piece in self.pieces(data) for found in self.feed_piece(piece)]
-
-    def feed_piece(self, piece: bytes) -> list[Any]:
-        """Return the object that one of ``pieces`` completes, if any; raises ListError as ``feed``."""
+    def feed(self, piece: bytes) -> list[Any]:
+        """Return the object that one of ``pieces`` completes, if any; raises ListError for what is none."""
         had_partial, has_text, ends_line = self.has_partial, bool(piece.strip()), piece.endswith(b"\n")
         if ends_line and not has_text and not self._line_has_text:
             if had_partial:
--- a/lupinlink/net/listener_takeover.py
+++ b/lupinlink/net/listener_takeover.py
@@ -165,7 +165,7 @@
         if self._upgrade.busy and not (self._discovery_client.ready and self._lifecycle.list_settled):
             self._clock.after(TICK_MS, self._serve_when_ready)
             return
-        if self._lifecycle.serving or self._clients.port is None:  # None: this process is stopping
+        if self._lifecycle.serving:
             return
         if self._reactor.running:
             self._start_serving()
@@ -173,7 +173,7 @@
             self._reactor.callWhenRunning(self._start_serving)
 
     def _start_serving(self) -> None:
-        if self._clients.port is None:
+        if self._clients.port is None:  # closed, as this process is stopping
             return
         self._lifecycle.serve()
         self._clients.listen()
--- a/lupinlink/net/watch.py
+++ b/lupinlink/net/watch.py
@@ -156,7 +156,7 @@
         data = message.body if message is not None else self._parser.take_body()
         for line in self._splitter.pieces(data):
             activity = self._splitter.activity
-            found = self._splitter.feed_piece(line)
+            found = self._splitter.feed(line)
             for item in found:
                 if not self._closed:
                     self._delivered = True
--- a/tests/test_delivery_progress.py
+++ b/tests/test_delivery_progress.py
@@ -4,7 +4,7 @@
 
 import unittest
 
-from lupinlink.limits.delivery_progress import STALL_TIMEOUT_MS, DeliveryProgress
+from lupinlink.limits.delivery_progress import DELIVERY_STALL_MS, DeliveryProgress
 
 
 class Delivery(unittest.TestCase):
@@ -12,7 +12,7 @@
         # Guards against the reset of a client that reads slowly, 20 s after its buffers filled up.
         delivery = DeliveryProgress()
         delivery.restart(0.0, 1000.0)
-        times = [STALL_TIMEOUT_MS * i for i in range(1, 10)]
+        times = [DELIVERY_STALL_MS * i for i in range(1, 10)]
         self.assertEqual([delivery.is_stalled(now, 1000.0 - now / 1e4) for now in times], [False] * 9)
 
     def test_one_that_receives_nothing_is_stalled_in_time(self) -> None:
@@ -20,9 +20,9 @@
         delivery = DeliveryProgress()
         delivery.restart(0.0, 1000.0)
         at = [
-            (STALL_TIMEOUT_MS / 2, 900.0),
-            (1.5 * STALL_TIMEOUT_MS, 900.0),
-            (1.5 * STALL_TIMEOUT_MS + 1, 950.0),
+            (DELIVERY_STALL_MS / 2, 900.0),
+            (1.5 * DELIVERY_STALL_MS, 900.0),
+            (1.5 * DELIVERY_STALL_MS + 1, 950.0),
         ]
         self.assertEqual([delivery.is_stalled(now, unread) for now, unread in at], [False, False, True])
 
--- a/tests/test_discovery_watch.py
+++ b/tests/test_discovery_watch.py
@@ -23,6 +23,7 @@
 from tests import test_reload
 from tests.helpers import SAFE, NodeHarness
 from tests.proxy_process import WAIT, ApplicationServer, ProxyProcessTest, chunk, listing, row
+from tests.watch_test_case import split_objects
 
 NOTIFIED_MS = 300.0  # from an update on until a server must get no requests, with a margin for sockets
 CALL_MS = 2000.0  # longest time to the response of a call
@@ -147,9 +148,9 @@
             for size in (1, 2, 3, 7, len(text)):
                 objects, found = ObjectSplitter(), []
                 for i in range(0, len(text), size):
-                    found += objects.feed(text[i : i + size])
+                    found += split_objects(objects, text[i : i + size])
                 self.assertEqual(found, wanted, (indent, size))
-                self.assertEqual(objects.feed(b"\n"), [])
+                self.assertEqual(split_objects(objects, b"\n"), [])
 
     def test_malformed_objects_raise_an_error_at_once(self) -> None:
         for broken in (
@@ -165,9 +166,9 @@
             b'{"rev": ]}\n',
         ):
             with self.assertRaises(ListError):
-                ObjectSplitter().feed(broken)
+                split_objects(ObjectSplitter(), broken)
         with self.assertRaises(ListError):
-            ObjectSplitter().feed(b'{"a":\n' + b" " * MAX_OBJECT_BYTES)
+            split_objects(ObjectSplitter(), b'{"a":\n' + b" " * MAX_OBJECT_BYTES)
 
 
 class SilentWatch(ProxyProcessTest):
--- a/tests/test_input_cost.py
+++ b/tests/test_input_cost.py
@@ -10,6 +10,7 @@
 from lupinlink.net.bodies import REPLAY_LIMIT_BYTES, Body, BodyBudget
 from lupinlink.net.handover.messages import Reader
 from lupinlink.net.list_format import ListError, ObjectSplitter
+from tests.watch_test_case import split_objects
 from tests.work_growth import MAX_GROWTH, SIZE_RATIO, Build, work_growth
 
 HEAD_BYTES = http1.MAX_HEAD // 9  # with the larger size, eight times this, a head is still below its limit
@@ -107,7 +108,7 @@
     splitter = ObjectSplitter()
     with suppress(ListError):
         for piece in pieces:
-            splitter.feed(piece)
+            split_objects(splitter, piece)
             splitter.has_partial  # noqa: B018
 
 
--- a/tests/test_long_answers.py
+++ b/tests/test_long_answers.py
@@ -17,21 +17,22 @@
 PIECE_S = 0.0625  # between two pieces: an answer takes 2.5 s
 # Small enough to be written at once, and larger than what the client's machine takes.
 LATE_PART = b"HTTP/1.1 200 OK\r\nContent-Length: 120000\r\n\r\n" + b"x" * 120_000
+STALL_S = 20.0  # for a client that receives nothing; a server that gives nothing has 15 s
 EXIT_S = 1.6  # after SIGTERM, where nothing is being delivered and deadlines are 1 s
 
 
 class GradualServer(LoopbackServer):
-    """Gives each answer in pieces."""
+    """Gives each answer in pieces, or only the first ones and then no more."""
 
-    def __init__(self, piece_s: float = PIECE_S) -> None:
-        self._piece_s = piece_s
+    def __init__(self, piece_s: float = PIECE_S, pieces: int = PIECES) -> None:
+        self._piece_s, self._pieces = piece_s, pieces
         super().__init__()
 
     def talk(self, connection: socket.socket) -> None:
         stream = connection.makefile("rb")
         while read_request(stream) is not None:
             connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % SIZE)
-            for _ in range(PIECES):
+            for _ in range(self._pieces):
                 connection.sendall(b"x" * (SIZE // PIECES))
                 time.sleep(self._piece_s)
 
@@ -87,10 +88,23 @@
         self.server = self.peer(GradualServer())
         config = {**self.config(row("s-1", self.server)), **more}
         self.process, self.log = self.launch(config, env)
+        if "mgmt" in more:
+            self.door = int(self.line("msg=door").rsplit("mgmt_port=", 1)[1])
         self.port = int(self.line("msg=serving").rsplit("port=", 1)[1])
         self.await_up()
         return self.ask(ms=1000)
 
+    def check_replaced_while_delivering(
+        self, answer: http.client.HTTPResponse, env: dict[str, str] | None
+    ) -> None:
+        """Assert that another process serves at the address while the answer is delivered whole."""
+        _, log = self.launch(self.config_at(self.port), env)
+        self.line("msg=serving", log)
+        self.await_up()
+        self.assertIsNone(self.process.poll())
+        self.assertEqual(body_length(answer), SIZE)
+        self.assertEqual(self.process.wait(WAIT), 0)
+
     def test_a_stop_delivers_a_long_answer_whole_however_often_it_is_told(self) -> None:
         # Guards against the cut of long answers 3.6 s after SIGTERM (review case 3).
         answer = self.begin()
@@ -99,6 +113,32 @@
         self.assertEqual(body_length(answer), SIZE)
         self.assertEqual(self.process.wait(WAIT), 0)
 
+    def test_a_stop_in_the_middle_of_a_drain_delivers_a_long_answer_whole(self) -> None:
+        # Guards against the same cut where the front drains the proxy first.
+        answer = self.begin(mgmt="127.0.0.1:0")
+        self.assertEqual(self.call("PUT", "/control/out-of-service"), 200)
+        time.sleep(0.5)
+        self.process.send_signal(signal.SIGTERM)
+        self.assertEqual(body_length(answer), SIZE)
+        self.assertEqual(self.process.wait(WAIT), 0)
+
+    def test_a_stop_ends_though_a_server_gives_no_more_and_a_client_reads_nothing(self) -> None:
+        # Guards against a process that never ends, as it waits for an answer that nobody moves.
+        server = self.peer(GradualServer(0.0, pieces=PIECES // 2))
+        self.start(row("s-1", server))
+        self.await_up()
+        request = b"GET /look/1 HTTP/1.1\r\nX-Trace-Id: %d\r\n\r\n"
+        reader = self.slow_client(request % 1)
+        self.slow_client(request % 2)  # its server gives no more either
+        self.connect()  # never says a word
+        time.sleep(0.3)
+        self.process.send_signal(signal.SIGTERM)
+        began = time.monotonic()
+        reader.settimeout(2 * STALL_S)
+        self.assertLess(received(reader), SIZE)
+        self.assertEqual(self.process.wait(2 * STALL_S), 0)
+        self.assertLess(time.monotonic() - began, STALL_S + 2.0)
+
     def test_the_old_process_of_an_upgrade_delivers_a_long_answer_whole(self) -> None:
         # Guards against the same cut after a handover, and against one when the new process ends.
         env = {"TMPDIR": self.enterContext(self.folder())}
@@ -116,12 +156,7 @@
         answer = self.begin()
         self.process.send_signal(signal.SIGTERM)
         time.sleep(EXIT_S / 2)
-        _, log = self.launch(self.config_at(self.port))
-        self.line("msg=serving", log)
-        self.await_up()
-        self.assertIsNone(self.process.poll())
-        self.assertEqual(body_length(answer), SIZE)
-        self.assertEqual(self.process.wait(WAIT), 0)
+        self.check_replaced_while_delivering(answer, None)
 
     def test_a_next_process_in_the_same_folder_serves_while_an_answer_is_delivered(self) -> None:
         # Guards against a new process that waits for the listener of one that has closed it.
@@ -129,12 +164,7 @@
         answer = self.begin(env, listen=f"127.0.0.1:{self.free_port()}")
         self.process.send_signal(signal.SIGTERM)
         time.sleep(EXIT_S)
-        _, log = self.launch(self.config_at(self.port), env)
-        self.line("msg=serving", log)
-        self.await_up()
-        self.assertIsNone(self.process.poll())
-        self.assertEqual(body_length(answer), SIZE)
-        self.assertEqual(self.process.wait(WAIT), 0)
+        self.check_replaced_while_delivering(answer, env)
 
     def test_a_process_that_only_delivers_holds_no_watch_any_more(self) -> None:
         # Guards against calls and connections to discovery by processes that need no list any more.
--- a/tests/watch_test_case.py
+++ b/tests/watch_test_case.py
@@ -19,6 +19,7 @@
 from lupinlink.net.application_servers import ApplicationServers
 from lupinlink.net.counters import Counters
 from lupinlink.net.discovery_client import DiscoveryClient
+from lupinlink.net.list_format import ObjectSplitter
 from lupinlink.net.timer_wheel import ReactorClock
 from lupinlink.net.twisted_types import Reactor
 from lupinlink.net.watch import Watch
@@ -48,6 +49,11 @@
     return b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: %d\r\n\r\n" % len(body) + body
 
 
+def split_objects(splitter: ObjectSplitter, data: bytes) -> list[Any]:
+    """Return the objects that these bytes complete; raises ListError for what is not a JSON object."""
+    return [found for piece in splitter.pieces(data) for found in splitter.feed(piece)]
+
+
 class WatchTestCase(unittest.TestCase):
     """The list holds s-1 and s-2, ready, at version 41, and a first call is made."""
 
