Log why a client's connection is closed, and which requests a close throws away

Change: each close has a reason (CloseReason), logged at debug with the client and how long it had been idle; bytes that a close throws away are counted in bytes_dropped and logged as a warning with the ids of the requests in them, also after the decision to close. What happens is unchanged. Retries and refusals are logged by id already (request_log).

--- a/lupinlink/net/clients/connection.py
+++ b/lupinlink/net/clients/connection.py
@@ -17,6 +17,7 @@
 from lupinlink.limits.idle_reuse import IdlePeriod
 from lupinlink.net import http1
 from lupinlink.net.bodies import BodyBudget
+from lupinlink.net.clients.closing import CloseLog, CloseReason
 from lupinlink.net.clients.phases import Phase
 from lupinlink.net.counters import Counters
 from lupinlink.net.proxy import Proxy
@@ -43,6 +44,7 @@
     clock: ReactorClock
     counters: Counters
     budget: BodyBudget  # for all request bodies
+    close_log: CloseLog
     streaming: dict[ClientConnection, None]  # connections with an answer that is being streamed
     uploading: dict[ClientConnection, None]  # connections with a request that is sent on before its end
 
@@ -73,6 +75,7 @@
         self._parser = http1.RequestParser(http1.MAX_MESSAGE)
         self._incoming: IncomingRequest | None = None
         self._closing = self._not_reading = False
+        self._close_reason = CloseReason.CLIENT_LEFT  # once it is closing
         self._paused_for: set[str] = set()  # the reasons for which it is not read
         self._delivery = DeliveryProgress()  # while its client does not read, or the connection closes
         self.phase: Phase | None = None
@@ -146,14 +149,17 @@
 
     def evict(self, overdue: bool) -> None:
         """Close it, as its time is up (``overdue``) or others need the room."""
+        reason = CloseReason.ROOM
+        if overdue:
+            reason = CloseReason.IDLE if self.has_requested else CloseReason.NO_REQUEST
         if self.phase is Phase.CLOSING and overdue:
             # A client that is still reading its last answer gets more time: an abort would discard the rest.
             unread_bytes = self._unread_by_client()
             if not unread_bytes:
-                self.transport.abortConnection()
+                self.abort(CloseReason.CLIENT_STAYS)
             elif self._delivery.is_stalled(self._clients.clock.now(), unread_bytes):
                 self._clients.counters["answers_unread"] += 1
-                self.transport.abortConnection()
+                self.abort(CloseReason.NOT_READ)
             else:
                 self._clients.set_phase(self, Phase.CLOSING, anew=True)
         elif self.phase is Phase.CLOSING:
@@ -162,10 +168,11 @@
         elif self._parser.started():
             self.reject(408, "request did not arrive")
         else:
-            self.close()
+            self.close(reason)
 
-    def abort(self) -> None:
+    def abort(self, reason: CloseReason) -> None:
         """Reset the connection."""
+        self._log_close(reason, "reset")
         self.transport.abortConnection()
 
     def has_undelivered(self) -> bool:
@@ -183,16 +190,19 @@
         self._clients.counters[f"rejected_{status}"] += 1
         text = [("Content-Type", "text/plain")]
         self.transport.write(http1.response(status, text, f"{why}\n".encode(), close=True))
-        self.close()
+        self.close(CloseReason.REJECTED, f"{status} {why}")
 
-    def close(self) -> None:
+    def close(self, reason: CloseReason, detail: str = "") -> None:
         """Close it in order: take nothing more, and let the client read what was written.
 
         Only the sending direction is closed; what the client still sends is read and discarded until it
         closes too. Closing a socket with unread data would reset the connection and lose an answer on its
         way. The periodic sweep aborts connections whose client does not close.
         """
-        self._closing = True
+        if self._parser.buffer and reason is not CloseReason.REJECTED:
+            self._log_dropped(reason, bytes(self._parser.buffer), 0.0)
+        self._log_close(reason, detail)
+        self._closing, self._close_reason = True, reason
         self._clients.set_phase(self, Phase.CLOSING)
         self._delivery.restart(self._clients.clock.now(), math.inf)
         self._parser = http1.RequestParser()  # drops its buffer
@@ -207,6 +217,14 @@
         self.evict(overdue=False)
         self.transport.loseConnection()
 
+    def _log_close(self, reason: CloseReason, detail: str) -> None:
+        idle_ms = self._clients.clock.now() - self.last_read_at
+        self._clients.close_log.closed(reason, detail, self.address, idle_ms)
+
+    def _log_dropped(self, reason: CloseReason, data: bytes, since_ms: float) -> None:
+        self._clients.counters["bytes_dropped"] += len(data)
+        self._clients.close_log.dropped(reason, data, since_ms, self._clients.clock.now())
+
     def _set_reading(self, why: str, on: bool) -> None:
         """Stop reading for the reason ``why``, or resume (``on``) if no other reason is left."""
         before = bool(self._paused_for)
--- a/lupinlink/net/clients/connection_table.py
+++ b/lupinlink/net/clients/connection_table.py
@@ -5,6 +5,7 @@
 from itertools import islice
 
 from lupinlink.limits.idle_reuse import IdleEnd, IdleReuse, keep_threshold
+from lupinlink.net.clients.closing import CloseReason
 from lupinlink.net.clients.connection import ClientConnection
 from lupinlink.net.clients.phases import Phase
 from lupinlink.net.counters import Counters
@@ -103,7 +104,7 @@
         for phase in (Phase.RESTING, Phase.SILENT) if include_new else (Phase.RESTING,):
             for client in list(self.phases[phase]):
                 if not client.begun and not client.has_unread():
-                    client.close()
+                    client.close(CloseReason.OUT_OF_SERVICE)
 
     def gauges(self) -> dict[str, int]:
         """The size of every table here."""
@@ -129,7 +130,7 @@
                 and self._idle_reuse.should_close(rest, used, now)
                 and not client.has_unread()
             ):
-                client.close()
+                client.close(CloseReason.UNLIKELY_REUSE)
                 self._counters["given_up_resting"] += 1
 
     def sweep(self, rests: bool) -> None:
@@ -147,6 +148,6 @@
                 client.evict(overdue=True)
         for client in [client for client in self.streaming if client.is_stuck(now)]:
             self._counters["answers_unread"] += 1
-            client.abort()
+            client.abort(CloseReason.NOT_READ)
         if rests:
             self._close_resting(now)
--- a/lupinlink/net/clients/listener.py
+++ b/lupinlink/net/clients/listener.py
@@ -12,6 +12,7 @@
 
 from lupinlink.net import http1
 from lupinlink.net.bodies import BodyBudget
+from lupinlink.net.clients.closing import CloseLog
 from lupinlink.net.clients.connection import ClientConnection
 from lupinlink.net.clients.connection_table import ConnectionTable
 from lupinlink.net.clients.phases import Phase
@@ -104,6 +105,7 @@
         self.port: Port | None = None
         self.accept_paused = False  # all connections are busy: none is accepted
         self.accept_queue = QueueWait()
+        self.close_log = CloseLog()
         self.budget = BodyBudget(0)  # for all request bodies
         self.read_request = RequestReader(settings, self.budget).read
         table = self._table = ConnectionTable(cap, clock, counters)
--- a/lupinlink/net/clients/requests.py
+++ b/lupinlink/net/clients/requests.py
@@ -9,6 +9,7 @@
 
 from lupinlink.limits.body_progress import BodyProgress
 from lupinlink.net import http1
+from lupinlink.net.clients.closing import CloseReason
 from lupinlink.net.clients.connection import ConnectionOwner, IncomingRequest
 from lupinlink.net.clients.phases import Phase
 from lupinlink.net.clients.responses import RespondingConnection
@@ -32,6 +33,8 @@
     def dataReceived(self, data: bytes) -> None:
         self.last_read_at = self._clients.clock.now()
         if self._closing or self._sent_too_much:
+            if self._closing and self._close_reason is not CloseReason.REJECTED:
+                self._log_dropped(self._close_reason, data, self.last_read_at - self.since)
             self._discard(len(data))
             return
         self._parser.feed(data)
--- a/lupinlink/net/clients/responses.py
+++ b/lupinlink/net/clients/responses.py
@@ -10,6 +10,7 @@
 
 from lupinlink.net import http1
 from lupinlink.net.bodies import ResponseStream
+from lupinlink.net.clients.closing import CloseReason
 from lupinlink.net.clients.connection import ClientConnection, ConnectionOwner
 from lupinlink.net.request_types import FailureReason, Reply
 
@@ -90,7 +91,7 @@
         if stay:
             self._advance()
         else:
-            self.close()
+            self.close(CloseReason.ANSWERED)
 
     def _start_stream(self, reply: Reply, stream: ResponseStream) -> None:
         """Start to stream an answer; its head says whether the connection is kept open."""
@@ -104,12 +105,19 @@
         self._chunked = length == http1.CHUNKED
         self._keep_open = self._keep_open and length is not None and self._clients.keeps_open(self)
         self._stream = stream
-        stream.on_data, stream.on_end, stream.on_error = self._stream_data, self._stream_ended, self.abort
+        stream.on_data, stream.on_end, stream.on_error = (
+            self._stream_data,
+            self._stream_ended,
+            self._stream_broke,
+        )
         with suppress(OSError, AttributeError):
             self.transport.getHandle().setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
         self.transport.write(http1.response_head(200, reply.headers, length, close=not self._keep_open))
         self._stream_data(reply.body)
 
+    def _stream_broke(self) -> None:
+        self.abort(CloseReason.ANSWER_BROKE)
+
     def _stream_data(self, data: bytes) -> None:
         if data and self._stream is not None:
             self._stream.sent_bytes += len(data)
@@ -125,4 +133,4 @@
         if self._keep_open:
             self._advance()
         else:
-            self.close()
+            self.close(CloseReason.ANSWERED)
