--- /dev/null
+++ b/tests/crossing_judge.py
@@ -0,0 +1,103 @@
+"""Clients that write when their connection may be about to end, and what became of each request."""
+
+from __future__ import annotations
+
+import select
+import socket
+import threading
+import time
+from contextlib import suppress
+from itertools import count
+
+from tests.loopback_servers import WAIT
+from tests.proxy_process import ProxyProcessTest
+
+# Protocol, "The rules on sockets": every time limit is that much longer. An end of the connection that comes
+# no later after the request was written has crossed it; a later one has lost it.
+CROSSED_S = 0.05
+HEAD_END = b"\r\n\r\n"
+
+
+class CrossingClient:
+    """One connection, with one or several requests at a time."""
+
+    def __init__(self, port: int, name: str) -> None:
+        self.name, self.closes = name, False
+        self._numbers = count()
+        self._buffer = b""
+        self._socket = socket.create_connection(("127.0.0.1", port), WAIT)
+
+    def close(self) -> None:
+        self._socket.close()
+
+    def write(self, number: int = 1) -> float:
+        """Write so many requests at once; returns when they were written."""
+        names = [f"{self.name}.{next(self._numbers)}" for _ in range(number)]
+        self._socket.sendall(
+            "".join(
+                f"GET /look/1 HTTP/1.1\r\nX-Trace-Id: {name}\r\nX-Customer: acme\r\n\r\n" for name in names
+            ).encode()
+        )
+        return time.monotonic()
+
+    def has_ended(self) -> bool:
+        """Whether something can be read, which between two requests is the end of the connection."""
+        return bool(select.select([self._socket], [], [], 0.0)[0])
+
+    def answer(self) -> int | None:
+        """The status of the next answer; None: the connection has ended without a whole one."""
+        with suppress(ConnectionError):
+            while HEAD_END not in self._buffer:
+                if not (data := self._socket.recv(65536)):
+                    return None
+                self._buffer += data
+            head, _, self._buffer = self._buffer.partition(HEAD_END)
+            lines = head.decode("latin-1").lower().split("\r\n")
+            headers = dict(line.split(": ", 1) for line in lines[1:])
+            self.closes = headers.get("connection") == "close"
+            while len(self._buffer) < int(headers["content-length"]):
+                if not (data := self._socket.recv(65536)):
+                    return None
+                self._buffer += data
+            self._buffer = self._buffer[int(headers["content-length"]) :]
+            return int(lines[0].split()[1])
+        return None
+
+
+class CrossingTest(ProxyProcessTest):
+    """A test that counts requests whose connection ended unanswered, later than a crossing explains."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.lost: list[str] = []
+        self.answered = 0
+        self._lock = threading.Lock()
+
+    def crossing_client(self, name: str) -> CrossingClient:
+        client = CrossingClient(self.port, name)
+        self.addCleanup(client.close)
+        return client
+
+    def judge(self, client: CrossingClient, written_at: float, number: int = 1) -> bool:
+        """Take the answers to that many requests; False if the connection ended before the last of them."""
+        for left in range(number, 0, -1):
+            if client.answer() is None:
+                took = time.monotonic() - written_at
+                if took > CROSSED_S:
+                    with self._lock:
+                        self.lost.append(f"{client.name}: {left} of {number} after {took * 1000:.0f} ms")
+                return False
+            with self._lock:
+                self.answered += 1
+        return True
+
+    def ask_after(self, client: CrossingClient, at: float) -> bool:
+        """Write one request at that time, unless the connection has ended by then; whether it goes on."""
+        time.sleep(max(0.0, at - time.monotonic()))
+        try:
+            if client.closes or client.has_ended():
+                return False
+            written_at = client.write()
+        except OSError:
+            return False
+        return self.judge(client, written_at)
