End the sending on an idle client's connection within the look that decides it

Cause: ConnectionTable looked for unread bytes (has_unread), then ClientConnection.close() marked the transport; Twisted ends the sending in a later iteration of its loop, in which the socket is read first. A request that had come meanwhile was read, discarded, and the end followed. With the process held up in between, the gap is as long as the hold. Idle time-out, time-out of silent connections, closes for room and for low occupancy, drain, stop and handover all went this way.

Why it works: the look and shutdown(SHUT_WR) are adjacent system calls in ClientConnection.close_idle(); marking, logging, clocks and phases come after. What came before the look keeps the connection open and is answered; what comes after it meets an end that has been sent.

--- a/lupinlink/net/clients/connection.py
+++ b/lupinlink/net/clients/connection.py
@@ -7,64 +7,23 @@
 import sys
 import termios
 from contextlib import suppress
-from dataclasses import dataclass
-from typing import Protocol
 
 from twisted.internet.protocol import Protocol as Connection
 
-from lupinlink.limits.body_progress import FIRST_HEAD_TIMEOUT_MS, HEAD_TIMEOUT_MS, BodyProgress
+from lupinlink.limits.body_progress import FIRST_HEAD_TIMEOUT_MS, HEAD_TIMEOUT_MS
 from lupinlink.limits.delivery_progress import DeliveryProgress
 from lupinlink.limits.idle_reuse import IdlePeriod
 from lupinlink.net import http1
-from lupinlink.net.bodies import BodyBudget
-from lupinlink.net.clients.closing import CloseLog, CloseReason
+from lupinlink.net.clients.closing import CloseReason
+from lupinlink.net.clients.owner import ConnectionOwner, IncomingRequest
 from lupinlink.net.clients.phases import Phase
-from lupinlink.net.counters import Counters
-from lupinlink.net.proxy import Proxy
-from lupinlink.net.request_types import ClientRequest
+from lupinlink.net.immediate_write import end_sending_now
 from lupinlink.net.socket_peek import peek
-from lupinlink.net.timer_wheel import ReactorClock
 from lupinlink.net.twisted_types import READ_BYTES, Transport, unsent
 
 MAX_READS = 4  # at most, to find a close behind unread data; other connections wait meanwhile
 
 
-@dataclass(slots=True)
-class IncomingRequest:
-    """A request whose body is being received."""
-
-    request: ClientRequest
-    progress: BodyProgress
-
-
-class ConnectionOwner(Protocol):
-    """What a connection needs of the owner of all connections."""
-
-    proxy: Proxy
-    clock: ReactorClock
-    counters: Counters
-    budget: BodyBudget  # for all request bodies
-    close_log: CloseLog
-    streaming: dict[ClientConnection, None]  # connections with an answer that is being streamed
-    uploading: dict[ClientConnection, None]  # connections with a request that is sent on before its end
-
-    @property
-    def ready(self) -> bool:
-        """Whether a load balancer should send clients here."""
-
-    def read_request(self, message: http1.Message, path: str) -> ClientRequest:
-        """The request with this head; raises MessageError if it is not valid."""
-
-    def set_phase(self, client: ClientConnection, phase: Phase | None, anew: bool = False) -> None:
-        """Set a connection's phase, or restart it with ``anew``; None: the connection has ended."""
-
-    def keeps_open(self, client: ClientConnection) -> bool:
-        """Whether a connection is kept open after its answer."""
-
-    def connection_lost(self, client: ClientConnection) -> None:
-        """Note that a connection has ended."""
-
-
 class ClientConnection(Connection):
     """One connection of a client: when it is closed, and what is read of it."""
 
@@ -147,28 +106,60 @@
             else now - self.connected_at > FIRST_HEAD_TIMEOUT_MS
         )
 
-    def evict(self, overdue: bool) -> None:
-        """Close it, as its time is up (``overdue``) or others need the room."""
-        reason = CloseReason.ROOM
-        if overdue:
-            reason = CloseReason.IDLE if self.has_requested else CloseReason.NO_REQUEST
-        if self.phase is Phase.CLOSING and overdue:
-            # A client that is still reading its last answer gets more time: an abort would discard the rest.
-            unread_bytes = self._unread_by_client()
-            if not unread_bytes:
-                self.abort(CloseReason.CLIENT_STAYS)
-            elif self._delivery.is_stalled(self._clients.clock.now(), unread_bytes):
-                self._clients.counters["answers_unread"] += 1
-                self.abort(CloseReason.NOT_READ)
-            else:
-                self._clients.set_phase(self, Phase.CLOSING, anew=True)
-        elif self.phase is Phase.CLOSING:
-            # Not an abort: its reset could overtake the answer. The sending direction is closed already.
-            self.transport.loseConnection()
+    def evict(self) -> None:
+        """Close it, as its time is up, unless something unread has arrived."""
+        if self.phase is Phase.CLOSING:
+            self._evict_closing()
         elif self._parser.started():
-            self.reject(408, "request did not arrive")
+            self._reject_unfinished()
         else:
-            self.close(reason)
+            self.close_idle(CloseReason.IDLE if self.has_requested else CloseReason.NO_REQUEST)
+
+    def _evict_closing(self) -> None:
+        """Reset it, unless its client is still reading its last answer, the rest of which would be lost."""
+        unread_bytes = self._unread_by_client()
+        if not unread_bytes:
+            self.abort(CloseReason.CLIENT_STAYS)
+        elif self._delivery.is_stalled(self._clients.clock.now(), unread_bytes):
+            self._clients.counters["answers_unread"] += 1
+            self.abort(CloseReason.NOT_READ)
+        else:
+            self._clients.set_phase(self, Phase.CLOSING, anew=True)
+
+    def _reject_unfinished(self) -> bool:
+        """Answer a request that has not arrived whole; False if more of it has."""
+        if self.has_unread():
+            return False
+        self.reject(408, "request did not arrive")
+        return True
+
+    def close_idle(self, reason: CloseReason) -> bool:
+        """Close it between two requests; False if something unread has arrived.
+
+        Nothing may come between the look and the end of sending, not even a look at the clock: a request
+        that arrives in between is lost.
+        """
+        if self.has_unread():
+            return False
+        end_sending_now(self.transport)
+        self._finish_close(reason)
+        return True
+
+    def close_for_room(self) -> bool:
+        """Close it to make room: the socket too, once the kernel has accepted everything written.
+
+        False if something unread has arrived.
+        """
+        if self.phase is Phase.CLOSING:
+            closed = not self.has_unread()
+        elif self._parser.started():
+            closed = self._reject_unfinished()
+        else:
+            closed = self.close_idle(CloseReason.ROOM)
+        if closed:
+            # Not an abort: its reset could overtake an answer. The sending direction is closed already.
+            self.transport.loseConnection()
+        return closed
 
     def abort(self, reason: CloseReason) -> None:
         """Reset the connection."""
@@ -193,12 +184,20 @@
         self.close(CloseReason.REJECTED, f"{status} {why}")
 
     def close(self, reason: CloseReason, detail: str = "") -> None:
-        """Close it in order: take nothing more, and let the client read what was written.
+        """Close it in order after its last answer, whatever has arrived: take nothing more.
 
-        Only the sending direction is closed; what the client still sends is read and discarded until it
-        closes too. Closing a socket with unread data would reset the connection and lose an answer on its
-        way. The periodic sweep aborts connections whose client does not close.
+        Only the sending direction is closed, so that the client can read what was written; what it still
+        sends is read and discarded until it closes too. Closing a socket with unread data would reset the
+        connection and lose an answer on its way. The periodic sweep aborts connections whose client does not
+        close.
         """
+        self._closing = True
+        self.transport.unregisterProducer()
+        end_sending_now(self.transport)
+        self._finish_close(reason, detail)
+
+    def _finish_close(self, reason: CloseReason, detail: str = "") -> None:
+        """Enter the closing phase, now that the sending direction is closed."""
         if self._parser.buffer and reason is not CloseReason.REJECTED:
             self._log_dropped(reason, bytes(self._parser.buffer), 0.0)
         self._log_close(reason, detail)
@@ -210,12 +209,6 @@
         self.transport.unregisterProducer()
         self._paused_for.clear()
         self.transport.resumeProducing()
-        self.transport.loseWriteConnection()
-
-    def close_for_room(self) -> None:
-        """Close it to make room: the socket too, once the kernel has accepted everything written."""
-        self.evict(overdue=False)
-        self.transport.loseConnection()
 
     def _log_close(self, reason: CloseReason, detail: str) -> None:
         idle_ms = self._clients.clock.now() - self.last_read_at
--- a/lupinlink/net/clients/connection_table.py
+++ b/lupinlink/net/clients/connection_table.py
@@ -91,20 +91,20 @@
         return False
 
     def _evict(self, client: ClientConnection) -> bool:
-        if client.has_unread():
+        had_entry = self.connections.get(client.handle) is not None
+        if not client.close_for_room():
             return False
-        client.close_for_room()
-        # Its socket is freed one loop iteration later, which a reserve covers; its entry now, if it has one.
-        freed = self.connections.remove(client.handle) is not None
-        self._counters["made_room"] += freed
-        return freed
+        # A socket with data to write is freed later, which a reserve covers; its entry now, if it has one.
+        self.connections.remove(client.handle)
+        self._counters["made_room"] += had_entry
+        return had_entry
 
     def close_idle(self, include_new: bool) -> None:
         """Close connections between requests; ``include_new``: also those without a request so far."""
         for phase in (Phase.RESTING, Phase.SILENT) if include_new else (Phase.RESTING,):
             for client in list(self.phases[phase]):
-                if not client.begun and not client.has_unread():
-                    client.close(CloseReason.OUT_OF_SERVICE)
+                if not client.begun:
+                    client.close_idle(CloseReason.OUT_OF_SERVICE)
 
     def gauges(self) -> dict[str, int]:
         """The size of every table here."""
@@ -128,9 +128,8 @@
             if (
                 rest is not None
                 and self._idle_reuse.should_close(rest, used, now)
-                and not client.has_unread()
+                and client.close_idle(CloseReason.UNLIKELY_REUSE)
             ):
-                client.close(CloseReason.UNLIKELY_REUSE)
                 self._counters["given_up_resting"] += 1
 
     def sweep(self, rests: bool) -> None:
@@ -140,12 +139,11 @@
             for client in list(islice(clients, 64)):
                 if now - client.since < phase.limit_ms:
                     break
-                if phase is Phase.CLOSING or not client.has_unread():
-                    client.evict(overdue=True)
+                client.evict()
         slow = [*self.phases[Phase.HEAD], *self.phases[Phase.BODY], *self.uploading]
         for client in slow:
-            if client.is_overdue(now) and not client.has_unread():
-                client.evict(overdue=True)
+            if client.is_overdue(now):
+                client.evict()
         for client in [client for client in self.streaming if client.is_stuck(now)]:
             self._counters["answers_unread"] += 1
             client.abort(CloseReason.NOT_READ)
--- a/lupinlink/net/clients/requests.py
+++ b/lupinlink/net/clients/requests.py
@@ -10,7 +10,7 @@
 from lupinlink.limits.body_progress import BodyProgress
 from lupinlink.net import http1
 from lupinlink.net.clients.closing import CloseReason
-from lupinlink.net.clients.connection import ConnectionOwner, IncomingRequest
+from lupinlink.net.clients.owner import ConnectionOwner, IncomingRequest
 from lupinlink.net.clients.phases import Phase
 from lupinlink.net.clients.responses import RespondingConnection
 from lupinlink.net.request_types import ClientRequest, FailureReason
--- a/lupinlink/net/clients/responses.py
+++ b/lupinlink/net/clients/responses.py
@@ -11,7 +11,8 @@
 from lupinlink.net import http1
 from lupinlink.net.bodies import ResponseStream
 from lupinlink.net.clients.closing import CloseReason
-from lupinlink.net.clients.connection import ClientConnection, ConnectionOwner
+from lupinlink.net.clients.connection import ClientConnection
+from lupinlink.net.clients.owner import ConnectionOwner
 from lupinlink.net.request_types import FailureReason, Reply
 
 # The kernel's buffer for a streamed answer: with a larger one, a client that does not read goes unnoticed.
--- a/lupinlink/net/twisted_types.py
+++ b/lupinlink/net/twisted_types.py
@@ -39,6 +39,11 @@
     return len(transport.dataBuffer) - int(transport.offset) + int(transport._tempDataLen)
 
 
+def mark_sending_ended(transport: Any) -> None:
+    """Tell Twisted that the sending direction of a TCP connection has been shut down."""
+    transport._writeDisconnecting = transport._writeDisconnected = True
+
+
 class Connector(Protocol):
     """A connection that is being established."""
 
