Answer what was written together before a connection closes, and write answers at once

What callers saw: of four requests written together on one connection, three got no answer during a drain or after SIGTERM; it ended 68 to 79 ms after they were written. The same for a request that came while the answer before it was being written.

Cause: an answer said Connection: close from the state of the process alone; close() then threw the parser's buffer away, though these requests had been read. And the answer's bytes went out in a later iteration of the loop, so that more could come between the decision and the socket.

Why it works: an answer, whole or streamed, that would close is encoded first; then the parser and the socket are looked at, and with more there the connection stays for it. The answer is handed to the kernel in the same call (write_now), and the end of sending follows it. The last of the requests gets the answer that closes.

--- a/lupinlink/net/clients/connection.py
+++ b/lupinlink/net/clients/connection.py
@@ -17,7 +17,7 @@
 from lupinlink.net.clients.closing import CloseReason
 from lupinlink.net.clients.owner import ConnectionOwner, IncomingRequest
 from lupinlink.net.clients.phases import Phase
-from lupinlink.net.immediate_write import end_sending_now
+from lupinlink.net.immediate_write import end_sending_now, write_now
 from lupinlink.net.socket_peek import peek
 from lupinlink.net.twisted_types import READ_BYTES, Transport, unsent
 
@@ -82,6 +82,10 @@
             self.transport.doRead()
         return self._closing
 
+    def _has_more(self) -> bool:
+        """Whether more has arrived behind the request that is being answered."""
+        return self._parser.started() or self.has_unread()
+
     @property
     def begun(self) -> bool:
         """Whether part of a request has been received."""
@@ -180,7 +184,7 @@
         """Answer an invalid request, and close the connection."""
         self._clients.counters[f"rejected_{status}"] += 1
         text = [("Content-Type", "text/plain")]
-        self.transport.write(http1.response(status, text, f"{why}\n".encode(), close=True))
+        write_now(self.transport, http1.response(status, text, f"{why}\n".encode(), close=True))
         self.close(CloseReason.REJECTED, f"{status} {why}")
 
     def close(self, reason: CloseReason, detail: str = "") -> None:
--- a/lupinlink/net/clients/responses.py
+++ b/lupinlink/net/clients/responses.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+from collections.abc import Callable
 from contextlib import suppress
 
 from twisted.internet.interfaces import IPushProducer
@@ -13,6 +14,7 @@
 from lupinlink.net.clients.closing import CloseReason
 from lupinlink.net.clients.connection import ClientConnection
 from lupinlink.net.clients.owner import ConnectionOwner
+from lupinlink.net.immediate_write import write_now
 from lupinlink.net.request_types import FailureReason, Reply
 
 # The kernel's buffer for a streamed answer: with a larger one, a client that does not read goes unnoticed.
@@ -83,17 +85,30 @@
             return
         self._waiting, self._open_handle = False, None
         self._clients.counters[f"answers_{status}"] += 1
-        uploading = self._incoming is not None
-        stay = self._keep_open and not uploading and self._clients.keeps_open(self)
-        if self._head_request:
-            self.transport.write(http1.response_head(status, headers, length, close=not stay))
-        else:
-            self.transport.write(http1.response(status, headers, body, close=not stay))
-        if stay:
+
+        def encode(close: bool) -> bytes:
+            if self._head_request:
+                return http1.response_head(status, headers, length, close)
+            return http1.response(status, headers, body, close)
+
+        if self._begin_answer(encode, may_stay=self._keep_open and self._incoming is None):
             self._advance()
         else:
             self.close(CloseReason.ANSWERED)
 
+    def _begin_answer(self, encode: Callable[[bool], bytes], may_stay: bool) -> bool:
+        """Write an answer, or its head; returns whether the connection is kept open after it.
+
+        ``encode``: takes whether it says that the connection closes. It does not while more requests have
+        arrived, as those would be lost; nothing that takes long may come between that look and the write.
+        """
+        stays = may_stay and self._clients.keeps_open(self)
+        answer = encode(not stays)
+        if may_stay and not stays and self._has_more():
+            stays, answer = True, encode(False)
+        write_now(self.transport, answer)
+        return stays
+
     def _start_stream(self, reply: Reply, stream: ResponseStream) -> None:
         """Start to stream an answer; its head says whether the connection is kept open."""
         if not self._waiting:
@@ -104,7 +119,6 @@
         self._clients.streaming[self] = None
         length = stream.length if stream.length is not None else http1.CHUNKED if self._minor else None
         self._chunked = length == http1.CHUNKED
-        self._keep_open = self._keep_open and length is not None and self._clients.keeps_open(self)
         self._stream = stream
         stream.on_data, stream.on_end, stream.on_error = (
             self._stream_data,
@@ -113,7 +127,10 @@
         )
         with suppress(OSError, AttributeError):
             self.transport.getHandle().setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
-        self.transport.write(http1.response_head(200, reply.headers, length, close=not self._keep_open))
+        self._keep_open = self._begin_answer(
+            lambda close: http1.response_head(200, reply.headers, length, close),
+            may_stay=self._keep_open and length is not None,
+        )
         self._stream_data(reply.body)
 
     def _stream_broke(self) -> None:
