Answer valid requests that were written behind one that is not valid

What callers saw: requests written together with one of an unknown class, without an id or with a wrong method got no answer: 404, 400 or 405 to the first, and the connection ended.

Cause: _take() let the MessageError of a request that had come whole reach _advance(), which rejects: that is right where the framing is unknown, but here the next request begins at a known byte; it had been read and was thrown away.

Evidence: BehindInvalid failed before ([404, None, None, None, None] for [404, 200, 200, 200, 200]) and holds with this.

Why it works: such a request is answered like any other; its connection closes after the answer as before, unless more has arrived behind it. A head that cannot be parsed, or a body still to come, still closes at once.

--- a/lupinlink/net/clients/requests.py
+++ b/lupinlink/net/clients/requests.py
@@ -140,11 +140,21 @@
             self._waiting = True
             self._answer(200 if ready else 503, [("Content-Type", "text/plain")], b"up\n" if ready else b"")
             return
-        request = self._read(message, path)
+        try:
+            request = self._read(message, path)
+        except http1.MessageError as exc:
+            self._answer_invalid(exc)
+            return
         request.body.add(message.body)
         request.body.finish()
         self._submit(request)
 
+    def _answer_invalid(self, error: http1.MessageError) -> None:
+        """Answer a request that came whole and is not valid; those behind it are taken as usual."""
+        self._clients.counters[f"rejected_{error.status}"] += 1
+        self._waiting = True
+        self._answer(error.status, [("Content-Type", "text/plain")], f"{error}\n".encode(), closes=True)
+
     def _read(self, message: http1.Message, path: str) -> ClientRequest:
         """The request, with how long it may have waited; only the first one of a connection can have."""
         request = self._clients.read_request(message, path)
--- a/lupinlink/net/clients/responses.py
+++ b/lupinlink/net/clients/responses.py
@@ -79,8 +79,14 @@
         self._answer(STATUS_OF_FAILURE[why], [("Content-Type", "text/plain")], f"{why.value}\n".encode())
 
     def _answer(
-        self, status: int, headers: list[tuple[str, str]], body: bytes = b"", length: int | None = None
+        self,
+        status: int,
+        headers: list[tuple[str, str]],
+        body: bytes = b"",
+        length: int | None = None,
+        closes: bool = False,
     ) -> None:
+        """Answer the open request; ``closes``: the connection closes, unless more requests have arrived."""
         if not self._waiting:
             return
         self._waiting, self._open_handle = False, None
@@ -91,18 +97,18 @@
                 return http1.response_head(status, headers, length, close)
             return http1.response(status, headers, body, close)
 
-        if self._begin_answer(encode, may_stay=self._keep_open and self._incoming is None):
+        if self._begin_answer(encode, self._keep_open and self._incoming is None, closes):
             self._advance()
         else:
             self.close(CloseReason.ANSWERED)
 
-    def _begin_answer(self, encode: Callable[[bool], bytes], may_stay: bool) -> bool:
+    def _begin_answer(self, encode: Callable[[bool], bytes], may_stay: bool, closes: bool = False) -> bool:
         """Write an answer, or its head; returns whether the connection is kept open after it.
 
         ``encode``: takes whether it says that the connection closes. It does not while more requests have
         arrived, as those would be lost; nothing that takes long may come between that look and the write.
         """
-        stays = may_stay and self._clients.keeps_open(self)
+        stays = may_stay and not closes and self._clients.keeps_open(self)
         answer = encode(not stays)
         if may_stay and not stays and self._has_more():
             stays, answer = True, encode(False)
@@ -129,7 +135,7 @@
             self.transport.getHandle().setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
         self._keep_open = self._begin_answer(
             lambda close: http1.response_head(200, reply.headers, length, close),
-            may_stay=self._keep_open and length is not None,
+            self._keep_open and length is not None,
         )
         self._stream_data(reply.body)
 
--- a/tests/crossing_judge.py
+++ b/tests/crossing_judge.py
@@ -21,28 +21,37 @@
 class CrossingClient:
     """One connection, with one or several requests at a time."""
 
-    def __init__(self, port: int, name: str) -> None:
-        self.name, self.closes = name, False
-        self._numbers = count()
+    def __init__(self, port: int, name: str, ending: str = "", timeout_s: float = WAIT) -> None:
+        """``ending``: of the ids of its requests; ``timeout_s``: for an answer."""
+        self.name, self.closes, self.body = name, False, b""
+        self.names: list[str] = []  # the ids of the requests that were written together last
+        self._ending, self._numbers = ending, count()
         self._buffer = b""
-        self._socket = socket.create_connection(("127.0.0.1", port), WAIT)
+        self._socket = socket.create_connection(("127.0.0.1", port), timeout_s)
 
     def close(self) -> None:
         self._socket.close()
 
-    def write(self, number: int = 1) -> float:
-        """Write so many requests at once; returns when they were written."""
-        names = [f"{self.name}.{next(self._numbers)}" for _ in range(number)]
+    def write(self, number: int = 1, before: bytes = b"") -> float:
+        """Write so many requests at once, behind other bytes; returns when they were written."""
+        self.names = [f"{self.name}.{next(self._numbers)}{self._ending}" for _ in range(number)]
         self._socket.sendall(
-            "".join(
-                f"GET /look/1 HTTP/1.1\r\nX-Trace-Id: {name}\r\nX-Customer: acme\r\n\r\n" for name in names
+            before
+            + "".join(
+                f"GET /look/1 HTTP/1.1\r\nX-Trace-Id: {name}\r\nX-Customer: acme\r\n"
+                "X-Expires-In-Ms: 1500\r\n\r\n"
+                for name in self.names
             ).encode()
         )
         return time.monotonic()
 
-    def has_ended(self) -> bool:
+    def write_part(self) -> None:
+        """Write part of a head, and no more."""
+        self._socket.sendall(b"GET /look/1 HT")
+
+    def has_ended(self, wait_s: float = 0.0) -> bool:
         """Whether something can be read, which between two requests is the end of the connection."""
-        return bool(select.select([self._socket], [], [], 0.0)[0])
+        return bool(select.select([self._socket], [], [], wait_s)[0])
 
     def answer(self) -> int | None:
         """The status of the next answer; None: the connection has ended without a whole one."""
@@ -59,7 +68,8 @@
                 if not (data := self._socket.recv(65536)):
                     return None
                 self._buffer += data
-            self._buffer = self._buffer[int(headers["content-length"]) :]
+            length = int(headers["content-length"])
+            self.body, self._buffer = self._buffer[:length], self._buffer[length:]
             return int(lines[0].split()[1])
         return None
 
--- a/tests/test_written_together.py
+++ b/tests/test_written_together.py
@@ -65,6 +65,25 @@
         self.assertEqual(self.process.wait(), 0)
 
 
+class BehindInvalid(SlowServersTest):
+    # Guards against valid requests being thrown away behind one that is answered as not valid.
+    def test_requests_behind_an_invalid_one_are_answered(self) -> None:
+        self.serve()
+        for invalid, status in (
+            (b"GET /unknown/1 HTTP/1.1\r\nX-Trace-Id: a\r\n\r\n", 404),
+            (b"GET /look/1 HTTP/1.1\r\n\r\n", 400),
+            (b"PUT /look/1 HTTP/1.1\r\nX-Trace-Id: a\r\nContent-Length: 2\r\n\r\nok", 405),
+        ):
+            client = self.crossing_client(f"c{status}")
+            client.write(TOGETHER, before=invalid)
+            answers = [client.answer() for _ in range(1 + TOGETHER)]
+            self.assertEqual(answers, [status] + [200] * TOGETHER)
+            client.close()
+            alone = self.crossing_client(f"d{status}")
+            alone.write(0, before=invalid)
+            self.assertEqual((alone.answer(), alone.closes), (status, True))
+
+
 class WrittenBehind(SlowServersTest):
     """A request that follows while the one before it is being answered, in a process that is held up."""
 
