Read what discovery has written before calls to its former address are closed

What callers would see: a backend that drains is sent requests although discovery had told this proxy, until the next answer comes.

Cause: SIGHUP (move) and the check for incomplete lists close all open calls; the signal's handler runs before the sockets are read, so an answer that was written and not read yet was thrown away with its call. What discovery has written counts as told.

Evidence: tests/test_updates_before_close failed before (version 0 and 41 for 42, a second call and a call to a new address) and holds now.

Why it works: both places read all connections first, as every write to a backend does; the update is applied, and the calls are closed after it.

--- a/lupinlink/net/discovery_client.py
+++ b/lupinlink/net/discovery_client.py
@@ -107,6 +107,7 @@
         """
         if discovery == self._discovery:
             return
+        self.read_pending_updates()  # what it holds counts as told, also on calls that are closed here
         self._discovery, self._moved = discovery, True
         if self._watch is None and self._calls:
             self._watch = max(self._calls, key=lambda call: call.answered)
@@ -229,6 +230,7 @@
     def _recheck(self) -> None:
         """Request the full list if it is still needed; the old watch stays open until it has come."""
         self._recheck_scheduled = False
+        self.read_pending_updates()
         if self._updater.is_incomplete and not self._needs_full and not self.stopped:
             log.warning("older lists came, the whole one is asked for", extra={"kv": {"rev": self.version}})
             self._request_full_list("the whole list is asked for")
