Read what has come of an answer before it is given up as stalled

What callers would see: a failed or repeated request although its server had answered: after a pause of the process, the time-out for progress (300 ms; 15 s of a streamed answer) fired before the socket was read. With 0.15 s of hold, an answer in two pieces 150 ms apart is enough.

Cause: _answer_stalled() and _check_stream() judged by what had been read, and closed the connection over what had arrived.

Evidence: tests/test_stall_crossing failed before (RESET for OK; stream broken after 16,341 of 131,072 bytes) and holds now.

Why it works: the rest is read first, and a piece that comes starts another timer; a stream is given up only if nothing waits in its socket.

--- a/lupinlink/net/application_servers/connection.py
+++ b/lupinlink/net/application_servers/connection.py
@@ -17,6 +17,7 @@
 from lupinlink.net.application_servers.sending import SendingConnection
 from lupinlink.net.bodies import SMALL_BODY_BYTES, ResponseStream
 from lupinlink.net.request_types import AttemptResult, EndReason, Reply
+from lupinlink.net.socket_peek import peek
 from lupinlink.net.twisted_types import READ_BYTES
 
 log = logging.getLogger("lupinlink.net.application_servers")
@@ -185,7 +186,7 @@
         now = self._servers.clock.now()
         if self._paused:
             self._last_data_at = now
-        if now - self._last_data_at > STREAM_STALL_MS:
+        if now - self._last_data_at > STREAM_STALL_MS and peek(self.transport) is None:
             self._end_stream(None, EndReason.ANSWER_STALLED)
         else:
             self._progress_timer = self._servers.clock.after(
@@ -204,7 +205,11 @@
             self.drop(EndReason.CLIENT_LEFT)
 
     def _answer_stalled(self, attempt: Attempt | None) -> None:
+        timer = self._progress_timer
         if attempt is not None and self._attempt is attempt:
+            self.read_pending()  # after a pause of this process, timers run before reads
+        # Every piece of the answer starts another timer.
+        if attempt is not None and self._attempt is attempt and self._progress_timer is timer:
             self._servers.counters["unfinished_answers"] += 1
             why = EndReason.ANSWER_STALLED
             self._finish(AttemptResult(Status.RESET, why=why), why)
