Answer operators' calls that have arrived before their connections give way

What operators saw: of more calls at once than the management API keeps connections (16 at 1,024 descriptors), the first ones were reset, though written whole; a call to drain could be lost without an answer.

Cause: a process that was held up accepts all that wait in one turn; the factory displaced the oldest connection without a look at what had arrived on it, and answers were written a turn later, so that one could be displaced before its bytes went out.

Why it works: what waits on the connection is read and answered first; answer and end of sending reach the socket within the call (write_now, end_sending_now), and an answered connection is closed in order, not reset.

--- a/lupinlink/net/management.py
+++ b/lupinlink/net/management.py
@@ -10,6 +10,8 @@
 
 from lupinlink.net import http1
 from lupinlink.net.counters import Counters
+from lupinlink.net.immediate_write import end_sending_now, write_now
+from lupinlink.net.socket_peek import peek
 from lupinlink.net.timer_wheel import ReactorClock, Timer
 from lupinlink.net.twisted_types import Transport
 
@@ -74,13 +76,22 @@
     def _answer(self, status: int, text: str, more: tuple[tuple[str, str], ...] = ()) -> None:
         self.answered = True
         headers = [("Content-Type", "text/plain"), *more]
-        self.transport.write(http1.response(status, headers, text.encode(), close=True))
+        write_now(self.transport, http1.response(status, headers, text.encode(), close=True))
         # Only the write side is closed: closing with unread bytes sends a reset that may discard the answer.
-        self.transport.loseWriteConnection()
+        end_sending_now(self.transport)
         if self._timer is not None:
             self._timer.drop()
         self._timer = self._api.clock.after(CLOSE_TIMEOUT_MS, self.end)
 
+    def give_way(self) -> None:
+        """End it to make room for another one; a call that has arrived is answered first."""
+        if not self.answered and peek(self.transport):
+            self.transport.doRead()
+        if self.answered:
+            self.transport.loseConnection()  # not an abort: its reset could overtake the answer
+        else:
+            self.end()
+
     def end(self) -> None:
         self.transport.abortConnection()
 
@@ -111,7 +122,7 @@
             # Otherwise silent connections could lock out an operator's call.
             oldest = next((c for c in self._connections if c.answered), next(iter(self._connections)))
             self.on_closed(oldest)
-            oldest.end()
+            oldest.give_way()
             self._counters["callers_gave_way"] += 1
         connection = ManagementConnection(self)
         self._connections[connection] = None
