Judge failed connects and writes in the soak again, and let its crowds come in a burst

Cause: the rewrite of the soak's clients had loosened them, found on a second reading: a connect or write that failed was no longer judged (a time-out counted as a loss before), and a crowd came one client every 10 ms and left after 3 s, where 150 had come at once and stayed.

Change: both count as before; a crowd is the burst of 150, further clients for 3 s, and all stay as long as they may.

Traced: SIGTERM is handled 63 to 69 ms late as the process is held up, the stop's times count from then, and a second hold uses up the 0.1 s between its end and the kill.

--- a/tests/soak_clients.py
+++ b/tests/soak_clients.py
@@ -5,7 +5,6 @@
 import threading
 import time
 from collections.abc import Callable
-from contextlib import suppress
 from random import Random
 from typing import ClassVar
 
@@ -58,15 +57,20 @@
     ) -> None:
         """One connection at a time, kept for as long as it stays open, also after SIGTERM."""
         while not life.member.halt.is_set() and (client := self._connected(life, number)) is not None:
-            with suppress(OSError):
-                while (together := play(life, client, rng)) and self._asked(life, client, together):
-                    pass
+            while (together := play(life, client, rng)) and self._asked(life, client, together):
+                pass
             client.close()
             life.member.halt.wait(PACE_S)
 
     def _asked(self, life: Life, client: CrossingClient, together: int) -> bool:
         """Requests that are written at once; whether their connection stays open."""
-        at = client.write(together)
+        at = time.monotonic()
+        try:
+            at = client.write(together)
+        except OSError as exc:
+            for trace in client.names:
+                self._unanswered(life, trace, at, repr(exc))
+            return False
         for trace in client.names:
             why = "ended"
             try:
@@ -88,9 +92,13 @@
             if life.termed_at and time.monotonic() > life.termed_at + NEW_CONNECTIONS_S:
                 return None
             name = f"{life.member.name}.{next(life.member.traces)}c{number}"
-            with suppress(OSError):
-                timeout_s = EXPIRES_S + LOST_AFTER_S
+            at, timeout_s = time.monotonic(), EXPIRES_S + LOST_AFTER_S
+            try:
                 return CrossingClient(life.member.port, name, f"-{life.frontend.port}", timeout_s)
+            except OSError as exc:
+                if life.termed_at:
+                    return None
+                self._unanswered(life, name, at, repr(exc))
             life.member.halt.wait(PACE_S)
         return None
 
--- a/tests/soak_conditions.py
+++ b/tests/soak_conditions.py
@@ -19,7 +19,7 @@
 HOLD_S, HOLD_GAP_S = (0.02, 0.15), (0.1, 0.6)  # how long a process is held up, and the time between
 LIMITS: dict[str, Any] = {"cores": 1.0, "memory_mb": 192, "sockets": 1024}
 SCARCE_SOCKETS = 200
-CROWD, CROWD_S, CROWD_PACE_S = 150, 3.0, 0.01  # idle clients at a time, for how long, and between two
+CROWD, CROWD_S, CROWD_PACE_S = 150, 3.0, 0.01  # idle clients at once; more for so long, and between two
 
 
 @dataclass(frozen=True)
@@ -66,19 +66,17 @@
                 process.send_signal(signal.SIGCONT)
 
     def fill(self, life: Life) -> None:
-        """Idle clients come for a time; those that are turned away make room for further ones."""
+        """Idle clients come in a burst, and further ones for a time; they stay for as long as they may."""
         threading.Thread(target=self._fill, args=(life,), daemon=True).start()
 
     def _fill(self, life: Life) -> None:
-        idle: list[CrossingClient] = []
-        until = time.monotonic() + CROWD_S
-        while time.monotonic() < until and not life.termed_at:
+        until, number = time.monotonic() + CROWD_S, 0
+        while (number < CROWD or time.monotonic() < until) and not life.termed_at:
+            number += 1
             with suppress(OSError):
-                idle.append(CrossingClient(life.member.port, "idle"))
-                if len(idle) % 5 == 0:
-                    idle[-1].write_part()
-            if len(idle) > CROWD:
-                idle.pop(0).close()
-            time.sleep(CROWD_PACE_S)
-        for client in idle:
-            client.close()
+                idle = CrossingClient(life.member.port, "idle")
+                self.addCleanup(idle.close)
+                if number % 5 == 0:
+                    idle.write_part()
+            if number > CROWD:
+                time.sleep(CROWD_PACE_S)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -6,7 +6,7 @@
 
 from tests.soak_fleet import SoakStage
 
-SEEDS = (1, 2, 3, 4)
+SEEDS = (1, 2, 4)
 
 
 class Soak(SoakStage):
@@ -24,6 +24,10 @@
             with self.subTest(seed=seed):
                 self.play(seed)
 
+    # Guards against a stop that, held up at SIGTERM and again at its end, outlasts the earliest kill.
+    def test_a_stop_that_is_held_up_ends_before_the_kill(self) -> None:
+        self.play(3)
+
     # Guards against a drain heeded late because discovery, back from an outage, has turned calls down.
     def test_a_drain_while_discovery_turns_calls_down(self) -> None:
         self.play(7012)
