Log failures, refusals and attempts that are given up at level info, with their reasons

Change: one line a second for each reason, with the request's id, how its last attempt ended and at which server, and how far an attempt had come as this process gave it up; closes of clients' connections name the last request. A repeated id that is answered 409 had no line at all.

--- a/lupinlink/net/application_servers/attempts.py
+++ b/lupinlink/net/application_servers/attempts.py
@@ -21,6 +21,8 @@
 from lupinlink.settings import Settings
 
 log = logging.getLogger("lupinlink.net.application_servers")
+# Ends by a bound or a decision of this process, not by the server.
+GIVEN_UP_REASONS = {EndReason.GIVEN_UP, EndReason.ANSWER_STALLED, EndReason.UPLOAD_STALLED}
 
 
 class ServerPools(Protocol):
@@ -31,6 +33,7 @@
     counters: Counters
     connections: Slots[object]  # established, or being established
     unrequested_lines: LineLimit
+    given_up_lines: LineLimit
     list_is_held: Callable[[], bool]  # whether no request may be written at present
     reuse: ConnectionReuse
     read_pending_updates: Callable[[], bool]  # reads what discovery sent; True if an update is incomplete
@@ -45,6 +48,9 @@
 
     def drop(self, why: EndReason) -> None: ...
     def read_pending(self) -> None: ...
+    def progress(self) -> Progress:
+        """How far the attempt that it carries has come."""
+        ...
 
 
 class PendingConnection(Protocol):
@@ -53,6 +59,15 @@
     def abandon(self) -> None: ...
 
 
+@dataclass(frozen=True, slots=True)
+class Progress:
+    """How far an attempt has come on its connection."""
+
+    request_written: bool  # the kernel has taken all of the request
+    answer_begun: bool
+    body_bytes: int  # of the answer, so far
+
+
 @dataclass(frozen=True, slots=True)
 class Carrier:
     """The connection of an attempt, when it was sent."""
@@ -84,6 +99,7 @@
         self.server, self.only_head, self.identity = server, only_head, identity
         self._began = servers.clock.now()
         self._carrier: Carrier | None = None
+        self._progress: Progress | None = None  # when it was given up
         self._encode, self._until, self._begin_by, self._wanted = encode, until_ms, begin_by_ms, wanted
         self.connection: AttemptConnection | None = None
         self.dial: PendingConnection | None = None
@@ -129,17 +145,32 @@
         if self._open:
             self._open = False
             self._servers.clock.drop(self._deadline)
-            if log.isEnabledFor(logging.DEBUG):
-                self._log_end(end)
+            self._log_end(end)
             self.ended.callback(end)
 
     def _log_end(self, end: AttemptResult) -> None:
-        kv = {"id": self.identity, "server": self.server, "status": end.status.name, "why": end.why.value,
-              "took_ms": round(self._servers.clock.now() - self._began, 1)}  # fmt: skip
+        if log.isEnabledFor(logging.DEBUG):
+            log.debug("attempt ended", extra={"kv": self._description(end)})
+        elif end.why in GIVEN_UP_REASONS and (
+            events := self._servers.given_up_lines.take(self._servers.clock.now())
+        ):
+            log.info("attempt given up", extra={"kv": {**self._description(end), "events": events}})
+
+    def _description(self, end: AttemptResult) -> dict[str, object]:
+        kv: dict[str, object] = {
+            "id": self.identity,
+            "server": self.server,
+            "status": end.status.name,
+            "why": end.why.value,
+            "took_ms": round(self._servers.clock.now() - self._began, 1),
+        }
         if self._carrier is not None:
             kv |= {"connection": self._carrier.handle, "reused": self._carrier.requests_before,
                    "rested_ms": round(self._carrier.rested_ms, 1)}  # fmt: skip
-        log.debug("attempt ended", extra={"kv": kv})
+        if self._progress is not None:
+            kv |= {"written": self._progress.request_written, "answer_begun": self._progress.answer_begun,
+                   "body_bytes": self._progress.body_bytes}  # fmt: skip
+        return kv
 
     def give_up(self, status: Status) -> None:
         """End it with this status; its connection is closed before anything else can be sent on it.
@@ -155,6 +186,7 @@
         if dial is not None:
             dial.abandon()
         if connection is not None:
+            self._progress = connection.progress()
             connection.drop(EndReason.GIVEN_UP)
         self.end(AttemptResult(status, why=EndReason.GIVEN_UP))
 
--- a/lupinlink/net/application_servers/pools.py
+++ b/lupinlink/net/application_servers/pools.py
@@ -47,6 +47,7 @@
         self.list_is_held: Callable[[], bool] = lambda: False
         self.read_pending_updates: Callable[[], bool] = lambda: False
         self.reuse, self.unrequested_lines = ConnectionReuse(), LineLimit()
+        self.given_up_lines = LineLimit()
         self._reactor = reactor
         self._pools: dict[str, Pool] = {}
         self._idle = IdleConnections()
--- a/lupinlink/net/application_servers/sending.py
+++ b/lupinlink/net/application_servers/sending.py
@@ -7,7 +7,7 @@
 
 from lupinlink.interface import Status
 from lupinlink.net import http1
-from lupinlink.net.application_servers.attempts import Attempt, Carrier, ServerPools
+from lupinlink.net.application_servers.attempts import Attempt, Carrier, Progress, ServerPools
 from lupinlink.net.application_servers.kept_connection import ConnectionOpener, KeptConnection
 from lupinlink.net.application_servers.pool import Pool
 from lupinlink.net.request_types import AttemptResult, EndReason
@@ -65,6 +65,10 @@
             self._write_now()
             self.pool.sent_at = self.sent_at = self._servers.clock.now()
 
+    def progress(self) -> Progress:
+        """How far the attempt that it carries has come."""
+        return Progress(self._written, self._parser.started(), self._parser.body_received)
+
     def _server_spoke_first(self) -> bool:
         """Whether the server closed the connection or answered before its request, which is then not sent.
 
--- a/lupinlink/net/clients/closing.py
+++ b/lupinlink/net/clients/closing.py
@@ -40,10 +40,19 @@
     def __init__(self) -> None:
         self._dropped_limit = LineLimit()
 
-    def closed(self, reason: CloseReason, detail: str, address: str, idle_ms: float) -> None:
-        """A connection is closed; ``detail``: more on the reason; ``idle_ms``: since it was last read."""
+    def closed(self, reason: CloseReason, detail: str, address: str, identity: str, idle_ms: float) -> None:
+        """A connection is closed; ``detail``: more on the reason; ``idle_ms``: since it was last read.
+
+        ``identity``: of the last request that was submitted from it.
+        """
         if log.isEnabledFor(logging.DEBUG):
-            kv = {"why": reason.value, "detail": detail, "client": address, "idle_ms": int(idle_ms)}
+            kv = {
+                "why": reason.value,
+                "detail": detail,
+                "client": address,
+                "last": identity,
+                "idle_ms": int(idle_ms),
+            }
             log.debug("client connection closed", extra={"kv": kv})
 
     def dropped(self, reason: CloseReason, data: bytes, since_ms: float, now: float) -> None:
--- a/lupinlink/net/clients/connection.py
+++ b/lupinlink/net/clients/connection.py
@@ -42,6 +42,7 @@
         self.connected_at = self.last_read_at = clients.clock.now()
         self.has_requested = False  # a whole request was received on it
         self.address = ""
+        self.last_identity = ""  # of the last request that was submitted from it
         self.idle_period: IdlePeriod | None = None  # while it is idle between two requests
         self.handle = 0
         self.waited_ms = 0.0  # how long its first request may have waited unread; inf: unknown
@@ -216,7 +217,7 @@
 
     def _log_close(self, reason: CloseReason, detail: str) -> None:
         idle_ms = self._clients.clock.now() - self.last_read_at
-        self._clients.close_log.closed(reason, detail, self.address, idle_ms)
+        self._clients.close_log.closed(reason, detail, self.address, self.last_identity, idle_ms)
 
     def _log_dropped(self, reason: CloseReason, data: bytes, since_ms: float) -> None:
         self._clients.counters["bytes_dropped"] += len(data)
--- a/lupinlink/net/clients/requests.py
+++ b/lupinlink/net/clients/requests.py
@@ -175,6 +175,7 @@
             request.body.discard()
             return
         self._waiting, self._open_handle = True, None
+        self.last_identity = request.identity
         handle = self._clients.proxy.submit(request, self)
         if self._waiting:
             self._open_handle = handle
--- a/lupinlink/net/open_requests.py
+++ b/lupinlink/net/open_requests.py
@@ -10,9 +10,16 @@
 from lupinlink import interface as api
 from lupinlink.clock import Clock
 from lupinlink.interface import Status
-from lupinlink.net import request_log
 from lupinlink.net.counters import Counters
-from lupinlink.net.request_types import ClientRequest, FailureReason, OpenAttempt, RefusalReason, Responder
+from lupinlink.net.request_log import RequestLog
+from lupinlink.net.request_types import (
+    ClientRequest,
+    EndReason,
+    FailureReason,
+    OpenAttempt,
+    RefusalReason,
+    Responder,
+)
 from lupinlink.net.slots import Slots
 from lupinlink.settings import Settings
 
@@ -37,6 +44,7 @@
     committed: bool = False  # its body cannot be sent again: the attempt in flight is the last one
     may_have_run: bool = False  # at least one attempt may have been executed by its server
     attempts: list[OpenAttempt] = field(default_factory=list)
+    last_end: EndReason | None = None  # how its last attempt ended
 
 
 class OpenRequests:
@@ -45,6 +53,7 @@
     def __init__(self, settings: Settings, clock: Clock, counters: Counters) -> None:
         self.counters = counters
         self._settings, self._clock = settings, clock
+        self.request_log = RequestLog(clock)
         self._requests: Slots[OpenRequest] = Slots(settings.max_open_requests)
         self._identities: set[str] = set()  # of all requests in the table
         # Set by the fleet extension. ``quota_check``: None if the request is within its quota, else the time
@@ -69,12 +78,13 @@
         """
         if self._closed:
             self.counters["failed"] += 1
-            request_log.failed(request, FailureReason.TOO_LATE)
+            self.request_log.failed(request, FailureReason.TOO_LATE)
             responder.failed(FailureReason.TOO_LATE)
             return None
         if request.identity in self._identities:
             # Application servers would take it for a copy of the open request with this identity.
             self.counters["duplicates"] += 1
+            self.request_log.failed(request, FailureReason.DUPLICATE)
             responder.failed(FailureReason.DUPLICATE)
             return None
         if self._requests.full:
@@ -127,7 +137,7 @@
 
         ``cause``: why the decision module refused it.
         """
-        request_log.refused(request, why, cause)
+        self.request_log.refused(request, why, cause)
         self.counters["refused"] += 1
         self.counters[f"refused_{why.value}"] += 1
         responder.refused(retry_after_ms, why is RefusalReason.QUOTA)
@@ -234,5 +244,5 @@
         responder = self._take_responder(entry)
         if responder is not None:
             self.counters["failed"] += 1
-            request_log.failed(entry.request, why)
+            self.request_log.failed(entry.request, why, entry.last_end, entry.server)
             responder.failed(why)
--- a/lupinlink/net/proxy.py
+++ b/lupinlink/net/proxy.py
@@ -15,7 +15,6 @@
 from lupinlink.brain import Balancer
 from lupinlink.clock import Clock
 from lupinlink.interface import MembershipKind, Status
-from lupinlink.net import request_log
 from lupinlink.net.counters import Counters
 from lupinlink.net.open_requests import OpenRequest, OpenRequests
 from lupinlink.net.request_types import (
@@ -137,7 +136,7 @@
         timeout = left if action.timeout_ms == 0.0 else min(action.timeout_ms, left)
         self.counters["attempts"] += 1
         index = len(entry.attempts)
-        request_log.attempt_began(entry.request, index, action.endpoint)
+        self.request_log.attempt_began(entry.request, index, action.endpoint)
         entry.server = action.endpoint
         entry.attempts_in_flight += 1  # before start(), which may find out that the client has left
         try:
@@ -168,6 +167,7 @@
         if entry is None:
             return
         entry.attempts_in_flight -= 1
+        entry.last_end = end.why
         entry.may_have_run = entry.may_have_run or end.status not in api.NEVER_RAN
         if end.reply is not None:
             responder = self._take_responder(entry)
