Count a request's time from when its last byte may have been written, read or not

Cause: a request that is sent on while it arrives had 20 minutes (UPLOAD_LIMIT_MS) until its last byte was read here. With its buffer full it is not read, so a byte that the client wrote long ago starts no time; UPLOAD_STALL_MS (5 s) ended it. Evidence: 3.5 MB with 0.87 s to live answered after 4.9 s (server stuck) and 1.8 s (0.7 MB a second read).

Change: limits/upload_time keeps, from what has arrived unread (FIONREAD) and what a client's kernel may hold while our window is closed, the earliest time at which the last byte may have been written; what arrives later moves it. The request's and its attempt's time count from there; the time told to the server is no longer than what is left.

Residual: a client with less than 4 MiB left and a small send buffer of its own, whose server reads so slowly that our window stays closed for the request's whole time, is answered before its last byte is written.

--- a/lupinlink/net/application_servers/request_encoding.py
+++ b/lupinlink/net/application_servers/request_encoding.py
@@ -13,7 +13,7 @@
     """The bytes to write first, and the body to send after them; None if they include all of the body."""
     body = request.body
     headers = [(n, v) for n, v in request.headers if n.lower() not in REPLACED_HEADERS]
-    waits = left_ms if body.complete else request.expires_ms  # which counts from the last byte
+    waits = left_ms if body.complete else min(left_ms, request.expires_ms)  # counts from the last byte
     headers += [("Host", host), ("X-Expires-In-Ms", str(max(1, int(waits))))]
     length = body.end if body.complete else http1.CHUNKED if body.length is None else body.length
     head = http1.request_head(request.method, request.target, headers, length)
--- a/lupinlink/net/clients/connection.py
+++ b/lupinlink/net/clients/connection.py
@@ -42,6 +42,7 @@
         self.connected_at = self.last_read_at = clients.clock.now()
         self.has_requested = False  # a whole request was received on it
         self.address = ""
+        self.read_bytes = 0  # received so far
         self.last_identity = ""  # of the last request that was submitted from it
         self.idle_period: IdlePeriod | None = None  # while it is idle between two requests
         self.handle = 0
@@ -51,6 +52,10 @@
         """The bytes left of the streamed answer and the request body, and how many of them lack a length."""
         raise NotImplementedError
 
+    def observe_unread(self, now: float) -> None:
+        """Look whether the rest of a body may have been written, though it cannot be read at present."""
+        raise NotImplementedError
+
     def _release_all(self) -> None:
         """Drop the open request, its body and its streamed answer."""
         raise NotImplementedError
--- a/lupinlink/net/clients/connection_table.py
+++ b/lupinlink/net/clients/connection_table.py
@@ -140,6 +140,8 @@
                 if now - client.since < phase.limit_ms:
                     break
                 client.evict()
+        for client in list(self.uploading):
+            client.observe_unread(now)
         slow = [*self.phases[Phase.HEAD], *self.phases[Phase.BODY], *self.uploading]
         for client in slow:
             if client.is_overdue(now):
--- a/lupinlink/net/clients/owner.py
+++ b/lupinlink/net/clients/owner.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 from lupinlink.limits.body_progress import BodyProgress
+from lupinlink.limits.upload_time import UploadTime
 from lupinlink.net import http1
 from lupinlink.net.bodies import BodyBudget
 from lupinlink.net.clients.closing import CloseLog
@@ -25,6 +26,7 @@
 
     request: ClientRequest
     progress: BodyProgress
+    time: UploadTime
 
 
 class ConnectionOwner(Protocol):
--- a/lupinlink/net/open_requests.py
+++ b/lupinlink/net/open_requests.py
@@ -3,20 +3,17 @@
 from __future__ import annotations
 
 import logging
-import math
 from collections.abc import Callable
-from dataclasses import dataclass, field
 
 from lupinlink import interface as api
 from lupinlink.clock import Clock
 from lupinlink.interface import Status
 from lupinlink.net.counters import Counters
+from lupinlink.net.open_request import UPLOAD_LIMIT_MS, OpenRequest, time_left_ms
 from lupinlink.net.request_log import RequestLog
 from lupinlink.net.request_types import (
     ClientRequest,
-    EndReason,
     FailureReason,
-    OpenAttempt,
     RefusalReason,
     Responder,
 )
@@ -24,27 +21,7 @@
 from lupinlink.settings import Settings
 
 log = logging.getLogger("lupinlink.net.proxy")  # shared with Proxy, which extends this class
-CLIENT_MARGIN_MS = 20.0  # the module's deadline is this much before the client's, for the answer's way back
 GUARD_DELAY_MS = 10.0  # a request that the module has not ended is ended here this long after its deadline
-# The time of a request counts from its last byte, which is still to come while its body is streamed. The
-# client side ends an upload that stalls, so the module gets a deadline beyond the end of any upload.
-UPLOAD_LIMIT_MS = 1_200_000.0
-
-
-@dataclass(slots=True)
-class OpenRequest:
-    """A request, from its receipt until it is answered and no attempt of it is in flight."""
-
-    request: ClientRequest
-    responder: Responder | None  # None once it is answered or its client has left
-    deadline: float
-    guard_timer: int = 0
-    attempts_in_flight: int = 0
-    server: str = ""  # of the last attempt
-    committed: bool = False  # its body cannot be sent again: the attempt in flight is the last one
-    may_have_run: bool = False  # at least one attempt may have been executed by its server
-    attempts: list[OpenAttempt] = field(default_factory=list)
-    last_end: EndReason | None = None  # how its last attempt ended
 
 
 class OpenRequests:
@@ -95,7 +72,7 @@
         self.counters["requests"] += 1
         now = self._clock.now()
         deadline = now + (
-            self._time_left_ms(request, request.waited_ms) if request.body.complete else UPLOAD_LIMIT_MS
+            time_left_ms(request, request.waited_ms) if request.body.complete else UPLOAD_LIMIT_MS
         )
         handle = self._requests.add(OpenRequest(request, responder, deadline))
         self._identities.add(request.identity)
@@ -142,29 +119,27 @@
         self.counters[f"refused_{why.value}"] += 1
         responder.refused(retry_after_ms, why is RefusalReason.QUOTA)
 
-    def _time_left_ms(self, request: ClientRequest, waited_ms: float) -> float:
-        """How long the module has from now to get an answer, in ms; never below 0.
-
-        0 if it is unknown how long the request has waited, so that the module refuses it at once: a load
-        balancer that has not noticed that this process died forwards the requests that it held, whose time
-        may have run out (scenario herd+mass: held for 1.06 s with 0.668 s to live).
-        """
-        if math.isinf(waited_ms):
-            return 0.0
-        return max(0.0, max(request.expires_ms - CLIENT_MARGIN_MS, request.expires_ms / 2.0) - waited_ms)
-
     def _set_guard_timer(self, handle: int, entry: OpenRequest) -> None:
+        self._clock.drop(entry.guard_timer)
         at = entry.deadline + GUARD_DELAY_MS
         entry.guard_timer = self._clock.at(at, lambda: self.end(handle, FailureReason.TOO_LATE))
 
-    def body_completed(self, handle: int) -> None:
-        """Note that a streamed body is complete: the request's time counts from now on."""
+    def body_completed(self, handle: int, since: float | None = None) -> None:
+        """Note that a streamed body is complete: the request's time counts from ``since``, or from now on."""
+        self.body_may_be_complete(handle, self._clock.now() if since is None else since)
+
+    def body_may_be_complete(self, handle: int, since: float | None) -> None:
+        """Note that the client may have written the last byte at ``since``; None: it has not after all."""
         entry = self._requests.get(handle)
-        if entry is not None and entry.responder is not None:
-            entry.deadline = self._clock.now() + self._time_left_ms(entry.request, 0.0)
-            self._set_guard_timer(handle, entry)
-            if entry.attempts_in_flight:
-                entry.attempts[-1].set_deadline(entry.deadline)
+        if entry is None or entry.responder is None:
+            return
+        begin, left_ms = self._clock.now(), UPLOAD_LIMIT_MS
+        if since is not None:
+            begin, left_ms = since, time_left_ms(entry.request, 0.0)
+        entry.deadline = begin + left_ms
+        self._set_guard_timer(handle, entry)
+        if entry.attempts_in_flight:
+            entry.attempts[-1].set_deadline(entry.deadline)
 
     def _commit(self, handle: int) -> None:
         """Make the attempt in flight the last: bytes of the body that a retry would need have been dropped.
--- a/lupinlink/net/proxy.py
+++ b/lupinlink/net/proxy.py
@@ -14,7 +14,7 @@
 from lupinlink.interface import Status
 from lupinlink.net.counters import Counters
 from lupinlink.net.decision_events import DecisionEvents
-from lupinlink.net.open_requests import OpenRequest
+from lupinlink.net.open_request import OpenRequest
 from lupinlink.net.request_types import (
     ApplicationServerSide,
     AttemptResult,
--- a/lupinlink/net/socket_peek.py
+++ b/lupinlink/net/socket_peek.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
+import array
+import fcntl
 import socket
+import termios
+from contextlib import suppress
 
 from lupinlink.net.twisted_types import Transport
 
@@ -15,3 +19,11 @@
         return None
     except (OSError, AttributeError):  # Twisted drops the handle of a connection that is lost
         return b""
+
+
+def unread_bytes(transport: Transport) -> int:
+    """How many unread bytes have arrived; 0 if the system does not tell."""
+    count = array.array("i", [0])
+    with suppress(OSError, AttributeError):
+        fcntl.ioctl(transport.getHandle(), termios.FIONREAD, count)
+    return count[0]
