Drop the body of an answer that nobody is passed on, as it arrives

Cause: only answers of status 200 are streamed. Any other answer, and one that is not believed, was collected whole, up to 32 MB each, under no budget.

Change: such a body is dropped with each read; an answer that has lost its body stays disbelieved, whatever has been forgotten meanwhile.

--- a/lupinlink/net/application_servers/connection.py
+++ b/lupinlink/net/application_servers/connection.py
@@ -73,7 +73,11 @@
     def _answer_goes_on(self) -> None:
         """Stream an answer that is long enough, else wait for more until its request's time is up."""
         assert self._attempt is not None
-        if self._is_streamable(MIN_STREAMED_BYTES) and not self._is_doubtful(Status.OK):
+        head = self._parser.head
+        if head is not None and (head.status != 200 or self._is_doubtful(Status.OK)):
+            self._parser.take_body()  # nobody is passed it on, however long it is
+            self._body_dropped = True
+        if self._is_streamable(MIN_STREAMED_BYTES):
             self._start_stream()
         else:
             self._attempt.answer_goes_on()
@@ -83,7 +87,7 @@
 
         The first bytes of a long answer count, and no retry is left at the end of its request's time.
         """
-        if not self._written or not self._is_streamable(0) or self._is_doubtful(Status.OK):
+        if not self._written or not self._is_streamable(0):
             return False
         self._start_stream()
         return True
@@ -127,6 +131,8 @@
         """
         if not self._is_reused:
             return False
+        if self._body_dropped and status == Status.OK:
+            return True
         now = self._servers.clock.now()
         if status == Status.OVERLOADED:
             return not self._servers.reuse.is_allowed(now)
@@ -145,7 +151,7 @@
         ``least_bytes``: of its body that have to be here, if its length is declared.
         """
         head, length = self._parser.head, self._parser.length
-        if head is None or head.status != 200:
+        if head is None or head.status != 200 or self._is_doubtful(Status.OK):
             return False
         if length is None:
             return self._parser.body_received > MIN_STREAMED_UNDECLARED_BYTES
--- a/lupinlink/net/application_servers/kept_connection.py
+++ b/lupinlink/net/application_servers/kept_connection.py
@@ -43,6 +43,7 @@
         self._body: Body | None = None  # of the request, while some of it is still to be sent
         self._progress_timer: Timer | None = None
         self._paused = False  # not read, as the client does not read its streamed answer
+        self._body_dropped = False  # of the answer that is arriving: it is of no use
         self._closed = False  # the reason of its close is logged
         self.on_closed: Callable[[], None] | None = None  # called when it ends while it is reserved
         self.requests_carried = 0
--- a/lupinlink/net/application_servers/sending.py
+++ b/lupinlink/net/application_servers/sending.py
@@ -58,6 +58,7 @@
         self.requests_carried, self.last_identity = self.requests_carried + 1, attempt.identity
         self._unsent, self._body = unsent, body
         self._written, self._sent, self._awaiting_body = False, 0, False
+        self._body_dropped = False
         self._parser.for_head_request = attempt.only_head
         if self._body is not None:
             self._body.on_data = self._body_has_more
