Remember the ids of requests that may have run, also across an upgrade

Cause: OpenRequests forgets an id as the request's attempts have ended here, whatever their servers do with them; and the two processes of an upgrade knew nothing of each other's requests. Evidence: unsafe and keyed requests twice at the server in 3 of 3 tests with real processes.

Change: ids of requests of classes that are not safe to repeat, of which an attempt may have run, are kept as 64-bit digests, as many as MostHeld and for a minute; such a request is answered 409, which promises nothing. The offer of an upgrade holds them, and either process tells the other of each it sends (a new message, sent only to processes that say that they know it). The three tests failed before and hold; ids that never ran, and of safe classes, may come again. A test that reused an id of a keyed class for a second client gives it its own; the stand-ins of upgrades move to a file of their own.

--- a/lupinlink/net/handover/messages.py
+++ b/lupinlink/net/handover/messages.py
@@ -3,6 +3,8 @@
 The new process sends ``hello``. The old one replies with ``offer`` and passes the listening socket along, or
 with ``wait`` while it is itself in an upgrade, or with ``no``. The new one sends ``ready`` once it serves;
 from then on the old one reports its usage (``holds``) and passes on an operator's ``drain`` or ``undrain``.
+From the offer on each tells the other which requests it sends (``sent``) that may not run twice; the offer
+holds those of before. A process that knows this message says so by ``shares_sent`` in its hello or offer.
 When a process ends, the other notices by the end of the channel.
 """
 
@@ -14,7 +16,7 @@
 
 VERSION = 1
 MAX_LINE_BYTES = 4 * 1024 * 1024  # the largest message carries the list from discovery
-MESSAGE_KINDS = {"hello", "offer", "wait", "no", "ready", "holds", "drain", "undrain"}
+MESSAGE_KINDS = {"hello", "offer", "wait", "no", "ready", "holds", "drain", "undrain", "sent"}
 WITH_DESCRIPTOR = "offer"  # the one message that passes a descriptor along
 
 
--- a/lupinlink/net/handover/upgrade.py
+++ b/lupinlink/net/handover/upgrade.py
@@ -50,6 +50,9 @@
     def on_drain_changed(self, drain: bool) -> None:
         """An operator's call to drain, or to serve again, reached the predecessor."""
 
+    def on_requests_sent(self, identities: object) -> None:
+        """The other process has sent these requests; a list of digests, if it is valid."""
+
 
 class Upgrade:
     """Both sides of an upgrade."""
@@ -62,6 +65,7 @@
         self._successor: PeerChannel | None = None  # the process that was offered the listener
         self._successor_serves = False
         self._queued: list[PeerChannel] = []
+        self._sharing: list[PeerChannel] = []  # those that take the message ``sent``
         self._usage_sent: Usage | None = None
         self._stopped = False
 
@@ -73,7 +77,7 @@
     def request_handover(self, predecessor: PeerChannel, now: float) -> None:
         """Ask the process that serves at our address for its listener."""
         self._predecessor, self._answer_deadline = predecessor, now + ANSWER_TIMEOUT_MS
-        predecessor.send("hello", v=VERSION, name=self._name, pid=os.getpid())
+        predecessor.send("hello", v=VERSION, name=self._name, pid=os.getpid(), shares_sent=True)
 
     def on_serving(self) -> None:
         """This process serves from now on."""
@@ -88,11 +92,15 @@
         kind = message["say"]
         if channel is self._predecessor and kind == "offer" and not self._listening and self._answer_deadline:
             self._answer_deadline = 0.0
+            self._share_with(channel, message)
+            self._host.on_requests_sent(message.get("sent"))
             self._host.start_listening(descriptor, message)
             return
         if descriptor is not None:
             os.close(descriptor)
-        if channel is self._predecessor:
+        if kind == "sent":
+            self._host.on_requests_sent(message.get("ids"))
+        elif channel is self._predecessor:
             self._on_predecessor_message(kind, message, now)
         elif kind == "hello":
             self._on_hello(channel, message)
@@ -122,13 +130,15 @@
         elif self.busy:
             self._queued.append(channel)
             channel.send("wait")
+            self._share_with(channel, message)
         else:
+            self._share_with(channel, message)
             self._send_offer(channel)
 
     def _send_offer(self, channel: PeerChannel) -> None:
         self._successor = channel
         descriptor, offer = self._host.make_offer()
-        channel.send("offer", descriptor, **offer)
+        channel.send("offer", descriptor, **offer, shares_sent=True)
         log.info("listener offered to successor")
 
     def stop(self) -> None:
@@ -139,8 +149,9 @@
         """A channel, and so the process at its other end, has ended."""
         if self._stopped:
             return
-        if channel in self._queued:
-            self._queued.remove(channel)
+        for channels in (self._queued, self._sharing):
+            if channel in channels:
+                channels.remove(channel)
         if channel is self._predecessor:
             self._continue_alone()
         elif channel is self._successor:
@@ -167,6 +178,17 @@
         if self._successor is not None:
             self._successor.send("drain" if drain else "undrain")
 
+    def _share_with(self, channel: PeerChannel, message: Mapping[str, Any]) -> None:
+        """Note whether the process at the other end takes the message ``sent``."""
+        if message.get("shares_sent") is True:
+            self._sharing.append(channel)
+
+    def request_sent(self, identity: int) -> None:
+        """Tell the other process of a request that this one sends and that may not run twice."""
+        for channel in (self._predecessor, self._successor):
+            if channel is not None and channel in self._sharing:
+                channel.send("sent", ids=[identity])
+
     def tick(self, now: float) -> None:
         """To be called about ten times a second while ``busy``."""
         if self._answer_deadline and now >= self._answer_deadline:
--- a/lupinlink/net/listener_takeover.py
+++ b/lupinlink/net/listener_takeover.py
@@ -49,6 +49,7 @@
             components.servers, components.discovery_client, components.proxy, components.clients,
         )  # fmt: skip
         self._upgrade = Upgrade(self, config.name)
+        components.proxy.sent.on_sent = self._upgrade.request_sent
         self._tick_scheduled = False
         self._successor_listener: SuccessorListener | None = None
         self.error: SettingsError | None = None  # why this process cannot listen
@@ -108,7 +109,7 @@
 
         A process that is stopping may have closed the socket, and may keep no list any more.
         """
-        offer: dict[str, Any] = {"drained": self._lifecycle.drained}
+        offer: dict[str, Any] = {"drained": self._lifecycle.drained, "sent": self._proxy.sent_identities()}
         if not self._discovery_client.stopped:
             offer["known"] = self._discovery_client.snapshot()
         port = self._clients.port
@@ -212,6 +213,11 @@
         """An operator's call that reached the old process."""
         self._set_drained(drain)
 
+    def on_requests_sent(self, identities: object) -> None:
+        """Requests that the other process has sent, and that may not run here again."""
+        if isinstance(identities, list) and all(isinstance(one, int) for one in identities):
+            self._proxy.sent.sent_elsewhere(identities)
+
     def _resize(self, capacity: Capacity) -> None:
         self.capacity = capacity
         self._clients.resize(capacity.clients, capacity.spare_mb)
--- a/lupinlink/net/open_requests.py
+++ b/lupinlink/net/open_requests.py
@@ -17,6 +17,7 @@
     RefusalReason,
     Responder,
 )
+from lupinlink.net.sent_identities import SentIdentities
 from lupinlink.net.slots import Slots
 from lupinlink.settings import Settings
 
@@ -33,6 +34,7 @@
         self.request_log = RequestLog(clock)
         self._requests: Slots[OpenRequest] = Slots(settings.max_open_requests)
         self._identities: set[str] = set()  # of all requests in the table
+        self.sent = SentIdentities(settings, clock)
         # Set by the fleet extension. ``quota_check``: None if the request is within its quota, else the time
         # in ms after which to retry. ``on_settled``: the request is answered or its client has left.
         self.quota_check: Callable[[ClientRequest], float | None] | None = None
@@ -58,8 +60,8 @@
             self.request_log.failed(request, FailureReason.TOO_LATE)
             responder.failed(FailureReason.TOO_LATE)
             return None
-        if request.identity in self._identities:
-            # Application servers would take it for a copy of the open request with this identity.
+        if request.identity in self._identities or self.sent.forbid(request):
+            # Application servers would take it for a copy of the request with this identity, or run it again.
             self.counters["duplicates"] += 1
             self.request_log.failed(request, FailureReason.DUPLICATE)
             responder.failed(FailureReason.DUPLICATE)
@@ -86,6 +88,10 @@
         self.handle(api.Arrival(str(handle), request.class_index, tenant, deadline, retry, request.key))
         return handle
 
+    def sent_identities(self) -> list[int]:
+        """The digests of all requests that may not run again, those in flight included."""
+        return self.sent.digests(entry.request for entry in self._requests if entry.attempts)
+
     def _within_quota(self, request: ClientRequest, responder: Responder) -> bool:
         """Whether the request is within the fleet's quotas; if not, it is answered here."""
         assert self.quota_check is not None
@@ -213,6 +219,8 @@
             attempt.cancel_if_unsent()  # the last attempt to end calls _release again
         if not entry.attempts_in_flight and self._requests.remove(handle) is not None:
             self._identities.discard(entry.request.identity)
+            if entry.may_have_run:
+                self.sent.may_have_run(entry.request)
             entry.request.body.discard()
 
     def _answer_failed(self, entry: OpenRequest, why: FailureReason) -> None:
--- a/lupinlink/net/proxy.py
+++ b/lupinlink/net/proxy.py
@@ -64,6 +64,7 @@
     def gauges(self) -> dict[str, int]:
         """The size of every table here."""
         return {"requests_now": len(self._requests), "identities": len(self._identities),
+                "identities_kept": len(self.sent),
                 **self._module.sizes()}  # fmt: skip
 
     def list_is_held(self) -> bool:
@@ -80,6 +81,8 @@
         timeout = left if action.timeout_ms == 0.0 else min(action.timeout_ms, left)
         self.counters["attempts"] += 1
         index = len(entry.attempts)
+        if not index:
+            self.sent.sending(entry.request)
         self.request_log.attempt_began(entry.request, index, action.endpoint)
         entry.server = action.endpoint
         entry.attempts_in_flight += 1  # before start(), which may find out that the client has left
--- a/lupinlink/net/request_types.py
+++ b/lupinlink/net/request_types.py
@@ -22,7 +22,7 @@
     NOT_SERVED = "not served"
     TOO_LATE = "no answer in time"
     INTERNAL = "internal error"
-    DUPLICATE = "a request of this id is open"
+    DUPLICATE = "a request of this id is open or may have run"
 
 
 class RefusalReason(Enum):
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -10,7 +10,6 @@
 import threading
 import time
 import unittest
-from collections.abc import Mapping
 from contextlib import chdir
 from pathlib import Path
 from typing import Any
@@ -22,49 +21,7 @@
 from lupinlink.net.handover.messages import HandoverError, Reader, line, refusal
 from lupinlink.net.handover.upgrade import ANSWER_TIMEOUT_MS, WAIT_TIMEOUT_MS, Upgrade
 from tests.proxy_process import OK, WAIT, ApplicationServer, ProxyProcessTest, row
-
-
-class RecordingChannel:
-    """A channel that records the kinds of messages sent."""
-
-    def __init__(self) -> None:
-        self.sent: list[str] = []
-        self.closed = False
-
-    def send(self, kind: str, descriptor: int | None = None, **more: Any) -> None:
-        self.sent.append(kind)
-
-    def end(self) -> None:
-        self.closed = True
-
-
-class RecordingHost:
-    """A service that records the calls of an upgrade."""
-
-    def __init__(self) -> None:
-        self.calls: list[object] = []
-        self.usage = Usage(50, 20.0)
-
-    def make_offer(self) -> tuple[int, dict[str, Any]]:
-        return 0, {}
-
-    def start_listening(self, descriptor: int | None, offer: Mapping[str, Any]) -> None:
-        self.calls.append(("start listening", descriptor))
-
-    def on_successor_serving(self) -> None:
-        self.calls.append("successor serves")
-
-    def on_successor_ended(self) -> None:
-        self.calls.append("successor ended")
-
-    def on_predecessor_usage(self, other: Usage | None) -> None:
-        self.calls.append(other)
-
-    def current_usage(self) -> Usage:
-        return self.usage
-
-    def on_drain_changed(self, drain: bool) -> None:
-        self.calls.append(("drain", drain))
+from tests.recording_upgrade import RecordingChannel, RecordingHost
 
 
 class UpgradeStates(unittest.TestCase):
--- a/tests/test_handover_channel.py
+++ b/tests/test_handover_channel.py
@@ -11,7 +11,7 @@
 from lupinlink.net.handover.channel import Channel
 from lupinlink.net.handover.upgrade import Upgrade
 from lupinlink.net.twisted_types import Reactor
-from tests.test_handover import RecordingChannel, RecordingHost
+from tests.recording_upgrade import RecordingChannel, RecordingHost
 
 LARGE_LIST = {"rev": 1, "all": True, "targets": [{"uid": f"s-{i}" * 40} for i in range(2000)]}
 
--- a/tests/test_net_parts.py
+++ b/tests/test_net_parts.py
@@ -190,8 +190,8 @@
         )
         return self.proxy.submit(call, self.side)
 
-    def submit(self) -> int:
-        handle = self.offer()
+    def submit(self, waited: float = 0.0) -> int:
+        handle = self.offer(waited)
         assert handle is not None
         return handle
 
@@ -223,7 +223,7 @@
         self.submit()
         self.servers.attempts[0].ended.callback(AttemptResult(Status.OK, Reply([], b"")))
         self.assertEqual(self.side.answers, ["served"])
-        gone = self.submit()
+        gone = self.submit(1.0)  # with an id of its own
         self.proxy.client_left(gone)
         self.assertEqual(self.servers.attempts[1].ended.called, True)  # given up
         self.proxy.end(gone, FailureReason.TOO_LATE)
--- a/tests/test_repeated_ids.py
+++ b/tests/test_repeated_ids.py
@@ -10,7 +10,7 @@
 from typing import Any, ClassVar
 
 from tests.proxy_process import NEVER_RAN, ProxyProcessTest, row
-from tests.scripted_peers import Answered, Exchange, ScriptedServer, answer, ask, request
+from tests.scripted_peers import Answered, Exchange, Script, ScriptedServer, answer, ask, request
 
 WORK_S, WAIT_S, LONG_WORK_S = 0.3, 2.0, 1.5
 REPEATED = 409  # neither a refusal, which would promise that nothing ran, nor served
@@ -27,7 +27,11 @@
     exchange.send(NEVER_RAN)
 
 
-SCRIPTS = {"work": partial(work, WORK_S), "long": partial(work, LONG_WORK_S), "never-ran": turn_away}
+SCRIPTS: dict[str, Script] = {
+    "work": partial(work, WORK_S),
+    "long": partial(work, LONG_WORK_S),
+    "never-ran": turn_away,
+}
 CLASSES = [
     {"Name": "look", "AimMs": 400.0, "HardLimitMs": 2000.0, "Effect": "pure"},
     {"Name": "scan", "AimMs": 400.0, "HardLimitMs": 2000.0, "Effect": "token", "Group": "cell",
