--- a/tests/loopback_servers.py
+++ b/tests/loopback_servers.py
@@ -21,8 +21,8 @@
 class LoopbackServer:
     """A listening socket with a thread per connection; ``ends`` gets the number of each one that ends."""
 
-    def __init__(self) -> None:
-        self.listener = socket.create_server(("127.0.0.1", 0))
+    def __init__(self, port: int = 0) -> None:
+        self.listener = socket.create_server(("127.0.0.1", port))
         self.port: int = self.listener.getsockname()[1]
         self.ends: queue.Queue[int] = queue.Queue()
         self.accepted = 0
