Soak with paused answers, unread requests, ids that come again, floods and slow clients

Change: seeds from 10000 on have, beside what was there, backends that pause in answers, write long ones of any status slowly, or stop reading 0.9 MB; clients that leave and come again with their id, that write and read slowly, and floods; unsafe requests. Lower seeds stay as they were.

--- a/tests/drain_fleet.py
+++ b/tests/drain_fleet.py
@@ -67,7 +67,11 @@
                     self.receipts.append(Receipt(at, trace))
             if self.answer == b"":
                 return reset(connection)
-            self.send_answer(connection, trace)
+            self.respond(connection, head, trace)
+
+    def respond(self, connection: socket.socket, received: bytes, trace: str) -> None:
+        """Answer the request of this id, of which this was received so far."""
+        self.send_answer(connection, trace)
 
     def send_answer(self, connection: socket.socket, trace: str) -> None:
         """Answer the request of this id."""
--- a/tests/soak_backends.py
+++ b/tests/soak_backends.py
@@ -2,19 +2,40 @@
 
 from __future__ import annotations
 
+import io
 import socket
 import threading
 import time
 from contextlib import suppress
 from random import Random
+from typing import Any
 
 from tests.drain_fleet import Backend
 from tests.loopback_servers import NEVER_RAN
+from tests.scripted_peers import HEAD_END, Exchange
+from tests.soak_scripts import SCRIPTS
 
 WORK_S = (0.005, 0.030)  # the range of a request's work
 SECOND_SHARE, SECOND_DELAY_S = 0.1, 0.1  # of the answers, and the longest delay
 
 
+class Unread(io.RawIOBase):
+    """What is left of a request: bytes that were received with its head, then the connection."""
+
+    def __init__(self, connection: socket.socket, received: bytes) -> None:
+        super().__init__()
+        self._connection, self._received = connection, received
+
+    def readable(self) -> bool:
+        return True
+
+    def readinto(self, buffer: Any) -> int:
+        data = self._received[: len(buffer)] or self._connection.recv(len(buffer))
+        self._received = self._received[len(data) :]
+        buffer[: len(data)] = data
+        return len(data)
+
+
 class NamingBackend(Backend):
     """``second_answers``: whether some answers are followed by the same one, or by a refusal."""
 
@@ -23,6 +44,16 @@
         self._rng = Random(1)
         super().__init__()
 
+    def respond(self, connection: socket.socket, received: bytes, trace: str) -> None:
+        first, _, rest = received.partition(HEAD_END)
+        script = SCRIPTS.get(first.split()[1].decode("latin-1").rpartition("/")[2])
+        if script is None:
+            self.send_answer(connection, trace)
+            return
+        fields = (line.partition(":") for line in first.decode("latin-1").split("\r\n")[1:])
+        headers = {name.lower(): value.strip() for name, _, value in fields}
+        script(Exchange(connection, io.BufferedReader(Unread(connection, rest)), trace, headers))
+
     def send_answer(self, connection: socket.socket, trace: str) -> None:
         body = trace.encode()
         answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
--- a/tests/soak_conditions.py
+++ b/tests/soak_conditions.py
@@ -12,10 +12,11 @@
 from typing import Any, ClassVar
 
 from tests.crossing_judge import CrossingClient
-from tests.soak_clients import SoakClients
+from tests.soak_strangers import SoakStrangers
 from tests.soak_verdict import Life
 
 HELD_SHARE, SCARCE_SHARE = 0.5, 0.5  # of the seeds
+STRANGE_FROM = 10_000  # seeds from here on have strangers; those below stay as they were
 HOLD_S, HOLD_GAP_S = (0.02, 0.15), (0.1, 0.6)  # how long a process is held up, and the time between
 LIMITS: dict[str, Any] = {"cores": 1.0, "memory_mb": 192, "sockets": 1024}
 SCARCE_SOCKETS = 200
@@ -28,15 +29,20 @@
 
     held: bool
     scarce: bool
+    strange: bool = False  # slow, large, impatient and rude clients
 
     @classmethod
     def draw(cls, seed: int) -> Conditions:
         """Drawn apart, so that a seed's events and their times stay as they were."""
         drawn = Random(f"conditions {seed}")
-        return cls(drawn.random() < HELD_SHARE, drawn.random() < SCARCE_SHARE)
+        return cls(
+            drawn.random() < HELD_SHARE,
+            drawn.random() < SCARCE_SHARE,
+            seed >= STRANGE_FROM,
+        )
 
     def __str__(self) -> str:
-        return f"held={self.held} scarce={self.scarce}"
+        return f"held={self.held} scarce={self.scarce} strange={self.strange}"
 
     @property
     def limits(self) -> dict[str, Any]:
@@ -44,7 +50,7 @@
         return {**LIMITS, "sockets": SCARCE_SOCKETS} if self.scarce else LIMITS
 
 
-class SoakConditions(SoakClients):
+class SoakConditions(SoakStrangers):
     """Carries the conditions out."""
 
     conditions: ClassVar[Conditions] = Conditions(held=False, scarce=False)
--- a/tests/soak_fleet.py
+++ b/tests/soak_fleet.py
@@ -10,14 +10,16 @@
 import threading
 import time
 from random import Random
-from typing import ClassVar
+from typing import Any, ClassVar
 
 from tests.discovery_replies import REPLIES, Form
 from tests.drain_fleet import GRACE_S, NOTIFIED_AFTER_END_S, SLACK_S, UIDS
 from tests.drain_oracle import DrainOracle, OpenWatch, Outage, Process
 from tests.loopback_servers import WAIT
+from tests.proxy_process import SETTINGS
 from tests.soak_backends import NamingBackend
 from tests.soak_conditions import Conditions, SoakConditions
+from tests.soak_strangers import peak_mb
 from tests.soak_verdict import Life, Verdict
 
 KILL_S = 2.7  # the longest deadline of the settings and 0.7 s after SIGTERM: the earliest kill
@@ -32,6 +34,13 @@
 class SoakStage(SoakConditions):
     """Three proxies; each is started anew after it ended."""
 
+    settings: ClassVar[dict[str, Any]] = {
+        "Classes": [
+            *SETTINGS["Classes"],
+            {"Name": "note", "AimMs": 400.0, "HardLimitMs": 2000.0, "Effect": "side_effect"},
+        ],
+    }
+
     size: ClassVar[int] = 3
 
     def draw_size(self, seed: int) -> None:
@@ -41,6 +50,7 @@
         type(self).more_backends = self.rng.choice(MORE_BACKENDS)
         type(self).conditions = Conditions.draw(seed)
         type(self).limits = self.conditions.limits
+        type(self).judges_early_failures = True
 
     def soak(self, seed: int) -> Verdict:
         """Play one seed, of the size that was drawn for it."""
@@ -52,8 +62,7 @@
         self.lives: list[list[Life]] = [[self.life(rank)] for rank in range(self.size)]
         self.await_serving(*(lives[0].member for lives in self.lives))
         for lives in self.lives:
-            self.clients(lives[0])
-            self.hold_up(lives[0])
+            self.begin(lives[0])
             lives[0].frontend.watching.get(timeout=WAIT)
         plan = [(self.rng.uniform(0.2, EVENTS_S), step) for step in self.steps()]
         if self.second_answers_at:
@@ -113,6 +122,7 @@
 
     def second_answers(self) -> None:
         """From now on some answers are followed by another one."""
+        type(self).judges_early_failures = False
         for backend in self.backends.values():
             assert isinstance(backend, NamingBackend)
             backend.second_answers = True
@@ -133,6 +143,7 @@
     def kill(self) -> None:
         rank = self.rng.randrange(self.size)
         life = self.lives[rank][-1]
+        self.note_memory(life)
         life.member.halt.set()
         life.member.process.kill()
         life.member.process.wait(WAIT)
@@ -149,6 +160,7 @@
 
     def end(self, life: Life) -> None:
         """SIGTERM; clients go on with what is open, and the kill comes as early as it may."""
+        self.note_memory(life)
         process, life.termed_at = life.member.process, time.monotonic()
         for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM):
             process.send_signal(number)
@@ -167,8 +179,20 @@
         life = self.life(rank)
         self.lives[rank].append(life)
         self.await_serving(life.member)
+        self.begin(life)
+
+    def begin(self, life: Life) -> None:
+        """Begin the load and the conditions of a process."""
         self.clients(life)
         self.hold_up(life)
+        if self.conditions.strange:
+            self.strangers(life)
+
+    def note_memory(self, life: Life) -> None:
+        """Judge the memory of a process before it ends."""
+        used, limit = peak_mb(life.member.process.pid), self.conditions.limits["memory_mb"]
+        if used > limit:
+            self.verdict.memory.append(f"{life.member.name} {used:.0f} of {limit} MB")
 
     def judge_drains(self) -> None:
         """Every first byte at a backend that drains, against when that counts as told to its process."""
--- a/tests/soak_verdict.py
+++ b/tests/soak_verdict.py
@@ -28,16 +28,36 @@
     lost: list[str] = field(default_factory=list)
     wrong: list[str] = field(default_factory=list)  # answered with what was made for another request
     late: list[str] = field(default_factory=list)
+    overdue: list[str] = field(default_factory=list)  # answered later than the pages allow, or never
+    cut: list[str] = field(default_factory=list)  # a sound answer did not come whole
+    twice: list[str] = field(default_factory=list)  # ran twice, where that may not be
+    memory: list[str] = field(default_factory=list)  # over its limit
+    strangers: Counter[str] = field(default_factory=Counter)
     survived: list[str] = field(default_factory=list)  # still there at the kill
     events: list[str] = field(default_factory=list)
 
     @property
     def sound(self) -> bool:
-        return not (self.lost or self.wrong or self.late or self.survived) and self.answers[200] > 0
+        return not any(self.faults.values()) and self.answers[200] > 0
+
+    @property
+    def faults(self) -> dict[str, list[str]]:
+        """What must not happen, by kind."""
+        return {
+            "lost": self.lost,
+            "wrong": self.wrong,
+            "late": self.late,
+            "overdue": self.overdue,
+            "cut": self.cut,
+            "twice": self.twice,
+            "memory": self.memory,
+            "survived": self.survived,
+        }
 
     def __str__(self) -> str:
+        faults = " ".join(f"{kind}={found[:3]}" for kind, found in self.faults.items())
+        strangers = dict(sorted(self.strangers.items()))
         return (
-            f"seed={self.seed} sound={self.sound} answers={dict(self.answers)} lost={self.lost[:3]} "
-            f"wrong={self.wrong[:3]} "
-            f"late={self.late[:3]} survived={self.survived} events={', '.join(self.events)}"
+            f"seed={self.seed} sound={self.sound} answers={dict(self.answers)} {faults} "
+            f"strangers={strangers} events={', '.join(self.events)}"
         )
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -6,7 +6,7 @@
 
 from tests.soak_fleet import SoakStage
 
-SEEDS = (1, 2, 4)
+SEEDS, SEEDS_WITH_STRANGERS = (1, 2, 4), (10_001, 10_002)
 
 
 class Soak(SoakStage):
@@ -24,6 +24,12 @@
             with self.subTest(seed=seed):
                 self.play(seed)
 
+    # Guards against: cut answers, late ends, second runs and too much memory beside other faults (5e36ff).
+    def test_the_first_seeds_with_slow_large_and_rude_clients(self) -> None:
+        for seed in SEEDS_WITH_STRANGERS:
+            with self.subTest(seed=seed):
+                self.play(seed)
+
     # Guards against a stop that, held up at SIGTERM and again at its end, outlasts the earliest kill.
     def test_a_stop_that_is_held_up_ends_before_the_kill(self) -> None:
         self.play(3)
