--- a/lupinlink/limits/upload_time.py
+++ b/lupinlink/limits/upload_time.py
@@ -43,11 +43,15 @@
         """The earliest time at which the last byte may have been written."""
         return self._points[0].at if self._points else None
 
-    def observe(self, now: float, read_bytes: int, unread_bytes: int, missing_bytes: int | None) -> None:
+    def observe(
+        self, now: float, read_bytes: int, unread_bytes: int | None, missing_bytes: int | None
+    ) -> None:
         """Note the bytes read so far, those that have arrived unread, and those of the body not read yet.
 
-        ``missing_bytes``: None if its length is not known.
+        ``unread_bytes``: None if that is not known; ``missing_bytes``: None if the length is not.
         """
+        if unread_bytes is None:
+            unread_bytes = OPEN_WINDOW_BYTES + 1
         arrived = read_bytes + unread_bytes
         if unread_bytes > OPEN_WINDOW_BYTES:
             self._closed_at = now
--- a/lupinlink/net/socket_peek.py
+++ b/lupinlink/net/socket_peek.py
@@ -24,11 +24,13 @@
         return b""
 
 
-def unread_bytes(transport: Transport) -> int:
-    """How many unread bytes have arrived; 0 if the system does not tell."""
+def unread_bytes(transport: Transport) -> int | None:
+    """How many unread bytes have arrived; None if the system does not tell."""
     count = array.array("i", [0])
-    with suppress(OSError, AttributeError):
+    try:
         fcntl.ioctl(transport.getHandle(), termios.FIONREAD, count)
+    except (OSError, AttributeError):
+        return None
     return count[0]
 
 
--- a/tests/soak_conditions.py
+++ b/tests/soak_conditions.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import resource
 import signal
 import subprocess
 import threading
@@ -20,6 +21,7 @@
 HOLD_S, HOLD_GAP_S = (0.02, 0.15), (0.1, 0.6)  # how long a process is held up, and the time between
 LIMITS: dict[str, Any] = {"cores": 1.0, "memory_mb": 192, "sockets": 1024}
 SCARCE_SOCKETS = 200
+DESCRIPTORS = 8192  # of the clients, backends and discoveries of a seed
 CROWD, CROWD_S, CROWD_PACE_S = 150, 3.0, 0.01  # idle clients at once; more for so long, and between two
 
 
@@ -55,6 +57,12 @@
 
     conditions: ClassVar[Conditions] = Conditions(held=False, scarce=False)
 
+    def setUp(self) -> None:
+        super().setUp()
+        soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+        if soft < DESCRIPTORS <= hard:
+            resource.setrlimit(resource.RLIMIT_NOFILE, (DESCRIPTORS, hard))
+
     def hold_up(self, life: Life) -> None:
         """Hold the process up again and again, at any step, until it ends."""
         if self.conditions.held:
