--- a/tests/loopback_servers.py
+++ b/tests/loopback_servers.py
@@ -26,6 +26,7 @@
         self.port: int = self.listener.getsockname()[1]
         self.ends: queue.Queue[int] = queue.Queue()
         self.accepted = 0
+        self.connections: list[socket.socket] = []
         threading.Thread(target=self._accept, daemon=True).start()
 
     def _accept(self) -> None:
@@ -33,6 +34,7 @@
             while True:
                 connection, _ = self.listener.accept()
                 self.accepted += 1
+                self.connections.append(connection)
                 threading.Thread(target=self._serve, args=(connection, self.accepted), daemon=True).start()
 
     def _serve(self, connection: socket.socket, number: int) -> None:
@@ -48,6 +50,12 @@
             self.listener.shutdown(socket.SHUT_RDWR)
         self.listener.close()
 
+    def die(self) -> None:
+        """End as a process that is killed: its connections are reset."""
+        self.close()
+        for connection in list(self.connections):
+            reset(connection)
+
 
 def reset(connection: socket.socket) -> None:
     """Close a connection with a reset."""
