Let the laboratory's attempts take note of answers that go on

Cause: VirtualAttempt has slots, so that setting on_answer_data raised, and every request failed inside. Change: the attribute; the slots go. Result: 35 tests of the laboratory and of long answers pass.

--- a/lupinlink/lab/virtual.py
+++ b/lupinlink/lab/virtual.py
@@ -42,8 +42,6 @@
 class VirtualAttempt:
     """One attempt; ``ended`` fires once."""
 
-    __slots__ = ("ended", "job", "number", "over", "place", "server", "side", "timer", "try_name")
-
     def __init__(self, side: Servers, place: Place, try_name: str) -> None:
         self.ended: Deferred[net.AttemptResult] = Deferred()
         self.side, self.place, self.try_name = side, place, try_name
@@ -52,6 +50,7 @@
         self.number = -1  # among the attempts that went out; -1: not gone out yet
         self.over = False
         self.timer = 0
+        self.on_answer_data: Callable[[], None] | None = None  # the model's answers come whole
 
     def give_up(self, status: Status) -> None:
         """The proxy closes its connection."""
