Keep the chunks before one that has no room, as when they are read one at a time

Cause: chunks that are whole are taken together, and were refused together. Change: where not all have room, they are added one by one, up to the one that has none.

--- a/lupinlink/net/http1.py
+++ b/lupinlink/net/http1.py
@@ -20,9 +20,7 @@
 from lupinlink.net.http1_writers import response_head as response_head
 
 REQUEST_TIMEOUT = 408  # some servers say so before they close an idle connection (RFC 9110, 15.5.9)
-MAX_HEAD = 16 * 1024
-MAX_BODY = 64 * 1024
-MAX_HEADERS = 100
+MAX_HEAD, MAX_BODY, MAX_HEADERS = 16 * 1024, 64 * 1024, 100  # bytes, bytes, fields
 MAX_CHUNK_LINE = 4096  # a chunk size with its extensions, or a trailer line
 MAX_MESSAGE = 32 * 1024 * 1024  # body of a message that is streamed
 
@@ -115,8 +113,11 @@
         self._add_to_body(self.buffer[:count])
         del self.buffer[:count]
 
+    def _has_room(self, count: int) -> bool:
+        return len(self._body) + count <= self._max_held and self.body_received + count <= self._max_body
+
     def _add_to_body(self, data: bytes | bytearray) -> None:
-        if len(self._body) + len(data) > self._max_held or self.body_received + len(data) > self._max_body:
+        if not self._has_room(len(data)):
             raise MessageError(413, "body too large")
         self.body_received += len(data)
         self._body += data
@@ -164,11 +165,15 @@
 
     def _take_whole_chunks(self) -> None:
         """Take the plain chunks at the start of the buffer that are there whole, all at once."""
-        data, end = whole_chunks(self.buffer)
-        if end:
-            del self.buffer[:end]
-            self._ends.restart()
-            self._add_to_body(data)
+        pieces, end = whole_chunks(self.buffer)
+        if not end:
+            return
+        del self.buffer[:end]
+        self._ends.restart()
+        data = b"".join(pieces)
+        # If not all of them have room, those before the one that has none count.
+        for piece in (data,) if self._has_room(len(data)) else pieces:
+            self._add_to_body(piece)
 
     def _read_chunks(self) -> bool:
         while True:
--- a/lupinlink/net/http1_chunks.py
+++ b/lupinlink/net/http1_chunks.py
@@ -9,9 +9,10 @@
 CHUNK_END = b"\r\n"
 
 
-def whole_chunks(buffer: bytearray) -> tuple[bytes, int]:
+def whole_chunks(buffer: bytearray) -> tuple[list[bytes | bytearray], int]:
     """The data of the plain chunks that stand whole at the start of the buffer, and where their last ends."""
-    pieces, at = [], 0
+    pieces: list[bytes | bytearray] = []
+    at = 0
     while (size := PLAIN_SIZE.match(buffer, at)) is not None:
         begin = size.end()
         end = begin + int(size.group(1), 16)
@@ -19,4 +20,4 @@
             break
         pieces.append(buffer[begin:end])
         at = end + len(CHUNK_END)
-    return b"".join(pieces), at
+    return pieces, at
