Let the soak know a kill of a backend as a span, and show the log lines of what it judges

Cause: the check's own. A backend is killed by resets of its connections one after another, 0.1 to 20 ms long on this machine. The check excused a broken answer only if its request began before the first reset.

Change: Kill has a begin and an end; a break is excused if its request overlaps them. A request that begins after the last reset is judged as before. The new test fails without it by its case (10.02, 10.05).

--- a/tests/drain_fleet.py
+++ b/tests/drain_fleet.py
@@ -113,6 +113,10 @@
             "X-Expires-In-Ms: 1500\r\n\r\n"
         ).encode()
 
+    def logged(self, identity: str) -> str:
+        """Return the lines of its log that name this id, as far as they have been kept."""
+        return "".join(f" [{line.strip()}]" for line in list(self.log.queue) if identity in line)
+
     def notified_at(self, uid: str, latest: float) -> float:
         return min(
             [latest, *(frontend.written[uid] for frontend in self.frontends if uid in frontend.written)]
--- a/tests/soak_backends.py
+++ b/tests/soak_backends.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import io
+import math
 import socket
 import threading
 import time
 from contextlib import suppress
+from dataclasses import dataclass
 from random import Random
 from typing import Any
 
@@ -19,6 +21,18 @@
 SECOND_SHARE, SECOND_DELAY_S = 0.1, 0.1  # of the answers, and the longest delay
 
 
+@dataclass
+class Kill:
+    """A backend that is killed: its connections are reset one after another, all of them by ``end``."""
+
+    begin: float
+    end: float = math.inf
+
+    def falls_into(self, begin: float, end: float) -> bool:
+        """Whether a connection may have been reset within this time."""
+        return begin <= self.end and self.begin <= end
+
+
 class Unread(io.RawIOBase):
     """What is left of a request: bytes that were received with its head, then the connection."""
 
--- a/tests/soak_fleet.py
+++ b/tests/soak_fleet.py
@@ -18,7 +18,7 @@
 from tests.drain_oracle import DrainOracle, OpenWatch, Outage, Process
 from tests.loopback_servers import WAIT
 from tests.proxy_process import SETTINGS, row
-from tests.soak_backends import NamingBackend
+from tests.soak_backends import Kill, NamingBackend
 from tests.soak_conditions import Conditions, SoakConditions
 from tests.soak_strangers import peak_mb
 from tests.soak_verdict import Life, Verdict
@@ -110,8 +110,9 @@
     def new_owner(self) -> None:
         """A backend is killed, and a new one comes up at its address; the list tells of it a little later."""
         old, name = self.owners[-1], f"o-{len(self.owners)}"
-        self.kills.append(time.monotonic())
+        self.kills.append(kill := Kill(time.monotonic()))
         old.die()
+        kill.end = time.monotonic()
         self.owners.append(self.peer(NamingBackend(old.port)))
         self.pass_time(time.monotonic() + self.rng.uniform(0.0, LIST_DELAY_S))
         replace_backend(self.shared, f"o-{len(self.owners) - 2}", row(name, self.owners[-1]))
--- a/tests/soak_strangers.py
+++ b/tests/soak_strangers.py
@@ -14,7 +14,7 @@
 from typing import ClassVar
 
 from tests.scripted_peers import Answered, ask, paced, request
-from tests.soak_backends import NamingBackend
+from tests.soak_backends import Kill, NamingBackend
 from tests.soak_clients import LOST_AFTER_S, SoakClients
 from tests.soak_scripts import LONG, SCRIPTS, SMALL, WAIT_S
 from tests.soak_verdict import Life
@@ -40,7 +40,7 @@
     judges_early_failures: ClassVar[bool] = True  # not where answers are doubted
     judges_second_runs: ClassVar[bool] = True  # not where servers claim that a request never ran
     owners: list[NamingBackend]  # the processes at one address, one after another
-    kills: list[float]  # when one of them was killed, with what it was answering
+    kills: list[Kill]  # of one of them, with what it was answering
 
     def strangers(self, life: Life) -> None:
         """Begin all of them beside a process."""
@@ -66,22 +66,22 @@
         if found.status in (0, 502) and self._may_be_killed(began, found):
             return
         if not life.termed_at and not life.member.halt.is_set():
-            self._judge_answer(name, identity, found)
+            self._judge_answer(life, name, identity, found)
 
     def _may_be_killed(self, began: float, found: Answered) -> bool:
         """Whether its server may have been killed: a started answer that breaks with it is not lost."""
         has_begun = found.status == 502 or bool(found.body)
-        return has_begun and any(began <= at <= time.monotonic() for at in self.kills)
+        return has_begun and any(kill.falls_into(began, time.monotonic()) for kill in self.kills)
 
-    def _judge_answer(self, name: str, identity: str, found: Answered) -> None:
+    def _judge_answer(self, life: Life, name: str, identity: str, found: Answered) -> None:
         what = f"{name} {identity}: {found.status}, {len(found.body)} bytes, {found.last_s:.2f} s"
         timed_s = found.first_s if name in SERVED and SERVED[name] > 65536 else found.last_s
         with self.lock:
             self.verdict.strangers[f"{name} {found.status}"] += 1
             if not found.status or timed_s > WAIT_S + LOST_AFTER_S:
-                self.verdict.overdue.append(what)
+                self.verdict.overdue.append(what + life.member.logged(identity))
             elif self._is_cut(name, identity, found):
-                self.verdict.cut.append(what)
+                self.verdict.cut.append(what + life.member.logged(identity))
 
     def _is_cut(self, name: str, identity: str, found: Answered) -> bool:
         """Whether a sound answer did not come whole, or was given up before its time."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -4,6 +4,7 @@
 
 import unittest
 
+from tests.soak_backends import Kill
 from tests.soak_fleet import SoakStage
 
 SEEDS, SEEDS_WITH_STRANGERS = (1, 2, 4), (10_001, 10_002)
@@ -43,5 +44,20 @@
         self.play(7012)
 
 
+class KilledBackends(unittest.TestCase):
+    # Guards against: an answer that breaks as its backend is killed counts as cut off by the proxy.
+    def test_a_kill_falls_into_requests_that_begin_before_its_last_reset(self) -> None:
+        kill = Kill(10.0)
+        self.assertTrue(kill.falls_into(10.01, 10.02))  # it goes on
+        kill.end = 10.03
+        for begin, end, falls in (
+            (9.5, 9.9, False),
+            (9.5, 10.0, True),
+            (10.02, 10.05, True),
+            (10.04, 10.05, False),
+        ):
+            self.assertIs(kill.falls_into(begin, end), falls, (begin, end))
+
+
 if __name__ == "__main__":
     unittest.main()
