--- a/tests/scripted_peers.py
+++ b/tests/scripted_peers.py
@@ -166,8 +166,9 @@
             got += data
     now = time.monotonic()
     head, _, body = got.partition(HEAD_END)
-    status = int(head.split()[1]) if _is_whole(got) else 0
-    if b"chunked" in head.lower():
+    is_whole = _is_whole(got)
+    status = int(head.split()[1]) if is_whole else 0
+    if is_whole and b"chunked" in head.lower():
         body = _joined(body)
     return Answered(status, body, (first or now) - written, now - written, written - begin)
 
--- a/tests/test_memory_crowds.py
+++ b/tests/test_memory_crowds.py
@@ -31,6 +31,8 @@
 def half_read(exchange: Exchange) -> None:
     exchange.stream.read(3000)
     time.sleep(HELD_S)
+    exchange.wait_for_close()
+    raise OSError("the rest is no further request")
 
 
 SCRIPTS: dict[str, Script] = {"big": partial(give, BIG), "small": partial(give, SMALL), "half": half_read}
