Answer requests whose head or small body is unfinished when a stop answers all others

What callers saw: a client that has written part of a head, or of a small body, when a process stops gets no answer: with deadlines of 1 s the process ends 1.6 s after SIGTERM and resets it. With longer deadlines its own time-out (408) comes first.

Cause: shortly before the kill the proxy answers the requests that are open in it; one that is not received whole is open nowhere but in its connection.

Change: these are answered 408 then, and their connections closed; unless more has arrived, which is read first. The stop has no more to wait for than deliveries.

Evidence: the new test fails before (30 of 30 clients read an end with no byte) and passes after it.

--- a/lupinlink/net/client_drain.py
+++ b/lupinlink/net/client_drain.py
@@ -52,4 +52,5 @@
         That needs no decisions and no list of backends, so nobody is asked for them any more.
         """
         self._proxy.close()
+        self._clients.reject_unfinished()
         self._discovery_client.stop()
--- a/lupinlink/net/clients/connection_table.py
+++ b/lupinlink/net/clients/connection_table.py
@@ -106,6 +106,11 @@
                 if not client.begun:
                     client.close_idle(CloseReason.OUT_OF_SERVICE)
 
+    def reject_unfinished(self) -> None:
+        """Answer the requests that are not received whole, unless more of them has arrived."""
+        for client in [*self.phases[Phase.HEAD], *self.phases[Phase.BODY]]:
+            client.evict()
+
     def gauges(self) -> dict[str, int]:
         """The size of every table here."""
         phases = {f"clients_{phase.name.lower()}": len(clients) for phase, clients in self.phases.items()}
--- a/lupinlink/net/clients/listener.py
+++ b/lupinlink/net/clients/listener.py
@@ -212,6 +212,10 @@
         """Close connections between requests; ``include_new``: also those without a request so far."""
         self._table.close_idle(include_new)
 
+    def reject_unfinished(self) -> None:
+        """Answer the requests that are not received whole, unless more of them has arrived."""
+        self._table.reject_unfinished()
+
     def gauges(self) -> dict[str, int]:
         """The size of every table here."""
         return {**self._table.gauges(), "bytes_held": self.budget.held_bytes}
--- /dev/null
+++ b/tests/test_held_stops.py
@@ -0,0 +1,39 @@
+"""Stops of a process that is held up at SIGTERM and again shortly before the kill."""
+
+from __future__ import annotations
+
+import signal
+import socket
+import unittest
+from typing import Any, ClassVar
+
+from tests.proxy_process import ApplicationServer, ProxyProcessTest, row
+
+KILL_S = 1.7  # the longest deadline of the settings and 0.7 s after SIGTERM: the earliest kill
+HEADS = 30  # clients that have written part of a head
+PART = b"GET /look/1 HTTP/1.1\r\nX-Trace-Id: a\r\n"
+
+
+class HeldStops(ProxyProcessTest):
+    settings: ClassVar[dict[str, Any]] = {
+        "Classes": [{"Name": "look", "AimMs": 300.0, "HardLimitMs": 1000.0, "Effect": "pure"}],
+    }
+
+    def begin(self) -> list[socket.socket]:
+        """Start the process; return the clients that have written part of a head."""
+        self.start(row("s-1", self.peer(ApplicationServer())))
+        self.await_up()
+        clients = [self.connect(PART) for _ in range(HEADS)]
+        self.settle(clients_head=HEADS)
+        return clients
+
+    # Guards against requests that have begun to arrive and whose connection a stop resets with no answer.
+    def test_unfinished_heads_are_answered_before_a_stop_ends(self) -> None:
+        clients = self.begin()
+        self.process.send_signal(signal.SIGTERM)
+        self.assertEqual({client.recv(4096)[:12] for client in clients}, {b"HTTP/1.1 408"})
+        self.assertEqual(self.process.wait(KILL_S), 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
