Never cut a connection's rest short: if scarce, close an idle one for a new one

Where twelve connections to a server rested, or half of the process's places were taken, a request travelled on one that had rested for a few ms only.

Change: a request waits for the rest if that is short (as long as opening a connection takes, where one would have to be closed), else it gets a new connection. With MAX_RESTING idle ones at the server or MAX_OPEN_SHARE of the places taken, the one that has rested least is closed for it, and its place is free at once. A new connection can carry no answer but its own. A longer rest keeps its limit of 12.

--- a/lupinlink/limits/connection_reuse.py
+++ b/lupinlink/limits/connection_reuse.py
@@ -18,7 +18,8 @@
 MAX_REMEMBERED_MS = 3_600_000.0
 WAIT_PER_ANSWER = 0.25  # longest wait for a connection to rest, in usual answer times of its server
 MAX_WAIT_SHARE = 0.1  # the same, of a request's time left
-MAX_RESTING = 12  # idle connections to a server; with more, none is opened because they have not rested
+MAX_RESTING = 48  # idle connections to a server; with more, a new one replaces one that has not rested
+MAX_LONG_RESTING = 12  # the same, of a server whose connections rest for longer; with more, none is kept
 
 
 @dataclass(slots=True)
@@ -48,12 +49,8 @@
         return now_ms >= self.forbidden_until_ms
 
     def may_carry(self, server: LateBytes, rested_ms: float, now_ms: float) -> bool:
-        """Whether a used connection to this server may carry another request.
-
-        The usual rest may be cut short where connections are scarce, a longer one not.
-        """
-        rest_ms = server.rest_ms(now_ms)
-        return self.is_allowed(now_ms) and (rest_ms <= REST_MS or rested_ms >= rest_ms)
+        """Whether a used connection to this server may carry another request."""
+        return self.is_allowed(now_ms) and rested_ms >= server.rest_ms(now_ms)
 
     def note_unrequested(self, server: LateBytes, after_ms: float, now_ms: float) -> None:
         """Note bytes that came ``after_ms`` after the last answer of this server."""
@@ -67,20 +64,18 @@
         self.forbidden_until_ms = server.uncovered_until_ms = now_ms + remembered_ms
 
 
-def patience_ms(left_ms: float, usual_answer_ms: float) -> float:
-    """How long a request with this time left may wait, at a server that usually takes so long to answer."""
-    return max(0.0, min(MAX_WAIT_SHARE * left_ms, WAIT_PER_ANSWER * usual_answer_ms))
+def patience_ms(left_ms: float, usual_answer_ms: float, dial_ms: float = 0.0) -> float:
+    """How long a request with this time left may wait, at a server that usually takes so long to answer.
+
+    ``dial_ms``: what a new connection takes, if one has to be closed for it.
+    """
+    return max(0.0, min(MAX_WAIT_SHARE * left_ms, max(dial_ms, WAIT_PER_ANSWER * usual_answer_ms)))
 
 
-def wait_ms(rested_ms: float, rest_ms: float, patience: float, resting: int, may_open: bool) -> float | None:
+def wait_ms(rested_ms: float, rest_ms: float, patience: float) -> float | None:
     """How long a request waits for the connection that has rested longest, or None: it gets a new one.
 
-    ``rest_ms``: that is required; ``patience``: the longest wait, in ms; ``resting``: idle connections to the
-    server; ``may_open``: whether this process has room for more connections.
+    ``rest_ms``: that is required; ``patience``: the longest wait, in ms.
     """
     missing_ms = max(0.0, rest_ms - rested_ms)
-    if missing_ms <= patience:
-        return missing_ms
-    if rest_ms > REST_MS or (may_open and resting < MAX_RESTING):
-        return None
-    return patience
+    return missing_ms if missing_ms <= patience else None
--- a/lupinlink/net/application_servers/kept_connection.py
+++ b/lupinlink/net/application_servers/kept_connection.py
@@ -10,7 +10,7 @@
 
 from twisted.internet.protocol import Protocol as TcpProtocol
 
-from lupinlink.limits.connection_reuse import MAX_RESTING, REST_MS
+from lupinlink.limits.connection_reuse import MAX_LONG_RESTING, REST_MS
 from lupinlink.net import http1
 from lupinlink.net.application_servers.attempts import Attempt, ServerPools
 from lupinlink.net.application_servers.pool import Pool, PooledConnection
@@ -160,7 +160,7 @@
     def _may_be_kept(self, now: float) -> bool:
         """Whether it may be of use again; connections that rest for long are kept in a limited number."""
         must_rest_longer = self.pool.late_bytes.rest_ms(now) > REST_MS
-        too_many = must_rest_longer and len(self.pool.idle) >= MAX_RESTING
+        too_many = must_rest_longer and len(self.pool.idle) >= MAX_LONG_RESTING
         return self._servers.reuse.is_allowed(now) and not too_many
 
     def _resume(self) -> None:
--- a/lupinlink/net/application_servers/pools.py
+++ b/lupinlink/net/application_servers/pools.py
@@ -8,7 +8,7 @@
 from twisted.internet.defer import Deferred
 
 from lupinlink.interface import Endpoint, EndpointState, Status
-from lupinlink.limits.connection_reuse import ConnectionReuse, patience_ms, wait_ms
+from lupinlink.limits.connection_reuse import MAX_RESTING, ConnectionReuse, patience_ms, wait_ms
 from lupinlink.net import http1
 from lupinlink.net.application_servers.attempts import Attempt
 from lupinlink.net.application_servers.dialling import Dial
@@ -27,7 +27,7 @@
 
 IDLE_LIMIT_SHARE = 0.6  # of the server's idle time-out, so that no request crosses the close
 SWEEP_MS = 250.0
-MAX_OPEN_SHARE = 0.5  # of the limit on connections; above it none is opened because others have not rested
+MAX_OPEN_SHARE = 0.8  # of the limit on connections; above it a new one replaces one that has not rested
 PROBE_TIMEOUT_MS = 1000.0
 
 
@@ -120,10 +120,22 @@
         if not connection.requests_carried:
             return 0.0
         pool, rested_ms = connection.pool, now - connection.idle_since
-        may_open = len(self.connections) < MAX_OPEN_SHARE * self.connections.capacity
-        rest_ms = pool.late_bytes.rest_ms(now)
-        patience = patience_ms(attempt.left_ms(), pool.usual_answer_ms)
-        return wait_ms(rested_ms, rest_ms, patience, len(pool.idle) + 1, may_open)
+        dial_ms = 0.0 if self._may_open_more(pool) else pool.round_trip_ms
+        patience = patience_ms(attempt.left_ms(), pool.usual_answer_ms, dial_ms)
+        return wait_ms(rested_ms, pool.late_bytes.rest_ms(now), patience)
+
+    def _may_open_more(self, pool: Pool) -> bool:
+        """Whether one may be opened since those to this server have not rested; one is out of the pool."""
+        has_room = len(self.connections) < MAX_OPEN_SHARE * self.connections.capacity
+        return has_room and len(pool.idle) + 1 < MAX_RESTING
+
+    def _return_not_rested(self, connection: PooledConnection) -> None:
+        """Return a connection that has not rested; close the one that has rested least if they are many."""
+        pool = connection.pool
+        must_replace = not self._may_open_more(pool)
+        pool.return_unused(connection)
+        if must_replace and pool.idle:
+            self._close_for_another(pool.idle[-1], EndReason.NOT_RESTED)
 
     def carry_on_kept(self, connection: PooledConnection, attempt: Attempt) -> bool:
         """Send the attempt on a connection that has rested; False if that may not be used any more."""
@@ -149,7 +161,7 @@
             connection = pool.take(now)
             rest_ms = self._rest_needed_ms(connection, attempt, now)
             if rest_ms is None:
-                pool.return_unused(connection)
+                self._return_not_rested(connection)
                 break
             if rest_ms > 0.0:
                 self.counters["attempts_waiting_for_rest"] += 1
@@ -172,14 +184,18 @@
         return attempt
 
     def _evict(self) -> bool:
-        """Close the connection that has been idle longest. Its socket is freed one loop iteration later."""
+        """Close the connection that has been idle longest."""
         oldest = self._idle.oldest()
         if oldest is not None:
-            oldest.pool.forget(oldest)
-            oldest.drop(EndReason.MADE_ROOM)
-            self.connections.remove(oldest.handle)
+            self._close_for_another(oldest, EndReason.MADE_ROOM)
         return oldest is not None
 
+    def _close_for_another(self, connection: PooledConnection, why: EndReason) -> None:
+        """Close an idle connection for a new one. Its socket is freed one loop iteration later."""
+        connection.pool.forget(connection)
+        connection.drop(why)
+        self.connections.remove(connection.handle)
+
     def _sweep(self) -> None:
         """Close idle connections well before their application server does."""
         limit = self.clock.now() - self._idle_ms
--- a/lupinlink/net/request_types.py
+++ b/lupinlink/net/request_types.py
@@ -51,6 +51,7 @@
     NOT_IN_SERVICE = "application server not in service"
     OVER_CAP = "no room for a connection"
     MADE_ROOM = "made room"
+    NOT_RESTED = "not rested, and no room for one more"
     DIAL_FAILED = "no connection"
     DIAL_SLOW = "connection not established in time"
     IDLE = "idle for too long"
--- a/tests/soak_clients.py
+++ b/tests/soak_clients.py
@@ -83,7 +83,8 @@
             with self.lock:
                 self.verdict.answers[status] += 1
                 if status == 200 and client.body != trace.encode():
-                    self.verdict.wrong.append(f"{trace} got {client.body[:40]!r}")
+                    log = life.member.logged(trace)
+                    self.verdict.wrong.append(f"{trace} got {client.body[:40]!r}{log}")
         return not client.closes
 
     def _connected(self, life: Life, number: int) -> CrossingClient | None:
--- a/tests/test_connection_reuse.py
+++ b/tests/test_connection_reuse.py
@@ -8,7 +8,6 @@
 
 from lupinlink.limits.connection_reuse import (
     MAX_REMEMBERED_MS,
-    MAX_RESTING,
     REMEMBERED_MS,
     REST_MS,
     RESTS_PER_DELAY,
@@ -30,7 +29,8 @@
         reuse.note_unrequested(server, after_ms, 0.0)
         assert server.rest_ms(REMEMBERED_MS - 1.0) == RESTS_PER_DELAY * SOON_MS
     assert not reuse.may_carry(server, RESTS_PER_DELAY * SOON_MS - 1.0, 0.0)
-    assert reuse.may_carry(server, RESTS_PER_DELAY * SOON_MS, 0.0) and reuse.may_carry(other, 0.0, 0.0)
+    assert reuse.may_carry(server, RESTS_PER_DELAY * SOON_MS, 0.0)
+    assert not reuse.may_carry(other, REST_MS - 1.0, 0.0) and reuse.may_carry(other, REST_MS, 0.0)
     assert server.rest_ms(REMEMBERED_MS) == REST_MS
     reuse.note_unrequested(server, 0.0, REMEMBERED_MS)  # the longer delay is forgotten
     assert server.rest_ms(REMEMBERED_MS) == REST_MS
@@ -41,7 +41,7 @@
     reuse, other = ConnectionReuse(), LateBytes()
     reuse.note_unrequested(LateBytes(), LATE_MS, 0.0)
     assert not reuse.may_carry(other, 1e9, REMEMBERED_MS - 1.0)
-    assert reuse.may_carry(other, 0.0, REMEMBERED_MS)
+    assert reuse.may_carry(other, REST_MS, REMEMBERED_MS)
 
 
 def test_they_are_remembered_longer_on_each_occasion_up_to_a_limit() -> None:
@@ -57,21 +57,18 @@
 
 
 @pytest.mark.parametrize(
-    "rested_ms, rest_ms, patience, resting, may_open, expected",
+    "rested_ms, rest_ms, patience, expected",
     [
-        (REST_MS, REST_MS, 10.0, 1, True, 0.0),
-        (REST_MS - 5.0, REST_MS, 10.0, 1, True, 5.0),  # a short wait costs less than a connection
-        (REST_MS - 50.0, REST_MS, 10.0, 1, True, None),
-        (REST_MS - 50.0, REST_MS, 10.0, MAX_RESTING, True, 10.0),  # no more are opened: then it is used
-        (REST_MS - 50.0, REST_MS, 10.0, 1, False, 10.0),
-        (REST_MS, 5.0 * REST_MS, 10.0, MAX_RESTING, False, None),  # a longer rest is never cut short
-        (0.0, REST_MS, 0.0, MAX_RESTING, True, 0.0),  # its time is up: the attempt's own checks say so
+        (REST_MS, REST_MS, 10.0, 0.0),
+        (REST_MS - 5.0, REST_MS, 10.0, 5.0),  # a short wait costs less than a connection
+        (REST_MS - 50.0, REST_MS, 10.0, None),  # no rest is cut short
+        (REST_MS, 5.0 * REST_MS, 10.0, None),
     ],
 )
 def test_a_request_waits_shortly_or_gets_a_new_connection(
-    rested_ms: float, rest_ms: float, patience: float, resting: int, may_open: bool, expected: float | None
+    rested_ms: float, rest_ms: float, patience: float, expected: float | None
 ) -> None:
-    assert wait_ms(rested_ms, rest_ms, patience, resting, may_open) == expected
+    assert wait_ms(rested_ms, rest_ms, patience) == expected
 
 
 def test_a_request_waits_for_a_part_of_the_usual_answer_time_and_of_its_own() -> None:
@@ -80,6 +77,11 @@
     assert patience_ms(-5.0, 400.0) == 0.0
 
 
+def test_where_one_has_to_be_closed_for_a_new_one_it_waits_as_long_as_that_takes() -> None:
+    assert patience_ms(1000.0, 40.0, 30.0) == 30.0
+    assert patience_ms(100.0, 40.0, 30.0) == 10.0
+
+
 # Guards against using first what was used last, which meets a second answer within its delay.
 def test_connections_that_were_used_lately_are_used_in_turn_and_older_ones_left_to_age() -> None:
     now, pool = 10_000.0, Pool("s", "127.0.0.1", 1, 0.0)
--- a/tests/test_resting_connections.py
+++ b/tests/test_resting_connections.py
@@ -58,6 +58,20 @@
                 server.close()
             self.assert_sent_anew(ends)
 
+    # Guards against a rest that is cut short where connections are scarce: a second answer meets a request.
+    def test_where_connections_are_scarce_a_new_one_replaces_one_that_has_not_rested(self) -> None:
+        server, connection = self.loop.idle_connection()
+        _, ends = self.loop.attempt()
+        self.loop.receive_request(server)
+        server.sendall(OK)
+        self.loop.iterate_until(lambda: ends)
+        self.servers.connections.capacity = 1  # all of it is taken
+        connection.pool.round_trip_ms = connection.pool.usual_answer_ms = 0.0  # no wait is worth it
+        _, ends = self.loop.attempt()
+        self.assertEqual((self.end_of(server), connection.pool.idle), (b"", []))
+        self.assertEqual(self.servers.counters["server_closes_not_rested"], 1)
+        self.assert_sent_anew(ends)
+
     # Guards against taking a server's idle time-out for a second answer, which would end all reuse.
     def test_an_idle_time_out_is_an_ordinary_close(self) -> None:
         server, connection = self.loop.idle_connection()
