Let a stop count from now where the event loop has not waited before

Found by reading again: a SIGTERM in the loop's first wait counted from when the clock was made, some tenths of a second to a second before, so what is open would be answered as much too early; and on a reactor whose waits are not measured every stop would count from the start of the process.

Change: the first wait counts as a change of the loop too, and where none is known the time is now. The new test fails before: the last change is not None at first, and the first wait changes nothing.

--- a/lupinlink/net/loop_iterations.py
+++ b/lupinlink/net/loop_iterations.py
@@ -24,7 +24,7 @@
     def __init__(self, monotonic_ms: Callable[[], float] = lambda: time.monotonic() * 1000.0) -> None:
         self._now = monotonic_ms
         self._iteration_start: float | None = None
-        self.last_change = monotonic_ms()  # when an iteration or a wait began
+        self.last_change: float | None = None  # when an iteration or a wait began; None: not known
         self._steps: dict[str, float] = {}  # milliseconds in this iteration, by name
         self._window_start = monotonic_ms()
         self._window_longest_ms, self._window_step = 0.0, ""  # of the current window
@@ -48,9 +48,9 @@
 
     def end(self) -> None:
         """An iteration ends: the reactor is about to wait."""
+        now = self.last_change = self._now()
         if self._iteration_start is None:
             return
-        now = self.last_change = self._now()
         took_ms, self._iteration_start = now - self._iteration_start, None
         if now - self._window_start >= WINDOW_MS:
             self._close_window(now)
--- a/lupinlink/net/timer_wheel.py
+++ b/lupinlink/net/timer_wheel.py
@@ -92,8 +92,9 @@
 
     @property
     def last_change(self) -> float:
-        """When the event loop last began an iteration or a wait, in its time."""
-        return self._offset + self.iterations.last_change
+        """When the event loop last began an iteration or a wait; now if that is not known."""
+        change = self.iterations.last_change
+        return self._offset + change if change is not None else self.now()
 
     def at(self, at_ms: float, call: Callable[[], None]) -> int:
         """Add a deadline, at which ``call`` is made; returns its number for ``drop``."""
--- a/tests/test_loop_iterations.py
+++ b/tests/test_loop_iterations.py
@@ -31,6 +31,15 @@
         self.now += took_ms - discovery_ms
         self.iterations.end()
 
+    # Guards against a stop that counts from the start of the process, where the loop has not waited before.
+    def test_the_last_change_is_the_start_of_an_iteration_or_of_a_wait_also_the_first(self) -> None:
+        self.assertIsNone(self.iterations.last_change)
+        for change in (self.iterations.end, self.iterations.begin, self.iterations.end):
+            self.now += 7.0
+            change()
+            self.now += 1.0
+            self.assertEqual(self.iterations.last_change, self.now - 1.0)
+
     # Guards against an event loop that is held up without a log line.
     def test_a_long_iteration_is_logged_once_a_window_with_its_longest_step(self) -> None:
         self.run_iteration(LONG_ITERATION_MS, discovery_ms=LONG_ITERATION_MS - 10.0)
