--- a/tests/scripted_peers.py
+++ b/tests/scripted_peers.py
@@ -68,6 +68,13 @@
     return f"HTTP/1.1 {status} X\r\n{more}Content-Length: {len(body)}\r\n\r\n".encode() + body
 
 
+def stop_reading(exchange: Exchange, read_bytes: int, stay_s: float) -> None:
+    """Read no more than this, stay for so long, and end the connection: what is unread is no request."""
+    exchange.stream.read(read_bytes)
+    time.sleep(stay_s)
+    raise OSError("never read")
+
+
 def default_script(exchange: Exchange) -> None:
     """Read all and answer at once with the id."""
     exchange.read_body()
--- a/tests/soak_scripts.py
+++ b/tests/soak_scripts.py
@@ -5,7 +5,7 @@
 import time
 from functools import partial
 
-from tests.scripted_peers import Exchange, Script, answer, paced
+from tests.scripted_peers import Exchange, Script, answer, paced, stop_reading
 
 WAIT_S, PAUSE_S, WORK_S = 1.5, 0.5, 0.3  # of a client; within an answer; of a request
 SMALL, LONG = b"s" * 13_000, b"l" * 300_000
@@ -26,12 +26,6 @@
     exchange.send(*paced(answer(LONG, status), LONG_PER_S))
 
 
-def stop_reading(exchange: Exchange) -> None:
-    exchange.stream.read(5000)
-    time.sleep(2 * WAIT_S)
-    raise OSError("never read")
-
-
 def work(exchange: Exchange) -> None:
     exchange.read_body()
     time.sleep(WORK_S)
@@ -45,7 +39,7 @@
     "pause-error": partial(pause, status=500, body=LONG, first=1000),
     "long": partial(long_answer, status=200),
     "long-error": partial(long_answer, status=503),
-    "stuck": stop_reading,
+    "stuck": partial(stop_reading, read_bytes=5000, stay_s=2 * WAIT_S),
     "work": work,
     "large": work,
 }
--- a/tests/test_memory_crowds.py
+++ b/tests/test_memory_crowds.py
@@ -12,7 +12,7 @@
 from typing import Any, ClassVar
 
 from tests.proxy_process import ProxyProcessTest, row
-from tests.scripted_peers import Exchange, Script, ScriptedServer, answer, ask, request
+from tests.scripted_peers import Exchange, Script, ScriptedServer, answer, ask, request, stop_reading
 
 CLIENTS, HELD_S = 400, 3.0
 LIMIT_MB = 96
@@ -28,14 +28,11 @@
         exchange.send(answer(body))
 
 
-def half_read(exchange: Exchange) -> None:
-    exchange.stream.read(3000)
-    time.sleep(HELD_S)
-    exchange.wait_for_close()
-    raise OSError("the rest is no further request")
-
-
-SCRIPTS: dict[str, Script] = {"big": partial(give, BIG), "small": partial(give, SMALL), "half": half_read}
+SCRIPTS: dict[str, Script] = {
+    "big": partial(give, BIG),
+    "small": partial(give, SMALL),
+    "half": partial(stop_reading, read_bytes=3000, stay_s=HELD_S),
+}
 
 
 class MemoryCrowds(ProxyProcessTest):
--- a/tests/test_resting_connections.py
+++ b/tests/test_resting_connections.py
@@ -5,6 +5,7 @@
 import select
 import socket
 from typing import Any
+from unittest.mock import patch
 
 from lupinlink.interface import Status
 from lupinlink.limits.connection_reuse import REST_MS
@@ -72,6 +73,16 @@
         self.assertEqual(self.servers.counters["server_closes_not_rested"], 1)
         self.assert_sent_anew(ends)
 
+    # Guards against the same where many connections to one server are idle, and against ever more of them.
+    def test_with_many_idle_connections_a_new_one_replaces_one_too(self) -> None:
+        server, connection = self.loop.idle_connection()
+        connection.pool.round_trip_ms = connection.pool.usual_answer_ms = 0.0
+        connection.requests_carried, connection.idle_since = 1, self.loop.clock.now()
+        with patch("lupinlink.net.application_servers.pools.MAX_RESTING", 1):
+            _, ends = self.loop.attempt()
+        self.assertEqual((self.end_of(server), connection.pool.idle), (b"", []))
+        self.assert_sent_anew(ends)
+
     # Guards against taking a server's idle time-out for a second answer, which would end all reuse.
     def test_an_idle_time_out_is_an_ordinary_close(self) -> None:
         server, connection = self.loop.idle_connection()
--- a/tests/test_unread_uploads.py
+++ b/tests/test_unread_uploads.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 from functools import partial
 from typing import Any, ClassVar
 
@@ -10,6 +9,7 @@
 from tests.scripted_peers import (
     Answered,
     Exchange,
+    Script,
     ScriptedServer,
     all_at_once,
     answer,
@@ -17,6 +17,7 @@
     default_script,
     paced,
     request,
+    stop_reading,
 )
 
 WAIT_S = 0.87
@@ -28,11 +29,6 @@
 CLIENT_BUFFER_BYTES = 262_144
 
 
-def stuck(exchange: Exchange) -> None:
-    exchange.stream.read(5922)
-    time.sleep(4.0)
-
-
 def read_slowly(exchange: Exchange) -> None:
     exchange.read_body(SLOW_READ_PER_S)
     exchange.send(answer(exchange.identity.encode()))
@@ -43,7 +39,12 @@
     exchange.send(answer(exchange.identity.encode()))
 
 
-SCRIPTS = {"stuck": stuck, "slow": read_slowly, "fair": read_fairly, "quick": default_script}
+SCRIPTS: dict[str, Script] = {
+    "stuck": partial(stop_reading, read_bytes=5922, stay_s=4.0),
+    "slow": read_slowly,
+    "fair": read_fairly,
+    "quick": default_script,
+}
 
 
 class UnreadUploads(ProxyProcessTest):
