Never send other bytes in place of a body's front: commit where it is dropped

With little memory free the same happens to bodies of 64 to 80 KB.

Cause: a body that came whole with its last read is over the limit for bodies that are kept, so mark_sent dropped its front; but the event that forbids a further attempt was set for incomplete bodies only. The next attempt read from offset 0, and Body.read counted from what was left, without a word.

Fix: whichever body drops its front commits its attempt. A body is streamed from one decision on (mark_sent); one that is complete does not grow, so it is kept for retries unless memory is short. Body.read raises DiscardedBytesError for what was dropped: the attempt then ends as not sent, with an error in the log, and no byte goes out.

--- a/lupinlink/net/application_servers/sending.py
+++ b/lupinlink/net/application_servers/sending.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import logging
+
 from twisted.internet.interfaces import IPullProducer
 from zope.interface import implementer  # type: ignore[import-untyped]
 
@@ -10,9 +12,11 @@
 from lupinlink.net.application_servers.attempts import Attempt, Carrier, Progress, ServerPools
 from lupinlink.net.application_servers.kept_connection import ConnectionOpener, KeptConnection
 from lupinlink.net.application_servers.pool import Pool
+from lupinlink.net.bodies import DiscardedBytesError
 from lupinlink.net.request_types import AttemptResult, EndReason
 from lupinlink.net.socket_peek import peek
 
+log = logging.getLogger("lupinlink.net.application_servers")
 UPLOAD_STALL_MS = 5000.0  # time-out for an application server to accept more of a body
 WRITE_BYTES = 64 * 1024
 EARLY_READS = 4  # reads of data, such as 1xx answers, that a server may send before its request
@@ -136,7 +140,11 @@
             # The request is never completed, so it never runs.
             self._finish(AttemptResult(Status.NOT_SENT, why=EndReason.BODY_CUT), EndReason.BODY_CUT)
             return
-        data = body.read(self._sent, WRITE_BYTES)
+        try:
+            data = body.read(self._sent, WRITE_BYTES)
+        except DiscardedBytesError as exc:
+            self._finish_without_body(exc)
+            return
         self._sent += len(data)
         last = body.complete and self._sent == body.end
         if last:
@@ -155,6 +163,12 @@
             self._awaiting_body = True
         body.mark_sent(self._sent)
 
+    def _finish_without_body(self, error: DiscardedBytesError) -> None:
+        """End an attempt that needs bytes which are not here any more: it can never run."""
+        log.error("request body dropped", extra={"kv": {"id": self.last_identity, "why": error}})
+        self._servers.counters["internal_errors"] += 1
+        self._finish(AttemptResult(Status.NOT_SENT, why=EndReason.BODY_DROPPED), EndReason.BODY_DROPPED)
+
     def _stalled(self, attempt: Attempt | None) -> None:
         # Timers that are due together all run, even if one is dropped: the connection may carry another
         # attempt.
--- a/lupinlink/net/bodies.py
+++ b/lupinlink/net/bodies.py
@@ -13,6 +13,10 @@
 STREAM_WINDOW_BYTES = 128 * 1024  # buffered of a streamed body before its sender has to wait
 
 
+class DiscardedBytesError(Exception):
+    """Bytes of a request body were to be read that it has dropped."""
+
+
 class BodyBudget:
     """The memory that all request bodies together may take, in bytes."""
 
@@ -31,6 +35,9 @@
 class Body:
     """A request body: appended at one end, readable from any offset that is still buffered.
 
+    A body is kept whole until ``mark_sent`` finds it too large to be kept. From then on it is streamed: what
+    was sent is dropped.
+
     Callbacks: ``on_data`` when more is readable or the body has ended; ``on_room`` when the sender may
     continue; ``on_discard`` once, when the first byte is dropped, after which it cannot be sent again.
     """
@@ -38,6 +45,7 @@
     __slots__ = (
         "_budget",
         "_pieces",
+        "_streamed",
         "complete",
         "end",
         "length",
@@ -51,6 +59,7 @@
     def __init__(self, budget: BodyBudget, length: int | None) -> None:
         self._budget = budget
         self._pieces: deque[bytes | bytearray] = deque()
+        self._streamed = False  # what was sent is dropped; it is never kept whole again
         self.length = length  # declared by the request's head; None: not declared
         self.start = self.end = 0  # offsets of the buffered part
         self.complete = self.truncated = False
@@ -119,7 +128,12 @@
                 self.on_data()
 
     def read(self, offset: int, most: int) -> bytes:
-        """Up to ``most`` bytes from ``offset``; empty if none have been received yet."""
+        """Up to ``most`` bytes from ``offset``; empty if none have been received yet.
+
+        Raises DiscardedBytesError if they have been dropped.
+        """
+        if offset < self.start:
+            raise DiscardedBytesError(f"offset {offset} is before {self.start}")
         pieces, at = [], self.end
         for piece in reversed(self._pieces):  # what is read next is usually near the end
             if at <= offset:
@@ -134,14 +148,19 @@
         return b"".join(found)
 
     def mark_sent(self, offset: int) -> None:
-        """Everything before ``offset`` has been sent; drops it if the body is too large to be kept whole."""
-        if self.start or (
-            len(self) > REPLAY_LIMIT_BYTES or (self._budget.under_pressure and len(self) > SMALL_BODY_BYTES)
-        ):
+        """Everything before ``offset`` has been sent; drops it if the body is streamed, or has to be now."""
+        self._streamed = self._streamed or self._is_too_large_to_keep()
+        if self._streamed:
             self._release(offset)
             if self.on_room is not None and not self.full:
                 self.on_room()
 
+    def _is_too_large_to_keep(self) -> bool:
+        """Whether it takes too much memory; unless that is short, a complete body cannot grow beyond it."""
+        if self._budget.under_pressure:
+            return len(self) > SMALL_BODY_BYTES
+        return not self.complete and len(self) > REPLAY_LIMIT_BYTES
+
     def _release(self, offset: int) -> None:
         first = not self.start
         while self._pieces and self.start + len(self._pieces[0]) <= offset:
--- a/lupinlink/net/open_requests.py
+++ b/lupinlink/net/open_requests.py
@@ -82,8 +82,7 @@
         assert entry is not None
         if request.body.complete:
             self._set_guard_timer(handle, entry)
-        else:
-            request.body.on_discard = lambda: self._commit(handle)
+        request.body.on_discard = lambda: self._commit(handle)
         tenant, retry = request.tenant, request.is_retry
         self.handle(api.Arrival(str(handle), request.class_index, tenant, deadline, retry, request.key))
         return handle
--- a/lupinlink/net/request_types.py
+++ b/lupinlink/net/request_types.py
@@ -44,6 +44,7 @@
     CONNECTION_LOST = "connection ended"
     CLOSED_IDLE = "idle connection ended"
     UPLOAD_STALLED = "application server took no more of the body"
+    BODY_DROPPED = "body not held any more"
     BODY_CUT = "client stopped sending the body"
     GIVEN_UP = "given up"
     CLIENT_LEFT = "client left"
