Wake uploads paused by memory pressure when another body or a new limit ends it

Cause: a sender is paused where its body is full, which means 64 KiB while all bodies together are over half of the budget, else 384 KiB. Only mark_sent let it continue, and only where it dropped bytes. When other requests free the memory first, nothing is dropped from a body under 256 KiB, and nobody reads on: the server waits for the rest, and so does the client. A body of just 64 KiB was stuck even under lasting pressure, as it was full and yet small enough to be kept.

Fix: what ends the pressure wakes those that wait for it: BodyBudget keeps the paused bodies and wakes each once when memory is released or the limit rises. mark_sent lets a paused sender continue whenever its body is not full, dropped or not. One limit decides what is full, is sent on early and is streamed, so that a paused body can always be drained.

Evidence: test_request_bodies.

--- a/lupinlink/net/bodies.py
+++ b/lupinlink/net/bodies.py
@@ -5,8 +5,9 @@
 from collections import deque
 from collections.abc import Callable
 
+from lupinlink.net.body_budget import BodyBudget
+
 REPLAY_LIMIT_BYTES = 256 * 1024  # request bodies up to this size are kept whole, for retries
-PRESSURE_SHARE = 0.5  # above this share of the budget every body that is not small is streamed
 SMALL_BODY_BYTES = 64 * 1024
 # Smaller pieces are put together, so that the number of pieces of a body depends on its size alone.
 MIN_PIECE_BYTES = 8 * 1024
@@ -17,33 +18,19 @@
     """Bytes of a request body were to be read that it has dropped."""
 
 
-class BodyBudget:
-    """The memory that all request bodies together may take, in bytes."""
-
-    def __init__(self, limit_bytes: int) -> None:
-        self.limit_bytes, self.held_bytes = limit_bytes, 0
-
-    @property
-    def under_pressure(self) -> bool:
-        return self.held_bytes > PRESSURE_SHARE * self.limit_bytes
-
-    @property
-    def exceeded(self) -> bool:
-        return self.held_bytes > self.limit_bytes
-
-
 class Body:
     """A request body: appended at one end, readable from any offset that is still buffered.
 
     A body is kept whole until ``mark_sent`` finds it too large to be kept. From then on it is streamed: what
     was sent is dropped.
 
-    Callbacks: ``on_data`` when more is readable or the body has ended; ``on_room`` when the sender may
+    Callbacks: ``on_data`` when more is readable or the body has ended; ``on_room`` when a paused sender may
     continue; ``on_discard`` once, when the first byte is dropped, after which it cannot be sent again.
     """
 
     __slots__ = (
         "_budget",
+        "_paused",
         "_pieces",
         "_streamed",
         "complete",
@@ -59,6 +46,7 @@
     def __init__(self, budget: BodyBudget, length: int | None) -> None:
         self._budget = budget
         self._pieces: deque[bytes | bytearray] = deque()
+        self._paused = False  # its sender waits for room
         self._streamed = False  # what was sent is dropped; it is never kept whole again
         self.length = length  # declared by the request's head; None: not declared
         self.start = self.end = 0  # offsets of the buffered part
@@ -91,7 +79,7 @@
 
     @property
     def full(self) -> bool:
-        """Whether its sender has to wait until some of it has been sent on."""
+        """Whether its sender has to wait until some of it has been sent on, or the pressure has ended."""
         return len(self) >= (
             SMALL_BODY_BYTES if self._budget.under_pressure else STREAM_WINDOW_BYTES + REPLAY_LIMIT_BYTES
         )
@@ -101,7 +89,7 @@
         if data:
             self._append(data)
             self.end += len(data)
-            self._budget.held_bytes += len(data)
+            self._budget.hold(len(data))
             if self.on_data is not None:
                 self.on_data()
 
@@ -117,6 +105,7 @@
     def finish(self) -> None:
         """Mark the body as complete: its last byte has been added."""
         self.complete = True
+        self._stop_waiting()
         if self.on_data is not None:
             self.on_data()
 
@@ -127,6 +116,31 @@
             if self.on_data is not None:
                 self.on_data()
 
+    def pause(self) -> None:
+        """Its sender waits from now on until ``on_room`` is called."""
+        self._paused = True
+        self._wait_for_memory()
+
+    def resume_if_room(self) -> None:
+        """Let a paused sender continue, if the body is not full any more."""
+        if not self._paused:
+            return
+        if self.full:
+            self._wait_for_memory()
+            return
+        self._stop_waiting()
+        if self.on_room is not None:
+            self.on_room()
+
+    def _wait_for_memory(self) -> None:
+        """Be woken when the pressure ends. Without pressure only ``mark_sent`` makes room here."""
+        if self._budget.under_pressure:
+            self._budget.wait(self)
+
+    def _stop_waiting(self) -> None:
+        self._paused = False
+        self._budget.forget(self)
+
     def read(self, offset: int, most: int) -> bytes:
         """Up to ``most`` bytes from ``offset``; empty if none have been received yet.
 
@@ -152,30 +166,30 @@
         self._streamed = self._streamed or self._is_too_large_to_keep()
         if self._streamed:
             self._release(offset)
-            if self.on_room is not None and not self.full:
-                self.on_room()
+        self.resume_if_room()
 
     def _is_too_large_to_keep(self) -> bool:
-        """Whether it takes too much memory; unless that is short, a complete body cannot grow beyond it."""
-        if self._budget.under_pressure:
-            return len(self) > SMALL_BODY_BYTES
-        return not self.complete and len(self) > REPLAY_LIMIT_BYTES
+        """Whether it takes too much memory to be kept whole; a complete body does not grow any more."""
+        if not self.complete:
+            return self.is_large
+        return self._budget.under_pressure and len(self) > SMALL_BODY_BYTES
 
     def _release(self, offset: int) -> None:
         first = not self.start
         while self._pieces and self.start + len(self._pieces[0]) <= offset:
             size = len(self._pieces.popleft())
             self.start += size
-            self._budget.held_bytes -= size
+            self._budget.release(size)
         if first and self.start and self.on_discard is not None:
             self.on_discard()
 
     def discard(self) -> None:
         """Free the buffer and the callbacks."""
-        self._budget.held_bytes -= len(self)
-        self._pieces.clear()
-        self.start = self.end
         self.on_data = self.on_room = self.on_discard = None
+        self._stop_waiting()
+        self._pieces.clear()
+        held, self.start = len(self), self.end
+        self._budget.release(held)
 
 
 class ResponseStream:
--- a/lupinlink/net/clients/listener.py
+++ b/lupinlink/net/clients/listener.py
@@ -11,7 +11,7 @@
 from twisted.internet.tcp import Port as TcpPort
 
 from lupinlink.net import http1
-from lupinlink.net.bodies import BodyBudget
+from lupinlink.net.body_budget import BodyBudget
 from lupinlink.net.clients.closing import CloseLog
 from lupinlink.net.clients.connection import ClientConnection
 from lupinlink.net.clients.connection_table import ConnectionTable
--- a/lupinlink/net/clients/owner.py
+++ b/lupinlink/net/clients/owner.py
@@ -8,7 +8,7 @@
 from lupinlink.limits.body_progress import BodyProgress
 from lupinlink.limits.upload_time import UploadTime
 from lupinlink.net import http1
-from lupinlink.net.bodies import BodyBudget
+from lupinlink.net.body_budget import BodyBudget
 from lupinlink.net.clients.closing import CloseLog
 from lupinlink.net.clients.phases import Phase
 from lupinlink.net.counters import Counters
--- a/lupinlink/net/clients/request_reader.py
+++ b/lupinlink/net/clients/request_reader.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from lupinlink.net import http1
-from lupinlink.net.bodies import Body, BodyBudget
+from lupinlink.net.bodies import Body
+from lupinlink.net.body_budget import BodyBudget
 from lupinlink.net.request_types import ClientRequest
 from lupinlink.settings import Effect, Settings
 
--- a/lupinlink/net/clients/uploads.py
+++ b/lupinlink/net/clients/uploads.py
@@ -70,6 +70,7 @@
                 self._submit(incoming.request)
         if body.full and self._incoming is not None:
             incoming.progress.pause(now)
+            body.pause()
             self._set_reading("body", False)
         self.observe_unread(now)
 
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -35,6 +35,7 @@
     "net.application_servers.kept_connection net.application_servers.outcomes "
     "net.application_servers.pool net.application_servers.pools net.application_servers.request_encoding "
     "net.application_servers.resting net.application_servers.sending net.backend_list net.bodies "
+    "net.body_budget "
     "net.client_drain net.clients net.clients.closing net.clients.connection "
     "net.clients.connection_table net.clients.listener net.clients.owner net.clients.phases "
     "net.clients.queue_wait net.clients.request_reader net.clients.requests net.clients.responses "
--- a/tests/test_input_cost.py
+++ b/tests/test_input_cost.py
@@ -7,7 +7,8 @@
 from contextlib import suppress
 
 from lupinlink.net import http1
-from lupinlink.net.bodies import REPLAY_LIMIT_BYTES, Body, BodyBudget
+from lupinlink.net.bodies import REPLAY_LIMIT_BYTES, Body
+from lupinlink.net.body_budget import BodyBudget
 from lupinlink.net.handover.messages import Reader
 from lupinlink.net.list_format import ListError, ObjectSplitter
 from tests.watch_test_case import split_objects
--- a/tests/test_input_cost_inside.py
+++ b/tests/test_input_cost_inside.py
@@ -13,7 +13,7 @@
 from lupinlink.coordination.component import AdminResponse
 from lupinlink.net import http1
 from lupinlink.net.application_servers.outcomes import outcome
-from lupinlink.net.bodies import BodyBudget
+from lupinlink.net.body_budget import BodyBudget
 from lupinlink.net.clients.request_reader import RequestReader
 from lupinlink.net.counters import Counters
 from lupinlink.net.deadlines import Deadlines
--- a/tests/test_request_bodies.py
+++ b/tests/test_request_bodies.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import random
 import socket
 import threading
@@ -10,22 +11,26 @@
 
 from lupinlink.net.bodies import (
     REPLAY_LIMIT_BYTES,
+    SMALL_BODY_BYTES,
+    STREAM_WINDOW_BYTES,
     Body,
-    BodyBudget,
     DiscardedBytesError,
 )
+from lupinlink.net.body_budget import BodyBudget
 from tests.loopback_servers import reset
-from tests.proxy_process import ProxyProcessTest, row
+from tests.proxy_process import ProxyProcessTest, chunk, listing, row
 from tests.scripted_peers import (
     Answered,
     Exchange,
     ScriptedServer,
     answer,
     ask,
+    default_script,
     request,
 )
 
 WAIT_S = 2.0
+PIECE_BYTES = 16 * 1024
 READ_BEFORE_DEATH_BYTES = 5922
 SERVER_BUFFER_BYTES, SEGMENT_BYTES = 8192, 1460  # as of a server across a network
 
@@ -37,7 +42,8 @@
 
     def body(self, size: int, name: str = "") -> Body:
         body = Body(self.budget, None)
-        body.add(b"x" * size)
+        for start in range(0, size, PIECE_BYTES):
+            body.add(b"x" * min(PIECE_BYTES, size - start))
         body.on_room = lambda: self.resumed.append(name)
         return body
 
@@ -61,6 +67,63 @@
         body.mark_sent(body.end)
         self.assertFalse(body.replayable)
 
+    # Guards against: uploads that are read no further once the memory pressure has passed (review case 7).
+    def test_a_sender_paused_by_pressure_continues_when_another_body_ends_it(self) -> None:
+        other = self.body(REPLAY_LIMIT_BYTES)
+        body = self.body(SMALL_BODY_BYTES, "paused")
+        self.assertTrue(body.full)
+        body.pause()
+        other.mark_sent(other.end // 2)
+        self.assertEqual(self.resumed, ["paused"])
+        other.discard()
+        self.assertEqual(self.resumed, ["paused"])  # once
+
+    # Guards against: as above, where the limit on memory rises, as at the end of an upgrade.
+    def test_a_sender_paused_by_pressure_continues_when_the_limit_rises(self) -> None:
+        self.budget.limit_bytes = SMALL_BODY_BYTES
+        self.body(SMALL_BODY_BYTES, "paused").pause()
+        self.budget.limit_bytes = SMALL_BODY_BYTES + 1
+        self.assertEqual(self.resumed, [])
+        self.budget.limit_bytes = 2 * SMALL_BODY_BYTES
+        self.assertEqual(self.resumed, ["paused"])
+
+    # Guards against: a body that is just as long as makes its sender wait is never dropped nor read on.
+    def test_a_sender_paused_by_pressure_continues_when_its_body_is_sent(self) -> None:
+        self.body(2 * REPLAY_LIMIT_BYTES)
+        body = self.body(SMALL_BODY_BYTES, "paused")
+        body.pause()
+        body.mark_sent(body.end)
+        self.assertEqual(self.resumed, ["paused"])
+
+    # Guards against: a sender paused as its own body is long is never resumed, or before there is room.
+    def test_a_sender_paused_by_its_own_length_continues_when_enough_is_sent(self) -> None:
+        self.budget.limit_bytes = 8 * REPLAY_LIMIT_BYTES
+        body = self.body(REPLAY_LIMIT_BYTES + STREAM_WINDOW_BYTES, "paused")
+        body.pause()
+        self.body(1).discard()
+        self.assertEqual(self.resumed, [])
+        body.mark_sent(body.end)
+        self.assertEqual(self.resumed, ["paused"])
+
+    # Guards against: as above, where memory gets short while it is being sent.
+    def test_a_sender_paused_by_its_own_length_waits_for_memory_that_gets_short(self) -> None:
+        self.budget.limit_bytes = 8 * REPLAY_LIMIT_BYTES
+        body = self.body(REPLAY_LIMIT_BYTES + STREAM_WINDOW_BYTES, "paused")
+        body.pause()
+        other = self.body(5 * REPLAY_LIMIT_BYTES)
+        body.mark_sent(body.end - SMALL_BODY_BYTES)
+        self.assertEqual(self.resumed, [])
+        other.discard()
+        self.assertEqual(self.resumed, ["paused"])
+
+    # Guards against: a body that has ended is resumed, or kept in memory by those that wait.
+    def test_a_body_that_has_ended_waits_no_more(self) -> None:
+        other, paused = self.body(REPLAY_LIMIT_BYTES), self.body(SMALL_BODY_BYTES, "paused")
+        paused.pause()
+        paused.discard()
+        other.discard()
+        self.assertEqual(self.resumed, [])
+
 
 class DyingServers(ProxyProcessTest):
     """The first server that gets a request dies while it receives it; the next one answers."""
@@ -126,3 +189,32 @@
         self.assertEqual(statuses[60_000], {200})
         # 502: all of it was with the kernel when the server died, and its front is not here any more.
         self.assertLessEqual(set().union(*statuses.values()), {200, 502, 503})
+
+
+class PassingPressure(ProxyProcessTest):
+    """Uploads are paused as memory is short; the memory is free again before a server takes them."""
+
+    # A quarter of a megabyte for bodies; there is pressure from half of it on.
+    limits: ClassVar[dict[str, Any]] = {"cores": 1.0, "memory_mb": 26, "sockets": 256}
+    settings: ClassVar[dict[str, Any]] = {
+        "Classes": [{"Name": "scan", "AimMs": 2000.0, "HardLimitMs": 8000.0, "Effect": "token",
+                     "Group": "zone", "MemorySpanMs": 2000.0}],
+    }  # fmt: skip
+
+    # Guards against: uploads that are read no further once the pressure has passed (review case 7).
+    def test_an_upload_that_was_paused_is_read_on_and_served(self) -> None:
+        server = self.peer(ScriptedServer({"1": default_script}))
+        self.start(row("s-1", server, "terminating"))
+        watch = self.discovery.watch()
+        hog = self.connect(request("/scan/1", "hog", WAIT_S, b"h" * 400_000)[:200_000])
+        self.settle(requests_now=1)
+        found: list[Answered] = []
+        paused = request("/scan/1", "paused", 8.0, b"p" * 90_000)
+        thread = threading.Thread(target=lambda: found.append(ask(self.port, paused)))
+        thread.start()
+        self.settle(requests_now=2)
+        hog.close()
+        self.settle(requests_now=1)
+        watch.sendall(chunk(json.dumps(listing(42, False, row("s-1", server))) + "\n"))
+        thread.join()
+        self.assertEqual(found[0].status, 200)
--- a/tests/test_split_messages.py
+++ b/tests/test_split_messages.py
@@ -9,7 +9,8 @@
 
 from lupinlink.limits.body_progress import GRACE_MS, MIN_BYTES_PER_MS, STALL_TIMEOUT_MS, BodyProgress
 from lupinlink.net import http1
-from lupinlink.net.bodies import REPLAY_LIMIT_BYTES, SMALL_BODY_BYTES, Body, BodyBudget
+from lupinlink.net.bodies import REPLAY_LIMIT_BYTES, SMALL_BODY_BYTES, Body
+from lupinlink.net.body_budget import BodyBudget
 
 FORMS = [
     b"POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
