Tell by the receive window whether a client's machine may hold back the rest of an upload

Cause: while a sender is paused, what it has written is inferred. With at most 32 KiB unread the receive window was taken for open, and so what had not arrived for not written: the request's time never began, and only the 5 s without progress at the server ended it. But a machine holds back the rest however little is unread: a receiver offers no window below one segment (64 KiB on loopback, and a segment that is read in part still takes all of its memory), and a sender waits for a whole one.

Fix: ask the kernel what it has offered (tcpi_rcv_wnd against tcpi_advmss). Only while a whole segment fits is what has not arrived taken for not written, however much is unread. A due acknowledgement is sent first, as the window is reckoned anew with it. Where the system does not tell (Linux before 6.2) the old rule remains.

--- a/lupinlink/limits/upload_time.py
+++ b/lupinlink/limits/upload_time.py
@@ -2,9 +2,9 @@
 
 The time counts from the moment at which the client has written the last byte. While this process does not
 read, as a server takes no more, that byte may wait in the kernels of both machines. What has arrived at this
-machine is known; what waits at the client's is not, and can be there only while the window of this one is
-closed. What arrives later shows what cannot have been written before. Performs no I/O; the caller passes the
-current time in milliseconds.
+machine is known; what waits at the client's is not, and can be there only while the window of this one has
+no room for a whole segment. What arrives later shows what cannot have been written before. Performs no I/O;
+the caller passes the current time in milliseconds.
 """
 
 from __future__ import annotations
@@ -13,7 +13,7 @@
 from collections import deque
 from dataclasses import dataclass
 
-# With no more than this unread, the window is open, and what the client has written is here.
+# With no more than this unread the window is taken for open where the system does not tell.
 OPEN_WINDOW_BYTES = 32 * 1024
 MAX_CLIENT_BUFFER_BYTES = 4 * 1024 * 1024  # Linux: the largest send buffer of a socket, by default
 # The window is taken for open only so long after it may have been closed: longer than a process is held up.
@@ -44,16 +44,24 @@
         return self._points[0].at if self._points else None
 
     def observe(
-        self, now: float, read_bytes: int, unread_bytes: int | None, missing_bytes: int | None
+        self,
+        now: float,
+        read_bytes: int,
+        unread_bytes: int | None,
+        missing_bytes: int | None,
+        window_is_open: bool | None = None,
     ) -> None:
         """Note the bytes read so far, those that have arrived unread, and those of the body not read yet.
 
-        ``unread_bytes``: None if that is not known; ``missing_bytes``: None if the length is not.
+        ``unread_bytes``: None if that is not known; ``missing_bytes``: None if the length is not;
+        ``window_is_open``: whether the client's machine may send whole segments, None if that is not known.
         """
         if unread_bytes is None:
             unread_bytes = OPEN_WINDOW_BYTES + 1
+        if window_is_open is None:
+            window_is_open = unread_bytes <= OPEN_WINDOW_BYTES
         arrived = read_bytes + unread_bytes
-        if unread_bytes > OPEN_WINDOW_BYTES:
+        if not window_is_open:
             self._closed_at = now
         is_open = now - self._closed_at >= REOPENED_MS
         if is_open:
--- a/lupinlink/net/clients/uploads.py
+++ b/lupinlink/net/clients/uploads.py
@@ -10,7 +10,7 @@
 from lupinlink.net.clients.phases import Phase
 from lupinlink.net.clients.responses import RespondingConnection
 from lupinlink.net.request_types import ClientRequest
-from lupinlink.net.socket_peek import peer_has_ended, unread_bytes
+from lupinlink.net.socket_peek import peer_has_ended, receives_whole_segments, unread_bytes
 
 
 class UploadingConnection(RespondingConnection):
@@ -104,6 +104,8 @@
             self.abort(CloseReason.CLIENT_LEFT)
             return
         missing = None if body.length is None else body.length - body.end
-        incoming.time.observe(now, self.read_bytes, unread_bytes(self.transport), missing)
+        # In this order: what arrives in between makes the window smaller, never larger.
+        unread, is_open = unread_bytes(self.transport), receives_whole_segments(self.transport)
+        incoming.time.observe(now, self.read_bytes, unread, missing, is_open)
         if incoming.time.since != before:
             self._clients.proxy.body_may_be_complete(self._open_handle, incoming.time.since)
--- a/lupinlink/net/socket_peek.py
+++ b/lupinlink/net/socket_peek.py
@@ -5,6 +5,7 @@
 import array
 import fcntl
 import socket
+import struct
 import termios
 from contextlib import suppress
 
@@ -12,6 +13,10 @@
 
 # Linux: tcpi_state, the first byte of struct tcp_info: TCP_CLOSE, TCP_CLOSE_WAIT, TCP_LAST_ACK.
 ENDED_STATES = (b"\x07", b"\x08", b"\x09")
+# Linux: offsets in struct tcp_info. tcpi_advmss: the largest segment that the other side may send;
+# tcpi_rcv_wnd (since Linux 6.2): how much more it may send at present.
+TCPI_ADVMSS_OFFSET, TCPI_RCV_WND_OFFSET = 84, 232
+TCP_INFO_BYTES = TCPI_RCV_WND_OFFSET + 4
 
 
 def peek(transport: Transport) -> bytes | None:
@@ -40,3 +45,23 @@
         info = transport.getHandle().getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
         return info[:1] in ENDED_STATES
     return False
+
+
+def receives_whole_segments(transport: Transport) -> bool | None:
+    """Whether the receive window has room for the largest segment; None if the system does not tell.
+
+    While it has not, the other side may hold back what was written to it, however little is unread here:
+    a sender waits until a whole segment fits (RFC 9293, 3.8.6.2.1), and a receiver offers no smaller window.
+    """
+    try:
+        handle = transport.getHandle()
+        # The window is reckoned anew when an acknowledgement goes out, which may be due and delayed.
+        handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_QUICKACK, 1)
+        info = handle.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES)
+    except (OSError, AttributeError):
+        return None
+    if len(info) < TCP_INFO_BYTES:
+        return None
+    (segment,) = struct.unpack_from("I", info, TCPI_ADVMSS_OFFSET)
+    (window,) = struct.unpack_from("I", info, TCPI_RCV_WND_OFFSET)
+    return bool(window >= segment) if segment else None
--- a/tests/test_unread_uploads.py
+++ b/tests/test_unread_uploads.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 from functools import partial
 from typing import Any, ClassVar
 
@@ -27,6 +28,9 @@
 SLOW_READ_PER_S, FAIR_READ_PER_S = 700_000.0, 12_000_000.0
 SLOW_CLIENT_PER_S = 64_000.0  # the slowest client of the pages
 CLIENT_BUFFER_BYTES = 262_144
+SEGMENT_BYTES = 1460  # of a server across a network
+MEMORY_TAKERS = 16
+FIRST_WRITES = range(4_000, 64_000, 6_000)  # bytes; they shift where the segments of the rest begin
 
 
 def read_slowly(exchange: Exchange) -> None:
@@ -47,6 +51,47 @@
 }
 
 
+class HeldBackUploads(ProxyProcessTest):
+    """Uploads that are paused early, as bodies of others take the memory."""
+
+    limits: ClassVar[dict[str, Any]] = {"cores": 1.0, "memory_mb": 60, "sockets": 512}
+    settings: ClassVar[dict[str, Any]] = {
+        "Classes": [{"Name": "note", "AimMs": 400.0, "HardLimitMs": 2000.0, "Effect": "side_effect"}],
+    }
+
+    def setUp(self) -> None:
+        super().setUp()
+        servers = [self.peer(ScriptedServer(SCRIPTS, SERVER_BUFFER_BYTES)) for _ in range(4)]
+        for server in servers:
+            server.listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, SEGMENT_BYTES)
+        self.start(*(row(f"s-{number}", server) for number, server in enumerate(servers)))
+        for number in range(MEMORY_TAKERS):
+            whole = request("/note/stuck", f"takes-{number}", WAIT_S, b"u" * 1_000_000)
+            self.connect(whole[: len(whole) // 2])
+        self.settle(requests_now=MEMORY_TAKERS)
+
+    # Guards against: with little unread a request is taken for unwritten, and answered seconds late (case 9).
+    def test_a_request_that_its_client_machine_holds_back_is_answered_in_time(self) -> None:
+        def upload(first: int, size: int) -> Answered:
+            data = request("/note/stuck", f"{first}-{size}", WAIT_S, b"u" * size)
+            return ask(self.port, data[:first], 0.03, data[first:])
+
+        plays = [(first, size) for first in FIRST_WRITES for size in (150_000, 300_000)]
+        found = all_at_once(*(partial(upload, *play) for play in plays))
+        for play, answered in zip(plays, found, strict=True):
+            with self.subTest(upload=play):
+                self.assertLess(answered.written_s, 0.5)
+                self.assertNotEqual(answered.status, 0)
+                self.assertLess(answered.last_s, WAIT_S + SLACK_S)
+
+    # Guards against: the same bound cuts off uploads that slow clients are still writing (5e36ff).
+    def test_a_sound_upload_of_a_slow_client_is_served(self) -> None:
+        whole = [request("/note/slow", f"slow-{size}", WAIT_S, b"u" * size) for size in (90_000, 200_000)]
+        found = all_at_once(*(partial(ask, self.port, *paced(data, SLOW_CLIENT_PER_S)) for data in whole))
+        self.assertEqual([answered.status for answered in found], [200] * 2)
+        self.assertGreater(found[0].written_s, WAIT_S)
+
+
 class UnreadUploads(ProxyProcessTest):
     settings: ClassVar[dict[str, Any]] = {
         "Classes": [{"Name": "note", "AimMs": 400.0, "HardLimitMs": 2000.0, "Effect": "side_effect"}],
