End a repeat whose last byte has not arrived when the window for repeats ends

Cause: the window was checked where the first byte is written.

Fix: the module tells until when an attempt has to arrive (Send.arrive_by: the windows of the attempts before it that may have run, no longer mixed with the deadline), and at that time, less the way to the server, an attempt is ended with a reset unless its server's machine has acknowledged all of it. What has arrived in time keeps its request's time.

--- a/lupinlink/brain/dispatching.py
+++ b/lupinlink/brain/dispatching.py
@@ -4,7 +4,7 @@
 from random import Random
 
 from lupinlink.brain.overdue import ANSWER_MARGIN_MS, OverdueNode
-from lupinlink.brain.retry_rules import begin_by, bound_to_cell, may_refuse, may_retry_at
+from lupinlink.brain.retry_rules import arrive_by, bound_to_cell, may_refuse, may_retry_at
 from lupinlink.brain.waiting import WaitingFor, WaitingRequest, WaitingRequests
 from lupinlink.interface import Fail, RefusalCause, Refuse, Request, Server, Settings
 
@@ -123,7 +123,7 @@
     def send(self, request: Request, server: Server, now: float) -> None:
         """Start an attempt and check on it when it is overdue."""
         self.waiting.remove(request)
-        attempt = self.start_attempt(request, server, begin_by(request), now)
+        attempt = self.start_attempt(request, server, arrive_by(request), now)
         stats, target_ms = self.latency[request.arrival.class_index], request.cls.target_latency_ms
         late_ms = min(target_ms, max(stats.mean + OVERDUE_DEVS * stats.deviation, MIN_OVERDUE * target_ms))
         self.call_later(late_ms, lambda t: self.overdue(request, attempt, t, 1))
--- a/lupinlink/brain/retry_rules.py
+++ b/lupinlink/brain/retry_rules.py
@@ -1,5 +1,7 @@
 """Rules for retries and refusals that rule out a second effect; they do not choose a server."""
 
+import math
+
 from lupinlink.interface import Attempt, DedupScope, Effect, Endpoint, Request, RequestClass
 
 
@@ -31,14 +33,12 @@
     return may_retry_at(attempt, cls, attempt.server.endpoint, now)
 
 
-def begin_by(request: Request) -> float:
-    """Until when a further attempt may start: before the deadline and while servers still drop duplicates."""
-    ran = [
-        attempt.sent_at
-        for attempt in request.attempts
-        if attempt.may_have_run() and request.cls.effect == Effect.KEYED
-    ]
-    return min([request.arrival.deadline, *(t + request.cls.dedup_ms for t in ran)])
+def arrive_by(request: Request) -> float:
+    """Until when a further attempt has to arrive: while servers still drop it as a duplicate, if any may."""
+    if request.cls.effect != Effect.KEYED:
+        return math.inf
+    ran = (attempt.sent_at for attempt in request.attempts if attempt.may_have_run())
+    return min((sent_at + request.cls.dedup_ms for sent_at in ran), default=math.inf)
 
 
 def may_refuse(request: Request) -> bool:
--- a/lupinlink/interface.py
+++ b/lupinlink/interface.py
@@ -184,9 +184,9 @@
     request_id: str
     endpoint: str
     timeout_ms: float
-    # Connecting may take long, and after this time the endpoint may have forgotten an earlier attempt: the
-    # request could then take effect twice.
-    begin_by: float = math.inf
+    # Until when its last byte has to arrive: later, the endpoint may have forgotten an earlier attempt, and
+    # the request could take effect twice.
+    arrive_by: float = math.inf
 
 
 @dataclass(slots=True)
--- a/lupinlink/net/application_servers/attempts.py
+++ b/lupinlink/net/application_servers/attempts.py
@@ -23,7 +23,12 @@
 log = logging.getLogger("lupinlink.net.application_servers")
 NOTE_DATA_MS = 25.0  # between two notes of an answer that arrives in pieces
 # Ends by a bound or a decision of this process, not by the server.
-GIVEN_UP_REASONS = {EndReason.GIVEN_UP, EndReason.ANSWER_STALLED, EndReason.UPLOAD_STALLED}
+GIVEN_UP_REASONS = {
+    EndReason.GIVEN_UP,
+    EndReason.ANSWER_STALLED,
+    EndReason.UPLOAD_STALLED,
+    EndReason.ARRIVES_TOO_LATE,
+}
 
 
 class ServerPools(Protocol):
@@ -49,6 +54,10 @@
 
     def drop(self, why: EndReason) -> None: ...
     def read_pending(self) -> None: ...
+    def has_arrived(self) -> bool:
+        """Whether its server's machine has received all of the request."""
+        ...
+
     def progress(self) -> Progress:
         """How far the attempt that it carries has come."""
         ...
@@ -91,13 +100,14 @@
         server: str,
         encode: Callable[[float], tuple[bytes, Body | None]],
         until_ms: float,
-        begin_by_ms: float = math.inf,
+        arrive_by_ms: float = math.inf,
         wanted: Callable[[], bool] = lambda: True,
         only_head: bool = False,
         identity: str = "",
     ) -> None:
         """``encode``: called with the ms left at sending; ``wanted``: whether anyone waits for it.
 
+        ``arrive_by_ms``: when its last byte has to have arrived; later, it could run a second time.
         ``identity``: of its request; empty for a probe.
         """
         self.ended: Deferred[AttemptResult] = Deferred()
@@ -105,7 +115,7 @@
         self._began = servers.clock.now()
         self._carrier: Carrier | None = None
         self._progress: Progress | None = None  # when it was given up
-        self._encode, self._until, self._begin_by, self._wanted = encode, until_ms, begin_by_ms, wanted
+        self._encode, self._until, self._arrive_by, self._wanted = encode, until_ms, arrive_by_ms, wanted
         self.connection: AttemptConnection | None = None
         self.dial: PendingConnection | None = None
         self._servers = servers
@@ -113,14 +123,15 @@
         self.on_answer_data: Callable[[], None] | None = None
         self._data_noted_at = -math.inf
         self._deadline = servers.clock.at(until_ms, self._time_is_up)
+        self._arrival_deadline: int | None = None
 
     def may_begin(self, round_trip_ms: float) -> bool:
         """Whether it may still be sent: wanted, and early enough for its server to drop a duplicate.
 
-        ``round_trip_ms``: to the server. The last byte of the request has to arrive there in time.
+        ``round_trip_ms``: to the server, which it has to reach in time.
         """
         now = self._servers.clock.now()
-        late = now >= self._until or now + round_trip_ms >= self._begin_by
+        late = now + round_trip_ms >= min(self._until, self._arrive_by)
         return self._open and not late and self._wanted() and self._open  # _wanted() may end the attempt
 
     @property
@@ -132,9 +143,24 @@
         """The time left until its time-out."""
         return self._until - self._servers.clock.now()
 
-    def sent_on(self, carrier: Carrier) -> None:
-        """Note the connection that it is sent on."""
+    def sent_on(self, carrier: Carrier, round_trip_ms: float) -> None:
+        """Note the connection that it is sent on; from now on it has to arrive in time, if ever it has to."""
         self._carrier = carrier
+        if self._arrive_by < math.inf:
+            at = self._arrive_by - round_trip_ms
+            self._arrival_deadline = self._servers.clock.at(at, self._must_have_arrived)
+
+    def _must_have_arrived(self) -> None:
+        """End it if part of it has not arrived: its server may have forgotten the earlier attempt by then.
+
+        What is not with the kernel can never arrive; what is may have arrived, though that is not known here.
+        """
+        if self.connection is not None:
+            self.connection.read_pending()
+        if self._open and self.connection is not None and not self.connection.has_arrived():
+            self._servers.counters["attempts_too_late"] += 1
+            written = self.connection.progress().request_written
+            self.give_up(Status.CANCELLED if written else Status.NOT_SENT, EndReason.ARRIVES_TOO_LATE)
 
     def request(self) -> tuple[bytes, Body | None]:
         """The bytes to write now, and the body that follows them, if any."""
@@ -152,6 +178,8 @@
         if self._open:
             self._open = False
             self._servers.clock.drop(self._deadline)
+            if self._arrival_deadline is not None:
+                self._servers.clock.drop(self._arrival_deadline)
             self._log_end(end)
             self.ended.callback(end)
 
@@ -192,7 +220,7 @@
         if self._open and (self.connection is None or not self.connection.stream_now()):
             self.give_up(Status.TIMEOUT)
 
-    def give_up(self, status: Status) -> None:
+    def give_up(self, status: Status, why: EndReason = EndReason.GIVEN_UP) -> None:
         """End it with this status; its connection is closed before anything else can be sent on it.
 
         An answer that has arrived takes precedence: after a pause of this process, timers run before reads.
@@ -207,8 +235,8 @@
             dial.abandon()
         if connection is not None:
             self._progress = connection.progress()
-            connection.drop(EndReason.GIVEN_UP)
-        self.end(AttemptResult(status, why=EndReason.GIVEN_UP))
+            connection.drop(why)
+        self.end(AttemptResult(status, why=why))
 
     def cancel_if_unsent(self) -> None:
         """End it if its connection is still being established, so that nothing of it is ever written."""
--- a/lupinlink/net/application_servers/pools.py
+++ b/lupinlink/net/application_servers/pools.py
@@ -88,7 +88,7 @@
         server: str,
         request: ClientRequest,
         timeout_ms: float,
-        begin_by_ms: float,
+        arrive_by_ms: float,
         wanted: Callable[[], bool],
     ) -> Attempt:
         """Start an attempt to send a client's request."""
@@ -97,7 +97,7 @@
         until = self.clock.now() + timeout_ms
         encode = partial(encode_request, request, host)
         only_head = request.method == "HEAD"
-        attempt = Attempt(self, server, encode, until, begin_by_ms, wanted, only_head, request.identity)
+        attempt = Attempt(self, server, encode, until, arrive_by_ms, wanted, only_head, request.identity)
         return self.send(attempt)
 
     def probe(self, server: str) -> Deferred[AttemptResult]:
--- a/lupinlink/net/application_servers/sending.py
+++ b/lupinlink/net/application_servers/sending.py
@@ -14,7 +14,8 @@
 from lupinlink.net.application_servers.pool import Pool
 from lupinlink.net.bodies import DiscardedBytesError
 from lupinlink.net.request_types import AttemptResult, EndReason
-from lupinlink.net.socket_peek import peek
+from lupinlink.net.socket_peek import peek, unacknowledged_bytes
+from lupinlink.net.twisted_types import unsent
 
 log = logging.getLogger("lupinlink.net.application_servers")
 UPLOAD_STALL_MS = 5000.0  # time-out for an application server to accept more of a body
@@ -58,7 +59,7 @@
             return
         self._attempt, attempt.connection = attempt, self
         rested_ms = self._servers.clock.now() - self.idle_since
-        attempt.sent_on(Carrier(self.handle, self.requests_carried, rested_ms))
+        attempt.sent_on(Carrier(self.handle, self.requests_carried, rested_ms), self.pool.round_trip_ms)
         self.requests_carried, self.last_identity = self.requests_carried + 1, attempt.identity
         self._unsent, self._body = unsent, body
         self._written, self._sent, self._awaiting_body = False, 0, False
@@ -70,6 +71,10 @@
             self._write_now()
             self.pool.sent_at = self.sent_at = self._servers.clock.now()
 
+    def has_arrived(self) -> bool:
+        """Whether the server's machine has received all of the request that it carries."""
+        return self._written and not unsent(self.transport) and not unacknowledged_bytes(self.transport)
+
     def progress(self) -> Progress:
         """How far the attempt that it carries has come."""
         begun = self._parser.started()
--- a/lupinlink/net/clients/connection.py
+++ b/lupinlink/net/clients/connection.py
@@ -2,11 +2,7 @@
 
 from __future__ import annotations
 
-import fcntl
 import math
-import sys
-import termios
-from contextlib import suppress
 
 from twisted.internet.protocol import Protocol as Connection
 
@@ -18,7 +14,7 @@
 from lupinlink.net.clients.owner import ConnectionOwner, IncomingRequest
 from lupinlink.net.clients.phases import Phase
 from lupinlink.net.immediate_write import end_sending_now, write_now
-from lupinlink.net.socket_peek import peek, peer_has_ended
+from lupinlink.net.socket_peek import peek, peer_has_ended, unacknowledged_bytes
 from lupinlink.net.twisted_types import READ_BYTES, Transport, unsent
 
 MAX_READS = 4  # at most, to find a close behind unread data; other connections wait meanwhile
@@ -183,13 +179,13 @@
         return self.phase is Phase.OPEN or self._unread_by_client() > 0.0
 
     def _unread_by_client(self) -> float:
-        with suppress(OSError, AttributeError):
-            queue = fcntl.ioctl(self.transport.getHandle(), termios.TIOCOUTQ, b"\0" * 4)
-            waiting, pending = int.from_bytes(queue, sys.byteorder), unsent(self.transport)
-            if self._closing and waiting and not pending:
-                waiting -= 1  # the end of sending counts as a byte, and is often acknowledged late
-            return float(waiting + pending)
-        return 0.0
+        waiting = unacknowledged_bytes(self.transport)
+        if waiting is None:
+            return 0.0
+        pending = unsent(self.transport)
+        if self._closing and waiting and not pending:
+            waiting -= 1  # the end of sending counts as a byte, and is often acknowledged late
+        return float(waiting + pending)
 
     def reject(self, status: int, why: str) -> None:
         """Answer an invalid request, and close the connection."""
--- a/lupinlink/net/proxy.py
+++ b/lupinlink/net/proxy.py
@@ -88,7 +88,7 @@
         entry.attempts_in_flight += 1  # before start(), which may find out that the client has left
         try:
             attempt = self._servers.start(
-                action.endpoint, entry.request, timeout, action.begin_by, lambda: self._wanted(handle)
+                action.endpoint, entry.request, timeout, action.arrive_by, lambda: self._wanted(handle)
             )
         except Exception:
             entry.attempts_in_flight -= 1
--- a/lupinlink/net/request_types.py
+++ b/lupinlink/net/request_types.py
@@ -47,6 +47,7 @@
     BODY_DROPPED = "body not held any more"
     BODY_CUT = "client stopped sending the body"
     GIVEN_UP = "given up"
+    ARRIVES_TOO_LATE = "not at its server before that may run it again"
     CLIENT_LEFT = "client left"
     NOT_BEGUN = "might not be sent any more"
     NOT_IN_SERVICE = "application server not in service"
@@ -132,13 +133,13 @@
         server: str,
         call: ClientRequest,
         timeout_ms: float,
-        begin_by_ms: float,
+        arrive_by_ms: float,
         wanted: Callable[[], bool],
     ) -> OpenAttempt:
         """Start an attempt.
 
-        ``begin_by_ms``: when it has to have arrived at the server; ``wanted``: called just before the request
-        is written, False cancels it.
+        ``arrive_by_ms``: when its last byte has to have arrived at the server; ``wanted``: called just before
+        the request is written, False cancels it.
         """
 
     def probe(self, server: str) -> Deferred[AttemptResult]: ...
--- a/lupinlink/net/socket_peek.py
+++ b/lupinlink/net/socket_peek.py
@@ -6,6 +6,7 @@
 import fcntl
 import socket
 import struct
+import sys
 import termios
 from contextlib import suppress
 
@@ -39,6 +40,18 @@
     return count[0]
 
 
+def unacknowledged_bytes(transport: Transport) -> int | None:
+    """How many bytes the kernel has that the other side's machine has not received, as far as is known here.
+
+    None if the system does not tell. The end of sending counts as a byte.
+    """
+    try:
+        queue = fcntl.ioctl(transport.getHandle(), termios.TIOCOUTQ, b"\0" * 4)
+    except (OSError, AttributeError):
+        return None
+    return int.from_bytes(queue, sys.byteorder)
+
+
 def peer_has_ended(transport: Transport) -> bool:
     """Whether the other side's end has arrived, if the system tells, also behind unread data."""
     with suppress(OSError, AttributeError):
