Add a soak of uploads to servers that die, hang or are slow

The soak draws sizes, bounds, conditions of six servers, windows and memory by a seed, and judges each body that ran, each final answer's time, second runs past their window, and the peak of memory.

By hand: python -m tests.upload_soak N [SEED] [JOBS]; its command line is that of tests.soak, now shared.

--- a/tests/scripted_peers.py
+++ b/tests/scripted_peers.py
@@ -124,6 +124,7 @@
     first_s: float
     last_s: float
     written_s: float  # from the first byte of the request to its last
+    written_whole: bool = True  # else the connection ended before
 
 
 def request(path: str, identity: str, wait_s: float, body: bytes = b"", chunked: bool = False) -> bytes:
@@ -158,15 +159,17 @@
         client.settimeout(patience_s)
         client.connect(("127.0.0.1", port))
         stamp_receipts(client)
-        begin = time.monotonic()
+        begin, is_whole = time.monotonic(), False
         with suppress(OSError):  # it may be answered before it is whole
             for part in parts:
                 if isinstance(part, bytes):
                     client.sendall(part)
                 else:
                     time.sleep(part)
-        written = time.monotonic()
-        return _read_answer(client, begin, written)
+            is_whole = True
+        answered = _read_answer(client, begin, time.monotonic())
+        answered.written_whole = is_whole
+        return answered
 
 
 def _read_answer(client: socket.socket, begin: float, written: float) -> Answered:
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import sys
+from collections.abc import Callable
 from concurrent.futures import ProcessPoolExecutor
 
 from tests.soak_fleet import SoakStage
@@ -22,10 +23,10 @@
         soak.doCleanups()
 
 
-def main(words: list[str]) -> int:
-    """Play them; returns 1 if one was not sound."""
+def play_seeds(name: str, play: Callable[[int], tuple[bool, str]], words: list[str]) -> int:
+    """Play the seeds that the command's words tell, and print them; returns 1 if one was not sound."""
     if not 1 <= len(words) <= 3 or not all(word.isdecimal() and int(word) for word in words):
-        print(f"soak: {' '.join(words)!r} is not N [SEED] [JOBS], whole numbers from 1 on", file=sys.stderr)
+        print(f"{name}: {' '.join(words)!r} is not N [SEED] [JOBS], whole numbers from 1 on", file=sys.stderr)
         return 2
     number, first, jobs = [*map(int, words), *(1, JOBS)[len(words) - 1 :]]
     with ProcessPoolExecutor(jobs) as pool:
@@ -38,4 +39,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main(sys.argv[1:]))
+    sys.exit(play_seeds("soak", play, sys.argv[1:]))
