--- a/tests/test_unread_uploads.py
+++ b/tests/test_unread_uploads.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import socket
+import unittest
+from collections.abc import Sequence
 from functools import partial
 from typing import Any, ClassVar
 
@@ -51,6 +53,17 @@
 }
 
 
+def judge_in_time(
+    test: unittest.TestCase, plays: Sequence[tuple[int, int | bool]], found: Sequence[Answered]
+) -> None:
+    """Each upload was written at once and has its answer in its time."""
+    for play, answered in zip(plays, found, strict=True):
+        with test.subTest(upload=play):
+            test.assertLess(answered.written_s, 0.5)
+            test.assertNotEqual(answered.status, 0)
+            test.assertLess(answered.last_s, WAIT_S + SLACK_S)
+
+
 class HeldBackUploads(ProxyProcessTest):
     """Uploads that are paused early, as bodies of others take the memory."""
 
@@ -78,11 +91,7 @@
 
         plays = [(first, size) for first in FIRST_WRITES for size in (150_000, 300_000)]
         found = all_at_once(*(partial(upload, *play) for play in plays))
-        for play, answered in zip(plays, found, strict=True):
-            with self.subTest(upload=play):
-                self.assertLess(answered.written_s, 0.5)
-                self.assertNotEqual(answered.status, 0)
-                self.assertLess(answered.last_s, WAIT_S + SLACK_S)
+        judge_in_time(self, plays, found)
 
     # Guards against: the same bound cuts off uploads that slow clients are still writing (5e36ff).
     def test_a_sound_upload_of_a_slow_client_is_served(self) -> None:
@@ -110,11 +119,7 @@
         """What is written whole has its answer in its time, whatever the servers read of it."""
         plays = [(size, chunked) for size in sizes for chunked in (False, True)]
         found = all_at_once(*(partial(self.upload, name, *play) for play in plays))
-        for play, answered in zip(plays, found, strict=True):
-            with self.subTest(upload=play):
-                self.assertLess(answered.written_s, 0.5)
-                self.assertNotEqual(answered.status, 0)
-                self.assertLess(answered.last_s, WAIT_S + SLACK_S)
+        judge_in_time(self, plays, found)
 
     # Guards against: the final answer comes seconds late where servers stop reading a large request.
     def test_a_request_that_servers_stop_reading_is_answered_in_time(self) -> None:
