Play each pause of the table: the next request behind an answer that is unread

The table of pauses in review-paused-uploads.md names a test for each row that has one; a client that reads late and its next request had none.

--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -81,6 +81,21 @@
             got += piece
         self.assertEqual(hashlib.sha1(got.partition(b"\r\n\r\n")[2]).hexdigest(), want)
 
+    # Guards against: a request behind an answer that its client has not read waits for good.
+    def test_a_client_that_reads_late_gets_the_answer_to_its_next_request_too(self) -> None:
+        want = self.answers(4 * MB)
+        client = self.connect(b"GET /look/1 HTTP/1.1\r\nX-Trace-Id: l1\r\n\r\n")
+        self.server.seen.get(timeout=WAIT)
+        client.sendall(b"GET /look/1 HTTP/1.1\r\nX-Trace-Id: l2\r\nConnection: close\r\n\r\n")
+        time.sleep(0.3)  # its buffers fill, and it is not read meanwhile
+        self.assertEqual(self.server.seen.qsize(), 0)
+        got = bytearray()
+        while piece := client.recv(1 << 20):
+            got += piece
+        answers = bytes(got).split(b"HTTP/1.1 200 OK")[1:]
+        bodies = [answer.partition(b"\r\n\r\n")[2] for answer in answers]
+        self.assertEqual([hashlib.sha1(body).hexdigest() for body in bodies], [want] * 2)
+
     def test_the_first_bytes_of_a_slow_answer_do_not_wait_for_the_rest(self) -> None:
         # Streaming that started at 8 or 64 KiB delayed the long answers of a slow server.
         begun = {b"Content-Length: 70000": 3000, b"Transfer-Encoding: chunked": 20_000}
