Judge what clients of dying servers are told by what ran, beside a busy machine too

Cause: the test let a body over the limit be answered 200 or 503 only.

Change: 502 is allowed for such bodies, as the other variant has it. In its place both variants check each answer against the servers: whoever got 200 has a run, and whoever got 503, which promises that nothing ran, has none. Bodies that ran, times and the sizes that have to be served are judged as before.

No change to the program.

--- a/tests/test_request_bodies.py
+++ b/tests/test_request_bodies.py
@@ -158,13 +158,21 @@
         return ask(self.port, request("/scan/1", identity, WAIT_S, body, chunked))
 
     def judge(self, sizes: tuple[int, ...]) -> dict[int, set[int]]:
-        """Check each body that ran, and return the statuses by size."""
+        """Check each body that ran and what its client was told, and return the statuses by size.
+
+        502: the kernel had all of it when the server died, so it may have run; nothing else followed.
+        """
         statuses: dict[int, set[int]] = {}
+        ids: dict[int, set[str]] = {200: set(), 502: set(), 503: set()}
         for size in sizes:
             for chunked in (False, True):
                 answered = self.upload(size, chunked)
                 self.assertLess(answered.last_s, WAIT_S)
+                self.assertIn(answered.status, ids)
                 statuses.setdefault(size, set()).add(answered.status)
+                ids[answered.status].add(f"{size}-{chunked}")
+        ran = {identity for identity, _ in self.bodies}
+        self.assertEqual((ids[200] - ran, ids[503] & ran), (set(), set()))
         for identity, body in self.bodies:
             size = int(identity.partition("-")[0])
             self.assertTrue(body == random.Random(identity).randbytes(size), identity)
@@ -174,7 +182,6 @@
     def test_the_next_server_gets_the_body_as_it_was_sent(self) -> None:
         statuses = self.judge(self.sizes)
         self.assertEqual(statuses[230_000], {200})
-        self.assertLessEqual(set().union(*statuses.values()), {200, 503})
 
 
 class DyingServersShortOfMemory(DyingServers):
@@ -187,8 +194,6 @@
     def test_the_next_server_gets_the_body_as_it_was_sent(self) -> None:
         statuses = self.judge(self.sizes)
         self.assertEqual(statuses[60_000], {200})
-        # 502: all of it was with the kernel when the server died, and its front is not here any more.
-        self.assertLessEqual(set().union(*statuses.values()), {200, 502, 503})
 
 
 class PassingPressure(ProxyProcessTest):
