Count by kind what peers make a process hold, and tell of memory in logs and gauges

Change: limits/memory_account counts what is held by kind: objects of clients' and servers' connections, parts of requests, open requests with their heads, bodies, what is on its way to servers, answers in collection and answers that clients have not taken. Its level (normal, slow, pause, refuse, close) follows from the sum, against the limit less what the process takes at rest, which is measured once it runs (25 MB were assumed). Nothing acts on the level yet. net/memory_watch compares with the process's memory ten times a second and logs the memory at rest, each change of the level and each new peak, by kind; SIGUSR1 shows the same as gauges. The C library is told to give freed memory back; streamed answers go to the kernel within the turn in which they are read.

Two tests had their small budgets from the assumed 25 MB; theirs now come from the measured memory at rest, with the same budgets (128 and 256 KiB).

--- /dev/null
+++ b/lupinlink/limits/memory_account.py
@@ -0,0 +1,174 @@
+"""One account of all memory that peers make a process hold, and the level of pressure that follows from it.
+
+Every buffer of a peer's bytes and every table with an object for each connection or request reports what it
+holds, by kind. The sum is compared with one limit; the level tells everyone how much they may take from then
+on. Performs no I/O.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from enum import Enum, IntEnum
+
+
+class MemoryKind(Enum):
+    """What memory is held for; the value is its name in gauges and log lines."""
+
+    CLIENTS = "clients"  # objects of clients' connections
+    RECEIVED = "received"  # of requests that have not come whole, or wait behind the open one
+    REQUESTS = "requests"  # objects and heads of open requests
+    BODIES = "bodies"  # of requests
+    SERVERS = "servers"  # objects of connections to application servers
+    SENDING = "sending"  # written to an application server and not taken by the kernel
+    COLLECTED = "collected"  # of answers that have not come whole
+    ANSWERS = "answers"  # written to a client and not taken by the kernel
+
+
+class MemoryLevel(IntEnum):
+    """How short memory is; each level includes what is done at those below it."""
+
+    NORMAL = 0
+    SLOW = 1  # less is read and written at a time
+    PAUSE = 2  # senders wait once a little of theirs is here
+    REFUSE = 3  # new requests are refused
+    CLOSE = 4  # no connections are accepted, and what is not taken yet is closed
+
+
+# Shares of the limit at which a level begins, and how far below that it ends.
+LEVEL_SHARES = {
+    MemoryLevel.SLOW: 0.5,
+    MemoryLevel.PAUSE: 0.7,
+    MemoryLevel.REFUSE: 0.85,
+    MemoryLevel.CLOSE: 1.0,
+}
+HYSTERESIS_SHARE = 0.05
+# Of what is left beside the program at rest: the allocator's rounding, garbage, and the process's own work.
+RESERVE_SHARE = 0.2
+MAX_OVERHEAD = 2.0  # measured memory over counted memory, at most
+MIN_JUDGED_SHARE = 0.25  # of the limit: with less counted, the overhead is not judged
+
+LevelListener = Callable[[MemoryLevel, MemoryLevel], None]
+
+
+class MemoryAccount:
+    """What is held by kind, in bytes; tells listeners of each change of the level, old and new."""
+
+    def __init__(self, limit_bytes: int | None = None) -> None:
+        """``limit_bytes``: None for no limit."""
+        self._held: dict[MemoryKind, int] = dict.fromkeys(MemoryKind, 0)
+        self._held_bytes = 0
+        self._peak_bytes = 0
+        self._overhead = 1.0
+        self._limit_bytes = limit_bytes
+        self._level = MemoryLevel.NORMAL
+        self._listeners: list[LevelListener] = []
+        self._rises_at = self._falls_at = 0.0  # bytes held at which the level changes
+        self._place_edges()
+
+    @property
+    def level(self) -> MemoryLevel:
+        """The level at present."""
+        return self._level
+
+    @property
+    def held_bytes(self) -> int:
+        """The sum of all kinds."""
+        return self._held_bytes
+
+    @property
+    def used_bytes(self) -> int:
+        """What the sum takes of the limit: with the overhead that was measured."""
+        return int(self._held_bytes * self._overhead)
+
+    @property
+    def overhead(self) -> float:
+        """Measured memory over counted memory; 1 unless more was measured."""
+        return self._overhead
+
+    @property
+    def limit_bytes(self) -> int | None:
+        """The most that may be held."""
+        return self._limit_bytes
+
+    @limit_bytes.setter
+    def limit_bytes(self, limit_bytes: int | None) -> None:
+        self._limit_bytes = limit_bytes
+        self._update()
+
+    def held(self, kind: MemoryKind) -> int:
+        """What is held of one kind."""
+        return self._held[kind]
+
+    def listen(self, listener: LevelListener) -> None:
+        """Call this with the old and the new level at each change."""
+        self._listeners.append(listener)
+
+    def change(self, kind: MemoryKind, count: int) -> None:
+        """Count bytes that were taken, or given back if negative."""
+        self._held[kind] += count
+        self._held_bytes += count
+        if not self._falls_at <= self._held_bytes < self._rises_at:
+            self._update()
+
+    def measured(self, taken_bytes: int) -> None:
+        """Compare with the memory that the process takes beyond what it took at rest.
+
+        The allocator keeps what was freed, so the most that was ever counted is compared, not the present.
+        """
+        if self._limit_bytes is None:
+            return
+        self._peak_bytes = max(self._peak_bytes, self._held_bytes)
+        if self._peak_bytes >= MIN_JUDGED_SHARE * self._limit_bytes:
+            self._overhead = min(max(taken_bytes / self._peak_bytes, 1.0), MAX_OVERHEAD)
+            self._update()
+
+    def _update(self) -> None:
+        """Set the level that follows from what is held, and tell the listeners of a change."""
+        self._peak_bytes = max(self._peak_bytes, self._held_bytes)
+        before, self._level = self._level, self._level_now()
+        self._place_edges()
+        if before is not self._level:
+            for listener in self._listeners:
+                listener(before, self._level)
+
+    def _level_now(self) -> MemoryLevel:
+        used = self._held_bytes * self._overhead
+        level = MemoryLevel.NORMAL
+        if self._limit_bytes is not None:
+            for one, share in LEVEL_SHARES.items():
+                stays = HYSTERESIS_SHARE if one <= self._level else 0.0
+                if used >= (share - stays) * self._limit_bytes:
+                    level = one
+        return level
+
+    def _place_edges(self) -> None:
+        """Note between which sums the level stays as it is."""
+        self._rises_at, self._falls_at = float("inf"), float("-inf")
+        if self._limit_bytes is None:
+            return
+        limit = max(self._limit_bytes, 0) / self._overhead
+        if self._level < MemoryLevel.CLOSE:
+            self._rises_at = LEVEL_SHARES[MemoryLevel(self._level + 1)] * limit
+        if self._level > MemoryLevel.NORMAL:
+            self._falls_at = (LEVEL_SHARES[self._level] - HYSTERESIS_SHARE) * limit
+
+
+class Holding:
+    """What one buffer or table holds; setting it counts the difference."""
+
+    __slots__ = ("_account", "_kind", "bytes")
+
+    def __init__(self, account: MemoryAccount, kind: MemoryKind) -> None:
+        self._account, self._kind, self.bytes = account, kind, 0
+
+    def set(self, count: int) -> None:
+        """Hold this much from now on."""
+        difference = count - self.bytes
+        if difference:
+            self.bytes = count
+            self._account.change(self._kind, difference)
+
+
+def limit_for(spare_mb: float) -> int:
+    """The account's limit, in bytes, where the program at rest leaves this much."""
+    return int(max(0.0, spare_mb) * (1.0 - RESERVE_SHARE) * 1024.0 * 1024.0)
--- a/lupinlink/net/application_servers/attempts.py
+++ b/lupinlink/net/application_servers/attempts.py
@@ -12,6 +12,7 @@
 
 from lupinlink.interface import Status
 from lupinlink.limits.connection_reuse import ConnectionReuse
+from lupinlink.limits.memory_account import MemoryAccount
 from lupinlink.net.bodies import Body
 from lupinlink.net.counters import Counters
 from lupinlink.net.log import LineLimit
@@ -37,6 +38,7 @@
     clock: ReactorClock
     settings: Settings
     counters: Counters
+    account: MemoryAccount
     connections: Slots[object]  # established, or being established
     unrequested_lines: LineLimit
     given_up_lines: LineLimit
--- a/lupinlink/net/application_servers/connection.py
+++ b/lupinlink/net/application_servers/connection.py
@@ -15,17 +15,13 @@
 from lupinlink.net.application_servers.outcomes import forwarded_headers, outcome, read_report
 from lupinlink.net.application_servers.pool import Pool
 from lupinlink.net.application_servers.sending import SendingConnection
-from lupinlink.net.bodies import SMALL_BODY_BYTES, ResponseStream
+from lupinlink.net.application_servers.streaming import MIN_STREAMED_BYTES, is_streamable
+from lupinlink.net.bodies import ResponseStream
 from lupinlink.net.request_types import AttemptResult, EndReason, Reply
 from lupinlink.net.socket_peek import peek
 from lupinlink.net.twisted_types import READ_BYTES
 
 log = logging.getLogger("lupinlink.net.application_servers")
-# An answer is streamed once this much of it is here. If its declared length exceeds a small body, the lower
-# limit holds, or none at the end of its request's time; small ones are never streamed, so that a wrong length
-# is noticed while a retry is still possible. If no length is declared, an answer longer than most is likely
-# to be a long one.
-MIN_STREAMED_BYTES, MIN_STREAMED_UNDECLARED_BYTES = 2 * 1024, 16 * 1024
 STREAM_STALL_MS = 15000.0  # time-out for more data of an answer that is being streamed
 STREAM_CHECK_MS = 1000.0
 STREAM_READ_BYTES = 64 * 1024
@@ -44,6 +40,12 @@
             self.pool.forget(self)
             self._idle_bytes(data)
             return
+        self._receive(data)
+        if self._attempt is not None or self._stream is not None:
+            self._collected.set(self._parser.held())
+
+    def _receive(self, data: bytes) -> None:
+        """Read more of the answer, and pass on what has come of it."""
         self._parser.feed(data)
         try:
             message = self._parser.next()
@@ -150,12 +152,7 @@
 
         ``least_bytes``: of its body that have to be here, if its length is declared.
         """
-        head, length = self._parser.head, self._parser.length
-        if head is None or head.status != 200 or self._is_doubtful(Status.OK):
-            return False
-        if length is None:
-            return self._parser.body_received > MIN_STREAMED_UNDECLARED_BYTES
-        return length > SMALL_BODY_BYTES and self._parser.body_received >= least_bytes
+        return is_streamable(self._parser, least_bytes) and not self._is_doubtful(Status.OK)
 
     def _start_stream(self) -> None:
         """Start to stream the answer. This ends its attempt, while the connection stays busy."""
@@ -229,6 +226,7 @@
         self._servers.connections.remove(self.handle)
         self._cancel_progress_timer()
         self._detach_body()
+        self._hold_nothing()
         busy = self._attempt is not None or self._stream is not None
         self._note_close(EndReason.CONNECTION_LOST if busy else EndReason.CLOSED_IDLE)
         self._end_reservation()
--- a/lupinlink/net/application_servers/kept_connection.py
+++ b/lupinlink/net/application_servers/kept_connection.py
@@ -11,6 +11,7 @@
 from twisted.internet.protocol import Protocol as TcpProtocol
 
 from lupinlink.limits.connection_reuse import MAX_LONG_RESTING, REST_MS
+from lupinlink.limits.memory_account import Holding, MemoryKind
 from lupinlink.net import http1
 from lupinlink.net.application_servers.attempts import Attempt, ServerPools
 from lupinlink.net.application_servers.pool import Pool, PooledConnection
@@ -44,6 +45,8 @@
         self._progress_timer: Timer | None = None
         self._paused = False  # not read, as the client does not read its streamed answer
         self._body_dropped = False  # of the answer that is arriving: it is of no use
+        self._collected = Holding(servers.account, MemoryKind.COLLECTED)
+        self._sending = Holding(servers.account, MemoryKind.SENDING)
         self._closed = False  # the reason of its close is logged
         self.on_closed: Callable[[], None] | None = None  # called when it ends while it is reserved
         self.requests_carried = 0
@@ -67,6 +70,7 @@
         self._attempt = None
         self._cancel_progress_timer()
         self._detach_body()
+        self._hold_nothing()
         self._note_close(why)
         with suppress(OSError, AttributeError):
             self.transport.getHandle().shutdown(socket.SHUT_RDWR)
@@ -147,6 +151,7 @@
     def _release(self, why_not_kept: EndReason | None, used: bool = True) -> None:
         """Return the connection to the pool, or close it for this reason."""
         self._resume()
+        self._hold_nothing()
         now = self._servers.clock.now()
         if used and why_not_kept is None and not self._may_be_kept(now):
             why_not_kept = EndReason.ONE_REQUEST_ONLY
@@ -157,6 +162,11 @@
         else:
             self.drop(why_not_kept or EndReason.NOT_IN_SERVICE)
 
+    def _hold_nothing(self) -> None:
+        """Nothing of a request or an answer is held any more."""
+        self._collected.set(0)
+        self._sending.set(0)
+
     def _may_be_kept(self, now: float) -> bool:
         """Whether it may be of use again; connections that rest for long are kept in a limited number."""
         must_rest_longer = self.pool.late_bytes.rest_ms(now) > REST_MS
--- a/lupinlink/net/application_servers/pools.py
+++ b/lupinlink/net/application_servers/pools.py
@@ -9,6 +9,7 @@
 
 from lupinlink.interface import Endpoint, EndpointState, Status
 from lupinlink.limits.connection_reuse import MAX_RESTING, ConnectionReuse, patience_ms, wait_ms
+from lupinlink.limits.memory_account import Holding, MemoryAccount, MemoryKind
 from lupinlink.net import http1
 from lupinlink.net.application_servers.attempts import Attempt
 from lupinlink.net.application_servers.dialling import Dial
@@ -29,6 +30,7 @@
 SWEEP_MS = 250.0
 MAX_OPEN_SHARE = 0.8  # of the limit on connections; above it a new one replaces one that has not rested
 PROBE_TIMEOUT_MS = 1000.0
+CONNECTION_BYTES = 4 * 1024  # memory of the objects of one connection
 
 
 class ApplicationServers:
@@ -41,9 +43,12 @@
         settings: Settings,
         cap: int,
         counters: Counters,
+        account: MemoryAccount | None = None,
     ) -> None:
         self.clock, self.settings, self.counters = clock, settings, counters
-        self.connections: Slots[object] = Slots(cap)
+        self.account = account or MemoryAccount()
+        held = Holding(self.account, MemoryKind.SERVERS)
+        self.connections: Slots[object] = Slots(cap, held, CONNECTION_BYTES)
         self.list_is_held: Callable[[], bool] = lambda: False
         self.read_pending_updates: Callable[[], bool] = lambda: False
         self.reuse, self.unrequested_lines = ConnectionReuse(), LineLimit()
--- a/lupinlink/net/application_servers/sending.py
+++ b/lupinlink/net/application_servers/sending.py
@@ -62,6 +62,7 @@
         attempt.sent_on(Carrier(self.handle, self.requests_carried, rested_ms), self.pool.round_trip_ms)
         self.requests_carried, self.last_identity = self.requests_carried + 1, attempt.identity
         self._unsent, self._body = unsent, body
+        self._sending.set(len(unsent))
         self._written, self._sent, self._awaiting_body = False, 0, False
         self._body_dropped = False
         self._parser.for_head_request = attempt.only_head
@@ -123,7 +124,9 @@
         if self._unsent is not None:
             data, self._unsent = self._unsent, None
             self.transport.write(data)
-        elif self._body is not None and self._beginning:
+            return
+        self._sending.set(0)
+        if self._body is not None and self._beginning:
             # Not in this call: the body may commit or end the attempt, which start() has not returned yet.
             self.transport.startWriting()
         elif self._body is not None:
@@ -159,6 +162,7 @@
             out = http1.chunk(data) + (http1.LAST_CHUNK if last else b"")
         self._cancel_progress_timer()
         if out:
+            self._sending.set(len(out))
             self.transport.write(out)
             attempt = self._attempt
             self._progress_timer = self._servers.clock.after(UPLOAD_STALL_MS, lambda: self._stalled(attempt))
--- a/lupinlink/net/body_budget.py
+++ b/lupinlink/net/body_budget.py
@@ -4,6 +4,8 @@
 
 from typing import Protocol
 
+from lupinlink.limits.memory_account import MemoryAccount, MemoryKind
+
 PRESSURE_SHARE = 0.5  # above this share of the budget every body that is not small is streamed
 
 
@@ -22,8 +24,10 @@
     notice by itself that another one has ended.
     """
 
-    def __init__(self, limit_bytes: int) -> None:
+    def __init__(self, limit_bytes: int, account: MemoryAccount | None = None) -> None:
+        """``account``: of the memory for everything that peers send."""
         self._limit_bytes, self._held_bytes = limit_bytes, 0
+        self._account = account or MemoryAccount()
         self._waiting: dict[WaitingBody, None] = {}
 
     @property
@@ -54,10 +58,12 @@
     def hold(self, count: int) -> None:
         """Count bytes that a body has received."""
         self._held_bytes += count
+        self._account.change(MemoryKind.BODIES, count)
 
     def release(self, count: int) -> None:
         """Count bytes that a body has dropped."""
         self._held_bytes -= count
+        self._account.change(MemoryKind.BODIES, -count)
         self._wake()
 
     def wait(self, body: WaitingBody) -> None:
--- a/lupinlink/net/clients/connection.py
+++ b/lupinlink/net/clients/connection.py
@@ -11,8 +11,10 @@
 from lupinlink.limits.idle_reuse import IdlePeriod
 from lupinlink.net import http1
 from lupinlink.net.clients.closing import CloseReason
+from lupinlink.net.clients.memory import ConnectionMemory
 from lupinlink.net.clients.owner import ConnectionOwner, IncomingRequest
 from lupinlink.net.clients.phases import Phase
+from lupinlink.net.clients.read_pauses import ReadPauses
 from lupinlink.net.immediate_write import end_sending_now, write_now
 from lupinlink.net.socket_peek import peek, peer_has_ended, unacknowledged_bytes
 from lupinlink.net.twisted_types import READ_BYTES, Transport, unsent
@@ -31,8 +33,9 @@
         self._incoming: IncomingRequest | None = None
         self._closing = self._not_reading = False
         self._close_reason = CloseReason.CLIENT_LEFT  # once it is closing
-        self._paused_for: set[str] = set()  # the reasons for which it is not read
+        self._pauses = ReadPauses()
         self._delivery = DeliveryProgress()  # while its client does not read, or the connection closes
+        self._memory = ConnectionMemory(clients.account)
         self.phase: Phase | None = None
         self.since = 0.0  # when the phase began
         self.connected_at = self.last_read_at = clients.clock.now()
@@ -81,7 +84,7 @@
         for _ in range(MAX_READS):
             if (more := self._peek()) is None or self._closing:
                 return True
-            if not more or self._paused_for or self._incoming is not None:
+            if not more or self._pauses or self._incoming is not None:
                 break
             self.transport.doRead()
         return self._closing
@@ -191,7 +194,7 @@
         """Answer an invalid request, and close the connection."""
         self._clients.counters[f"rejected_{status}"] += 1
         text = [("Content-Type", "text/plain")]
-        write_now(self.transport, http1.response(status, text, f"{why}\n".encode(), close=True))
+        self._write(http1.response(status, text, f"{why}\n".encode(), close=True))
         self.close(CloseReason.REJECTED, f"{status} {why}")
 
     def close(self, reason: CloseReason, detail: str = "") -> None:
@@ -216,11 +219,24 @@
         self._clients.set_phase(self, Phase.CLOSING)
         self._delivery.restart(self._clients.clock.now(), math.inf)
         self._parser = http1.RequestParser()  # drops its buffer
+        self._memory.holds_received(0)
         self._release_all()
         self.transport.unregisterProducer()
-        self._paused_for.clear()
+        self._pauses.clear()
         self.transport.resumeProducing()
 
+    def _write(self, data: bytes) -> None:
+        """Write data to the client; what the kernel does not take now is counted until it does."""
+        write_now(self.transport, data)
+        self.count_unsent()
+
+    def count_unsent(self) -> None:
+        """Count what the kernel has not taken of the answers."""
+        if self._memory.count_unsent(self.transport):
+            self._clients.unsent[self] = None
+        else:
+            self._clients.unsent.pop(self, None)
+
     def _log_close(self, reason: CloseReason, detail: str) -> None:
         idle_ms = self._clients.clock.now() - self.last_read_at
         self._clients.close_log.closed(reason, detail, self.address, self.last_identity, idle_ms)
@@ -228,16 +244,3 @@
     def _log_dropped(self, reason: CloseReason, data: bytes, since_ms: float) -> None:
         self._clients.counters["bytes_dropped"] += len(data)
         self._clients.close_log.dropped(reason, data, since_ms, self._clients.clock.now())
-
-    def _set_reading(self, why: str, on: bool) -> None:
-        """Stop reading for the reason ``why``, or resume (``on``) if no other reason is left."""
-        before = bool(self._paused_for)
-        if on:
-            self._paused_for.discard(why)
-        else:
-            self._paused_for.add(why)
-        if before != bool(self._paused_for):
-            if self._paused_for:
-                self.transport.pauseProducing()
-            else:
-                self.transport.resumeProducing()
--- a/lupinlink/net/clients/connection_table.py
+++ b/lupinlink/net/clients/connection_table.py
@@ -5,6 +5,7 @@
 from itertools import islice
 
 from lupinlink.limits.idle_reuse import IdleEnd, IdleReuse, keep_threshold
+from lupinlink.limits.memory_account import Holding, MemoryAccount, MemoryKind
 from lupinlink.net.clients.closing import CloseReason
 from lupinlink.net.clients.connection import ClientConnection
 from lupinlink.net.clients.phases import Phase
@@ -13,19 +14,22 @@
 from lupinlink.net.timer_wheel import ReactorClock
 
 MAX_EVICTION_CHECKS = 8  # connections checked to make room for one
+CONNECTION_BYTES = 4 * 1024  # memory of the objects of one connection
 
 
 class ConnectionTable:
     """All client connections, within one limit; those of each phase are ordered by when it began."""
 
-    def __init__(self, cap: int, clock: ReactorClock, counters: Counters) -> None:
+    def __init__(self, cap: int, clock: ReactorClock, counters: Counters, account: MemoryAccount) -> None:
         self._clock, self._counters = clock, counters
-        self.connections: Slots[ClientConnection] = Slots(cap)
+        held = Holding(account, MemoryKind.CLIENTS)
+        self.connections: Slots[ClientConnection] = Slots(cap, held, CONNECTION_BYTES)
         self.phases: dict[Phase, dict[ClientConnection, None]] = {phase: {} for phase in Phase}
         self.streaming: dict[ClientConnection, None] = {}  # with an answer that is being streamed
         self.uploading: dict[
             ClientConnection, None
         ] = {}  # their requests are with the decisions before their end
+        self.unsent: dict[ClientConnection, None] = {}  # with answers that the kernel has not taken
         self._idle_reuse = IdleReuse(cap)
 
     def set_phase(self, client: ClientConnection, phase: Phase | None, anew: bool = False) -> None:
@@ -66,6 +70,7 @@
         self.connections.remove(client.handle)
         self.set_phase(client, None)
         self.uploading.pop(client, None)
+        self.unsent.pop(client, None)
 
     def make_room(self) -> bool:
         """Close the connection that is least likely to be needed; False if there is none to close.
@@ -140,6 +145,8 @@
     def sweep(self, rests: bool) -> None:
         """Close overdue connections; ``rests``: also idle ones whose room is worth more to others."""
         now = self._clock.now()
+        for client in list(self.unsent):
+            client.count_unsent()
         for phase, clients in self.phases.items():
             for client in list(islice(clients, 64)):
                 if now - client.since < phase.limit_ms:
--- a/lupinlink/net/clients/listener.py
+++ b/lupinlink/net/clients/listener.py
@@ -10,6 +10,7 @@
 from twisted.internet.protocol import ServerFactory
 from twisted.internet.tcp import Port as TcpPort
 
+from lupinlink.limits.memory_account import MemoryAccount
 from lupinlink.net import http1
 from lupinlink.net.body_budget import BodyBudget
 from lupinlink.net.clients.closing import CloseLog
@@ -99,18 +100,20 @@
         cap: int,
         spare_mb: float,
         counters: Counters,
+        account: MemoryAccount | None = None,
     ) -> None:
         self.proxy, self.clock, self.counters = proxy, clock, counters
+        self.account = account or MemoryAccount()
         self._discovery_client, self._lifecycle = discovery_client, lifecycle
         self.port: Port | None = None
         self.accept_paused = False  # all connections are busy: none is accepted
         self.accept_queue = QueueWait()
         self.close_log = CloseLog()
-        self.budget = BodyBudget(0)  # for all request bodies
+        self.budget = BodyBudget(0, self.account)  # for all request bodies
         self.read_request = RequestReader(settings, self.budget).read
-        table = self._table = ConnectionTable(cap, clock, counters)
+        table = self._table = ConnectionTable(cap, clock, counters, self.account)
         self.connections, self.phases, self.set_phase = table.connections, table.phases, table.set_phase
-        self.streaming, self.uploading = table.streaming, table.uploading
+        self.streaming, self.uploading, self.unsent = table.streaming, table.uploading, table.unsent
         self.resize(cap, spare_mb)
         clock.after(SWEEP_MS, self._sweep)
 
--- a/lupinlink/net/clients/owner.py
+++ b/lupinlink/net/clients/owner.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 from lupinlink.limits.body_progress import BodyProgress
+from lupinlink.limits.memory_account import MemoryAccount
 from lupinlink.limits.upload_time import UploadTime
 from lupinlink.net import http1
 from lupinlink.net.body_budget import BodyBudget
@@ -35,10 +36,12 @@
     proxy: Proxy
     clock: ReactorClock
     counters: Counters
+    account: MemoryAccount
     budget: BodyBudget  # for all request bodies
     close_log: CloseLog
     streaming: dict[ClientConnection, None]  # connections with an answer that is being streamed
     uploading: dict[ClientConnection, None]  # connections with a request that is sent on before its end
+    unsent: dict[ClientConnection, None]  # connections with answers that the kernel has not taken
 
     @property
     def ready(self) -> bool:
--- a/lupinlink/net/clients/requests.py
+++ b/lupinlink/net/clients/requests.py
@@ -57,6 +57,7 @@
 
     def connectionLost(self, reason: Reason = connectionDone) -> None:
         self._closing = True
+        self._memory.release()
         self._clients.connection_lost(self)
         self._release_all()
 
@@ -121,6 +122,7 @@
             self.reject(500, FailureReason.INTERNAL.value)
         finally:
             self._advancing = False
+            self._memory.holds_received(0 if self._closing else self._parser.held())
         if self._closing:
             return
         if not self._waiting:
--- a/lupinlink/net/clients/responses.py
+++ b/lupinlink/net/clients/responses.py
@@ -14,7 +14,6 @@
 from lupinlink.net.clients.closing import CloseReason
 from lupinlink.net.clients.connection import ClientConnection
 from lupinlink.net.clients.owner import ConnectionOwner
-from lupinlink.net.immediate_write import write_now
 from lupinlink.net.request_types import FailureReason, Reply
 
 # The kernel's buffer for a streamed answer: with a larger one, a client that does not read goes unnoticed.
@@ -112,7 +111,7 @@
         answer = encode(not stays)
         if may_stay and not stays and self._has_more():
             stays, answer = True, encode(False)
-        write_now(self.transport, answer)
+        self._write(answer)
         return stays
 
     def _start_stream(self, reply: Reply, stream: ResponseStream) -> None:
@@ -145,13 +144,13 @@
     def _stream_data(self, data: bytes) -> None:
         if data and self._stream is not None:
             self._stream.sent_bytes += len(data)
-            self.transport.write(http1.chunk(data) if self._chunked else data)
+            self._write(http1.chunk(data) if self._chunked else data)
 
     def _stream_ended(self) -> None:
         if self._stream is None:
             return
         if self._chunked:
-            self.transport.write(http1.LAST_CHUNK)
+            self._write(http1.LAST_CHUNK)
         self._stream, self._waiting = None, False
         self._clients.streaming.pop(self, None)
         if self._keep_open:
--- a/lupinlink/net/clients/uploads.py
+++ b/lupinlink/net/clients/uploads.py
@@ -8,6 +8,7 @@
 from lupinlink.net.clients.closing import CloseReason
 from lupinlink.net.clients.owner import IncomingRequest
 from lupinlink.net.clients.phases import Phase
+from lupinlink.net.clients.read_pauses import PauseReason
 from lupinlink.net.clients.responses import RespondingConnection
 from lupinlink.net.request_types import ClientRequest
 from lupinlink.net.socket_peek import peer_has_ended, receives_whole_segments, unread_bytes
@@ -71,20 +72,20 @@
         if body.full and self._incoming is not None:
             incoming.progress.pause(now)
             body.pause()
-            self._set_reading("body", False)
+            self._pauses.set(self.transport, PauseReason.BODY, True)
         self.observe_unread(now)
 
     def _resume_body(self, incoming: IncomingRequest) -> None:
         """Read on, as the body's buffer has room again."""
         if self._incoming is incoming:
             incoming.progress.resume(self._clients.clock.now())
-            self._set_reading("body", True)
+            self._pauses.set(self.transport, PauseReason.BODY, False)
 
     def _body_complete(self, incoming: IncomingRequest, data: bytes) -> None:
         """Complete a body with its last bytes."""
         self._incoming = None
         self._clients.uploading.pop(self, None)
-        self._set_reading("body", True)
+        self._pauses.set(self.transport, PauseReason.BODY, False)
         incoming.request.body.add(data)
         incoming.request.body.finish()
         if not self._waiting:
@@ -98,7 +99,7 @@
         if incoming is None or self._open_handle is None:
             return
         body, before = incoming.request.body, incoming.time.since
-        if not self._paused_for and before is None:
+        if not self._pauses and before is None:
             return  # it is read as it arrives
         if peer_has_ended(self.transport):
             self.abort(CloseReason.CLIENT_LEFT)
--- a/lupinlink/net/components.py
+++ b/lupinlink/net/components.py
@@ -6,6 +6,7 @@
 from functools import partial
 
 from lupinlink.interface import ListTrust, ListTrustChanged
+from lupinlink.limits.memory_account import MemoryAccount
 from lupinlink.net.application_servers import ApplicationServers
 from lupinlink.net.clients import Clients
 from lupinlink.net.counters import Counters
@@ -25,6 +26,7 @@
     reactor: Reactor
     clock: ReactorClock
     counters: Counters
+    account: MemoryAccount  # of what peers make the process hold
     lifecycle: Lifecycle
     servers: ApplicationServers
     discovery_client: DiscoveryClient
@@ -35,19 +37,29 @@
 def build(config: Config, reactor: Reactor, capacity: Capacity) -> Components:
     """Build all components; none of them listens or connects yet."""
     counters, clock, settings = Counters(), ReactorClock(reactor), config.settings
+    account = MemoryAccount()
     lifecycle = Lifecycle(max(cls.deadline_ms for cls in settings.classes))
-    servers = ApplicationServers(reactor, clock, settings, capacity.servers, counters)
+    servers = ApplicationServers(reactor, clock, settings, capacity.servers, counters, account)
     discovery_client = DiscoveryClient(reactor, clock, config.discovery, settings, servers, counters)
     proxy = Proxy(settings, config.seed, clock, servers, discovery_client.call, counters)
+    proxy.account = account
     discovery_client.on_event = proxy.handle_soon
     proxy.on_trust_changed = partial(_trust_changed, discovery_client, lifecycle)
     clock.after(LIST_WAIT_MS, lifecycle.settle_list)
     servers.read_pending_updates = discovery_client.read_pending_updates
     servers.list_is_held = proxy.list_is_held
     clients = Clients(
-        proxy, discovery_client, clock, settings, lifecycle, capacity.clients, capacity.spare_mb, counters
+        proxy,
+        discovery_client,
+        clock,
+        settings,
+        lifecycle,
+        capacity.clients,
+        capacity.spare_mb,
+        counters,
+        account,
     )
-    return Components(reactor, clock, counters, lifecycle, servers, discovery_client, proxy, clients)
+    return Components(reactor, clock, counters, account, lifecycle, servers, discovery_client, proxy, clients)
 
 
 def _trust_changed(discovery_client: DiscoveryClient, lifecycle: Lifecycle, change: ListTrustChanged) -> None:
--- a/lupinlink/net/handover/capacity.py
+++ b/lupinlink/net/handover/capacity.py
@@ -9,27 +9,31 @@
 
 # Descriptors for everything else: listener, watch, log, reactor, connections being closed.
 RESERVE, RESERVE_SHARE = 24, 0.05
-# An idle process takes 21 MB, one with 200 busy connections 24 MB. Bodies in transit share a budget of
-# their own, so a connection is not charged for the largest body.
-BASE_MB, CONNECTION_MB = 25.0, 0.016
+ASSUMED_REST_MB = 25.0  # of an idle process, where it is not measured
+CONNECTION_MB = 0.016  # objects and the least buffers of a connection; all else is bounded by the account
 CLIENT_SHARE = 0.55  # of the remaining descriptors; clients keep idle connections open, pools close theirs
 MIN_CONNECTIONS = 16  # of a process on its own; with fewer it refuses to start
 MIN_BESIDE = 16  # next to another process, until that one has reported its usage
 MIN_SPARE_MB = 2.0
+GROWTH = 1.5  # how far what an old process holds may still grow, so that its open requests end
 
 
 @dataclass(slots=True, frozen=True)
 class Limits:
-    """The limits of the whole proxy: descriptors, megabytes, and connections to its management API."""
+    """The limits of the whole proxy: descriptors, megabytes, and connections to its management API.
+
+    ``rest_mb``: what this process takes of the memory before any client comes.
+    """
 
     sockets: int
     memory_mb: float
     callers: int
+    rest_mb: float = ASSUMED_REST_MB
 
 
 @dataclass(slots=True, frozen=True)
 class Usage:
-    """What one process uses: the most descriptors it may open, and megabytes resident."""
+    """What one process uses at most: descriptors, and megabytes of its own."""
 
     descriptors: int
     memory_mb: float
@@ -37,7 +41,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Capacity:
-    """What one process may use: client and backend connections, and megabytes for bodies."""
+    """What one process may use: client and backend connections, and megabytes beside those at rest."""
 
     clients: int
     servers: int
@@ -51,7 +55,7 @@
 
 def capacity_for(limits: Limits, beside: Usage | None = None) -> Capacity:
     """The capacity of a process, next to another with the usage ``beside``."""
-    usable, memory = limits.sockets - reserve(limits), limits.memory_mb - BASE_MB
+    usable, memory = limits.sockets - reserve(limits), limits.memory_mb - limits.rest_mb
     if beside is not None:
         usable, memory = usable - beside.descriptors, memory - beside.memory_mb
     usable = min(usable, int(memory / CONNECTION_MB)) if beside is None or memory > 0 else usable
@@ -64,6 +68,8 @@
 def shrunk(limits: Limits, clients: int, servers: int, open_calls: int, spare_mb: float) -> Capacity:
     """The capacity of a process whose successor serves: its present use, and backend connections enough to
     answer its open requests.
+
+    ``spare_mb``: what it may hold, as from ``spare_of_old``.
     """
     own = capacity_for(limits)
     least = min(own.servers, open_calls + 2)
@@ -72,6 +78,11 @@
     )
 
 
+def spare_of_old(spare_mb: float, used_mb: float) -> float:
+    """What a process whose successor serves may hold of its ``spare_mb``, given what it uses of it."""
+    return min(spare_mb, max(MIN_SPARE_MB, GROWTH * used_mb))
+
+
 def usage(limits: Limits, now: Capacity, memory_mb: float) -> Usage:
-    """The most that a process with the capacity ``now`` may use; ``memory_mb``: what it has resident."""
+    """The most that a process with the capacity ``now`` may use; ``memory_mb``: the same of memory."""
     return Usage(now.clients + now.servers + reserve(limits), memory_mb)
--- a/lupinlink/net/http1.py
+++ b/lupinlink/net/http1.py
@@ -5,11 +5,12 @@
 import re
 
 from lupinlink.net.http1_chunks import whole_chunks
-from lupinlink.net.http1_fields import TOKEN, add_fields
+from lupinlink.net.http1_fields import add_fields
 from lupinlink.net.http1_lines import HEAD_END, LINE_END, EndFinder
 from lupinlink.net.http1_messages import HOP_BY_HOP as HOP_BY_HOP
 from lupinlink.net.http1_messages import Message as Message
 from lupinlink.net.http1_messages import MessageError as MessageError
+from lupinlink.net.http1_start_lines import answer_with, request_with
 from lupinlink.net.http1_writers import CHUNKED as CHUNKED
 from lupinlink.net.http1_writers import LAST_CHUNK as LAST_CHUNK
 from lupinlink.net.http1_writers import REASONS as REASONS
@@ -21,12 +22,10 @@
 
 REQUEST_TIMEOUT = 408  # some servers say so before they close an idle connection (RFC 9110, 15.5.9)
 MAX_HEAD, MAX_BODY, MAX_HEADERS = 16 * 1024, 64 * 1024, 100  # bytes, bytes, fields
+PARSED_FIELD_BYTES = 400  # memory of a field's objects beside its text, in a message that is being parsed
 MAX_CHUNK_LINE = 4096  # a chunk size with its extensions, or a trailer line
 MAX_MESSAGE = 32 * 1024 * 1024  # body of a message that is streamed
 
-# Clients of a proxy may send the target in absolute form; only its path and query are used.
-REQUEST_LINE = re.compile(rf"({TOKEN}) (?:[Hh][Tt][Tt][Pp]://[^/?# ]+)?(/[\x21-\x7e]*) HTTP/1\.([01])")
-STATUS_LINE = re.compile(r"HTTP/1\.([01]) ([1-5][0-9][0-9])(?: [^\x00-\x08\x0a-\x1f\x7f]*)?")
 CHUNK_SIZE = re.compile(rb"0{0,16}([0-9A-Fa-f]{1,8})[ \t]*(?:;[^\r\n]*)?")
 
 
@@ -39,6 +38,7 @@
     def __init__(self, max_held: int = MAX_BODY, max_body: int | None = None) -> None:
         self.buffer = bytearray()
         self.head: Message | None = None  # of the message that is being parsed
+        self.head_bytes = 0  # memory that its head takes
         self.body_received = 0  # bytes of its body so far
         self.length: int | None = None  # of its body, as declared; None: unknown until its end
         self._max_held, self._max_body = max_held, max_held if max_body is None else max_body
@@ -60,6 +60,10 @@
         """Bytes buffered here."""
         return len(self.buffer) + len(self._body)
 
+    def held(self) -> int:
+        """Bytes of memory that the message takes here."""
+        return self.size() + self.head_bytes
+
     def next(self) -> Message | None:
         """The next complete message, None if more bytes are needed. Raises MessageError."""
         if self.head is None and not self._read_head():
@@ -101,6 +105,7 @@
         assert message is not None
         message.body = bytes(self._body)
         self.head, self._chunked, self._chunk = None, False, -1
+        self.head_bytes = 0
         self._body.clear()
         return message
 
@@ -139,6 +144,7 @@
         add_fields(message, lines[1:])
         self._frame(message)
         self.head = message
+        self.head_bytes = len(text) + PARSED_FIELD_BYTES * len(message.headers)
         return True
 
     def _frame(self, message: Message) -> None:
@@ -222,11 +228,7 @@
     """Parses the requests of a client."""
 
     def start_line(self, line: str) -> Message:
-        match = REQUEST_LINE.fullmatch(line)
-        if match is None:
-            known = re.fullmatch(rf"{TOKEN} [\x21-\x7e]+ HTTP/[0-9]\.[0-9]", line)
-            raise MessageError(505 if known and "HTTP/1." not in line else 400, "malformed request line")
-        return Message(int(match.group(3)), [], method=match.group(1), target=match.group(2))
+        return request_with(line)
 
     def default_body_length(self, message: Message) -> int | None:
         return 0
@@ -236,10 +238,7 @@
     """Parses the answers of an application server or of discovery."""
 
     def start_line(self, line: str) -> Message:
-        match = STATUS_LINE.fullmatch(line)
-        if match is None:
-            raise MessageError(502, "malformed status line")
-        return Message(int(match.group(1)), [], status=int(match.group(2)))
+        return answer_with(line)
 
     for_head_request = False  # set by the caller before the answer to a HEAD request is parsed
 
--- a/lupinlink/net/listener_takeover.py
+++ b/lupinlink/net/listener_takeover.py
@@ -6,18 +6,28 @@
 import os
 import socket
 from collections.abc import Callable, Mapping
+from dataclasses import replace
 from typing import Any, cast
 
 from twisted.internet.error import CannotListenError
 
+from lupinlink.limits.memory_account import limit_for
 from lupinlink.net.clients import Listener
 from lupinlink.net.clients.listener import BACKLOG
 from lupinlink.net.components import Components
 from lupinlink.net.discovery_client import ListError
-from lupinlink.net.handover.capacity import Capacity, Limits, Usage, capacity_for, shrunk, usage
+from lupinlink.net.handover.capacity import (
+    Capacity,
+    Limits,
+    Usage,
+    capacity_for,
+    shrunk,
+    spare_of_old,
+    usage,
+)
 from lupinlink.net.handover.channel import Channel, SuccessorListener, connect, socket_path
 from lupinlink.net.handover.upgrade import Upgrade
-from lupinlink.net.process import resident_mb
+from lupinlink.net.process import MIB, own_mb
 from lupinlink.net.twisted_types import Port
 from lupinlink.settings import Config, SettingsError
 
@@ -50,6 +60,8 @@
         )  # fmt: skip
         self._upgrade = Upgrade(self, config.name)
         components.proxy.sent.on_sent = self._upgrade.request_sent
+        self._account = components.account
+        self._account.limit_bytes = limit_for(capacity.spare_mb)
         self._tick_scheduled = False
         self._successor_listener: SuccessorListener | None = None
         self.error: SettingsError | None = None  # why this process cannot listen
@@ -66,6 +78,12 @@
             self._upgrade.request_handover(channel, self._clock.now())
             self._schedule_tick()
 
+    def measured_at_rest(self, rest_mb: float) -> None:
+        """Note what this process takes before any client comes: what is left is for clients."""
+        self._limits = replace(self._limits, rest_mb=rest_mb)
+        if not self._upgrade.busy:
+            self._resize(capacity_for(self._limits))
+
     def stop(self) -> None:
         """This process exits."""
         self._upgrade.stop()
@@ -206,8 +224,9 @@
     def current_usage(self) -> Usage:
         """What this process uses; from now on it is limited to that."""
         counts = len(self._clients.connections), len(self._servers.connections), self._proxy.open
-        self._resize(shrunk(self._limits, *counts, self.capacity.spare_mb))
-        return usage(self._limits, self.capacity, resident_mb())
+        spare_mb = spare_of_old(self.capacity.spare_mb, self._account.used_bytes / MIB)
+        self._resize(shrunk(self._limits, *counts, spare_mb))
+        return usage(self._limits, self.capacity, max(own_mb(), self._limits.rest_mb + spare_mb))
 
     def on_drain_changed(self, drain: bool) -> None:
         """An operator's call that reached the old process."""
@@ -220,5 +239,6 @@
 
     def _resize(self, capacity: Capacity) -> None:
         self.capacity = capacity
+        self._account.limit_bytes = limit_for(capacity.spare_mb)
         self._clients.resize(capacity.clients, capacity.spare_mb)
         self._servers.resize(capacity.servers)
--- a/lupinlink/net/open_request.py
+++ b/lupinlink/net/open_request.py
@@ -12,6 +12,8 @@
 # client side ends an upload that stalls, and tells when the last byte may have been written unread; the
 # module gets a deadline beyond the end of any upload.
 UPLOAD_LIMIT_MS = 1_200_000.0
+REQUEST_BYTES = 5 * 1024  # memory of the objects of one request, its attempt and its timers
+FIELD_BYTES = 200  # memory of a field's objects beside its text
 
 
 @dataclass(slots=True)
@@ -28,6 +30,13 @@
     may_have_run: bool = False  # at least one attempt may have been executed by its server
     attempts: list[OpenAttempt] = field(default_factory=list)
     last_end: EndReason | None = None  # how its last attempt ended
+    held_bytes: int = 0  # memory of its objects and its head
+
+
+def memory_of(request: ClientRequest) -> int:
+    """The memory that a request takes beside its body, in bytes."""
+    text = sum(len(name) + len(value) for name, value in request.headers) + len(request.target)
+    return REQUEST_BYTES + FIELD_BYTES * len(request.headers) + text
 
 
 def time_left_ms(request: ClientRequest, waited_ms: float) -> float:
--- a/lupinlink/net/open_requests.py
+++ b/lupinlink/net/open_requests.py
@@ -8,8 +8,9 @@
 from lupinlink import interface as api
 from lupinlink.clock import Clock
 from lupinlink.interface import Status
+from lupinlink.limits.memory_account import MemoryAccount, MemoryKind
 from lupinlink.net.counters import Counters
-from lupinlink.net.open_request import UPLOAD_LIMIT_MS, OpenRequest, time_left_ms
+from lupinlink.net.open_request import UPLOAD_LIMIT_MS, OpenRequest, memory_of, time_left_ms
 from lupinlink.net.request_log import RequestLog
 from lupinlink.net.request_types import (
     ClientRequest,
@@ -35,6 +36,7 @@
         self._requests: Slots[OpenRequest] = Slots(settings.max_open_requests)
         self._identities: set[str] = set()  # of all requests in the table
         self.sent = SentIdentities(settings, clock)
+        self.account = MemoryAccount()
         # Set by the fleet extension. ``quota_check``: None if the request is within its quota, else the time
         # in ms after which to retry. ``on_settled``: the request is answered or its client has left.
         self.quota_check: Callable[[ClientRequest], float | None] | None = None
@@ -80,6 +82,8 @@
         self._identities.add(request.identity)
         entry = self._requests.get(handle)
         assert entry is not None
+        entry.held_bytes = memory_of(request)
+        self.account.change(MemoryKind.REQUESTS, entry.held_bytes)
         if request.body.complete:
             self._set_guard_timer(handle, entry)
         request.body.on_discard = lambda: self._commit(handle)
@@ -218,6 +222,7 @@
             attempt.cancel_if_unsent()  # the last attempt to end calls _release again
         if not entry.attempts_in_flight and self._requests.remove(handle) is not None:
             self._identities.discard(entry.request.identity)
+            self.account.change(MemoryKind.REQUESTS, -entry.held_bytes)
             if entry.may_have_run:
                 self.sent.may_have_run(entry.request)
             entry.request.body.discard()
--- a/lupinlink/net/service.py
+++ b/lupinlink/net/service.py
@@ -22,7 +22,15 @@
 from lupinlink.net.listener_takeover import ListenerTakeover
 from lupinlink.net.loop_iterations import measure_iterations
 from lupinlink.net.management import MAX_OWN_BODY_BYTES, Handler, ManagementApi, connection_limit, yes_or_no
-from lupinlink.net.process import collect_garbage_by_timer, raise_descriptor_limit, resident_mb
+from lupinlink.net.memory_watch import MemoryWatch
+from lupinlink.net.process import (
+    collect_garbage_by_timer,
+    freeze_startup_objects,
+    limit_allocator,
+    own_mb,
+    raise_descriptor_limit,
+    resident_mb,
+)
 from lupinlink.net.twisted_types import Reactor
 from lupinlink.settings import Config, SettingsError
 
@@ -51,7 +59,8 @@
         # By default Twisted schedules calls by the wall clock, and a change of it would shift deadlines.
         reactor.seconds = time.monotonic
         sockets = raise_descriptor_limit(config.sockets)
-        limits = Limits(sockets, config.memory_mb, connection_limit(sockets) if config.mgmt else 0)
+        callers = connection_limit(sockets) if config.mgmt else 0
+        limits = Limits(sockets, config.memory_mb, callers, own_mb())
         capacity = capacity_for(limits)
         if capacity.clients + capacity.servers < MIN_CONNECTIONS:
             raise SettingsError(
@@ -64,6 +73,7 @@
             components.lifecycle,
             components.discovery_client,
         )
+        self._memory_watch = MemoryWatch(components.account, components.clock, config.memory_mb)
         self._client_drain = ClientDrain(components, self._exit)
         self._takeover = ListenerTakeover(
             config, limits, capacity, components, self._set_drained, self._client_drain.start
@@ -126,7 +136,11 @@
     def _on_running(self) -> None:
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, self._on_stop)
+        freeze_startup_objects()
         collect_garbage_by_timer(self._components.clock)
+        rest_mb = own_mb()
+        self._takeover.measured_at_rest(rest_mb)
+        self._memory_watch.start(rest_mb)
         measure_iterations(self._reactor, self._components.clock.iterations)
         if self._fleet_host is not None:
             self._fleet_host.start()
@@ -166,6 +180,7 @@
             **components.clients.gauges(),
             **self._management.gauges(),
             resident_mb=int(resident_mb()),
+            **self._memory_watch.gauges(),
             **components.clock.iterations.gauges(),
             **components.servers.gauges(),
             **components.proxy.gauges(),
@@ -213,5 +228,6 @@
     """Run one proxy in this process; arguments as for ``Service``. Returns the exit code."""
     from twisted.internet import reactor
 
+    limit_allocator()
     logs.set_up(config.name, logs.level_of(os.environ))
     return Service(config, cast(Reactor, reactor), load, fleet).run()
--- a/lupinlink/net/slots.py
+++ b/lupinlink/net/slots.py
@@ -5,6 +5,8 @@
 from collections.abc import Iterator
 from typing import Generic, TypeVar
 
+from lupinlink.limits.memory_account import Holding
+
 T = TypeVar("T")
 INDEX_BITS = 20
 
@@ -12,8 +14,10 @@
 class Slots(Generic[T]):
     """A table whose slots are reused while its handles are not."""
 
-    def __init__(self, capacity: int) -> None:
+    def __init__(self, capacity: int, holding: Holding | None = None, item_bytes: int = 0) -> None:
+        """``holding``: counts the memory of the items, ``item_bytes`` each."""
         self.capacity = capacity
+        self._holding, self._item_bytes = holding, item_bytes
         self._items: list[T | None] = []
         self._generations: list[int] = []
         self._free: list[int] = []
@@ -44,6 +48,7 @@
             index = len(self._items)
             self._items.append(item)
             self._generations.append(0)
+        self._count()
         return self._generations[index] << INDEX_BITS | index
 
     def get(self, handle: int) -> T | None:
@@ -61,4 +66,9 @@
             self._items[index] = None
             self._generations[index] += 1
             self._free.append(index)
+            self._count()
         return item
+
+    def _count(self) -> None:
+        if self._holding is not None:
+            self._holding.set(len(self) * self._item_bytes)
--- a/lupinlink/net/twisted_types.py
+++ b/lupinlink/net/twisted_types.py
@@ -39,6 +39,11 @@
     return len(transport.dataBuffer) - int(transport.offset) + int(transport._tempDataLen)
 
 
+def buffered(transport: Any) -> int:
+    """Bytes of memory that a TCP connection's buffer for writing takes; sent ones may still be part of it."""
+    return len(transport.dataBuffer) + int(transport._tempDataLen)
+
+
 def mark_sending_ended(transport: Any) -> None:
     """Tell Twisted that the sending direction of a TCP connection has been shut down."""
     transport._writeDisconnecting = transport._writeDisconnected = True
--- a/tests/proxy_process.py
+++ b/tests/proxy_process.py
@@ -16,6 +16,7 @@
 import unittest
 from collections import deque
 from contextlib import suppress
+from functools import cache
 from itertools import count
 from pathlib import Path
 from typing import Any, ClassVar
@@ -56,12 +57,31 @@
 }  # fmt: skip
 
 
+@cache
+def rest_mb() -> float:
+    """The memory that the program takes before any client comes, in this environment."""
+    with tempfile.NamedTemporaryFile("w", suffix=".json") as file:
+        json.dump({"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "settings": SETTINGS}, file)
+        file.flush()
+        process = subprocess.Popen(
+            [sys.executable, "-m", "lupinlink"],
+            cwd=ROOT, env={**os.environ, "LB_CONFIG": file.name},
+            stdout=subprocess.DEVNULL, stderr=subprocess.PIPE, text=True,
+        )  # fmt: skip
+        assert process.stderr is not None
+        line = next(line for line in process.stderr if 'msg="memory at rest"' in line)
+        process.kill()
+        process.communicate()
+    return float(line.partition(" rest_mb=")[2].split()[0])
+
+
 class ProxyProcessTest(unittest.TestCase):
     """A test with the real program, and with application servers and a discovery of its own."""
 
     module: ClassVar[str] = "lupinlink"  # the module that is run
     settings: ClassVar[dict[str, Any]] = {}
     limits: ClassVar[dict[str, Any]] = {"cores": 1.0, "memory_mb": 192, "sockets": 1024}
+    spare_mb: ClassVar[float | None] = None  # the limit on memory leaves so much beside the program at rest
 
     def setUp(self) -> None:
         self.ids = count(1)
@@ -71,9 +91,15 @@
         self.addCleanup(peer.close)
         return peer
 
+    def told_limits(self) -> dict[str, Any]:
+        """The limits of the configuration."""
+        if self.spare_mb is None:
+            return self.limits
+        return {**self.limits, "memory_mb": rest_mb() + self.spare_mb}
+
     def config(self, *rows: dict[str, Any]) -> dict[str, Any]:
         return {"name": "n1", "listen": "127.0.0.1:0", "discovery": f"127.0.0.1:{self.discovery.port}",
-                "seed": "8c1f30d27a5be964", "limits": self.limits, "known": listing(41, True, *rows),
+                "seed": "8c1f30d27a5be964", "limits": self.told_limits(), "known": listing(41, True, *rows),
                 "settings": {**SETTINGS, **self.settings}}  # fmt: skip
 
     def program(
--- a/tests/test_busy_uploads.py
+++ b/tests/test_busy_uploads.py
@@ -7,6 +7,7 @@
 from types import SimpleNamespace
 from typing import Any
 
+from lupinlink.limits.memory_account import MemoryAccount
 from lupinlink.net.bodies import Body
 from lupinlink.net.body_budget import BodyBudget
 from lupinlink.net.clients.requests import Http1ClientConnection
@@ -58,8 +59,9 @@
             end.setblocking(False)
         budget = BodyBudget(1 << 30)
         owner: Any = SimpleNamespace(
-            clock=clock, proxy=self.proxy, budget=budget, counters=Counter(), uploading={}, streaming={}
-        )
+            clock=clock, proxy=self.proxy, budget=budget, counters=Counter(), uploading={}, streaming={},
+            account=MemoryAccount(), unsent={},
+        )  # fmt: skip
         owner.set_phase = lambda client, phase, anew=False: None
         owner.read_request = lambda message, path: ClientRequest(
             "id", 0, 0, WAIT_S * 1000.0, False, "POST", path, [], Body(budget, None)
--- a/tests/test_request_bodies.py
+++ b/tests/test_request_bodies.py
@@ -187,7 +187,8 @@
 class DyingServersShortOfMemory(DyingServers):
     """As above with the smallest budget: a body over 64 KiB is enough for memory pressure."""
 
-    limits: ClassVar[dict[str, Any]] = {"cores": 1.0, "memory_mb": 25.5, "sockets": 256}
+    limits: ClassVar[dict[str, Any]] = {"cores": 1.0, "sockets": 256}
+    spare_mb: ClassVar[float | None] = 0.45
     sizes: ClassVar[tuple[int, ...]] = (60_000, *range(64_000, 82_000, 2_000), 230_000)
 
     # Guards against: as above, where memory is short.
@@ -200,7 +201,8 @@
     """Uploads are paused as memory is short; the memory is free again before a server takes them."""
 
     # A quarter of a megabyte for bodies; there is pressure from half of it on.
-    limits: ClassVar[dict[str, Any]] = {"cores": 1.0, "memory_mb": 26, "sockets": 256}
+    limits: ClassVar[dict[str, Any]] = {"cores": 1.0, "sockets": 256}
+    spare_mb: ClassVar[float | None] = 1.0
     settings: ClassVar[dict[str, Any]] = {
         "Classes": [{"Name": "scan", "AimMs": 2000.0, "HardLimitMs": 8000.0, "Effect": "token",
                      "Group": "zone", "MemorySpanMs": 2000.0}],
