Drop timers from the wheel at once: those of writes piled up until they were due

Seen: 13,964 timers on the wheel of a process with 34 open requests, beside 341 clients that stop half way through a body (python -m tests.memory_crowds half 32): each write of a body drops a timer of 5 s and makes another, and a dropped one kept its memory until its time.

Change: a slot of the wheel is a dict, and a timer that is dropped leaves it.

--- a/lupinlink/net/timer_wheel.py
+++ b/lupinlink/net/timer_wheel.py
@@ -20,21 +20,24 @@
 class Timer:
     """A timer on the wheel; ``call`` is None once it was dropped."""
 
-    __slots__ = ("call", "tick")
+    __slots__ = ("call", "tick", "wheel")
 
-    def __init__(self, tick: int, call: Callable[[], None]) -> None:
-        self.tick = tick
+    def __init__(self, tick: int, call: Callable[[], None], wheel: TimerWheel | None = None) -> None:
+        self.tick, self.wheel = tick, wheel
         self.call: Callable[[], None] | None = call
 
     def drop(self) -> None:
+        """Never call it."""
         self.call = None
+        if self.wheel is not None:
+            self.wheel.remove(self)
 
 
 class TimerWheel:
     """A hashed timer wheel. Its timers fire never early and at most one tick late."""
 
     def __init__(self, now_ms: float) -> None:
-        self._slots: list[list[Timer]] = [[] for _ in range(WHEEL_SLOTS)]
+        self._slots: list[dict[Timer, None]] = [{} for _ in range(WHEEL_SLOTS)]
         self._last_tick = int(now_ms // TICK_MS)  # the last one that was handled
         self._count = 0
 
@@ -42,11 +45,18 @@
         return self._count
 
     def add(self, at_ms: float, call: Callable[[], None]) -> Timer:
-        timer = Timer(max(self._last_tick + 1, int(-(-at_ms // TICK_MS))), call)
-        self._slots[timer.tick % WHEEL_SLOTS].append(timer)
+        timer = Timer(max(self._last_tick + 1, int(-(-at_ms // TICK_MS))), call, self)
+        self._slots[timer.tick % WHEEL_SLOTS][timer] = None
         self._count += 1
         return timer
 
+    def remove(self, timer: Timer) -> None:
+        """Remove a timer that was dropped: those of writes would pile up until they are due."""
+        slot = self._slots[timer.tick % WHEEL_SLOTS]
+        if timer in slot:
+            del slot[timer]
+            self._count -= 1
+
     def next_at(self) -> float | None:
         """The time of the next tick with timers in its slot, at most one revolution away; None: no timers."""
         if self._count:
@@ -63,7 +73,7 @@
             slot = self._slots[tick % WHEEL_SLOTS]
             if slot:
                 timers += [t for t in slot if t.tick <= last]
-                self._slots[tick % WHEEL_SLOTS] = [t for t in slot if t.tick > last]
+                self._slots[tick % WHEEL_SLOTS] = {t: None for t in slot if t.tick > last}
         self._last_tick = max(self._last_tick, last)
         self._count -= len(timers)
         timers.sort(key=lambda t: t.tick)
--- a/tests/test_net_parts.py
+++ b/tests/test_net_parts.py
@@ -108,6 +108,17 @@
             call()
         self.assertEqual((seen, len(deadlines)), ([2, 1], 1))
 
+    # Guards against: a timer that is dropped keeps its memory until it would have been due.
+    def test_dropped_timers_do_not_pile_up(self) -> None:
+        wheel = TimerWheel(0.0)
+        for number in range(10_000):
+            wheel.add(5000.0 + number % 7, lambda: None).drop()
+        kept = wheel.add(100.0, lambda: None)
+        self.assertEqual((len(wheel), sum(map(len, wheel._slots))), (1, 1))
+        self.assertEqual(len(wheel.due(200.0)), 1)
+        kept.drop()
+        self.assertEqual((len(wheel), wheel.next_at()), (0, None))
+
     def test_the_wheel_is_never_early_and_at_most_a_tick_late(self) -> None:
         wheel, now = TimerWheel(0.0), 0.0
         late: list[float] = []
