Bound the sum of what peers make a process hold, and act on it by levels

Cause: each buffer had a bound of its own, times a count that peers choose; nothing bounded the sum, and what was left was given out more than once.

Change: the level of the account (limits/memory_account) now tells everyone what may be taken. From half of the limit on less is read and written at a time and bodies are sent on earlier; at 70% an answer is streamed as it comes, 4 KiB at a time, and senders wait at 8 KiB; at 85% new requests and bodies without a server get 503, with Retry-After, and no more than 4 KiB of a head are read; at the limit no connection is accepted and unfinished requests are refused, those that hold most first, then answers that no client has received anything of for 5 s. Requests that were taken go on at every level. Each level ends with a lower sum and wakes who waits for it. Measured memory over counted memory raises the level, 1.25 at least. An old process of an upgrade keeps twice what it holds.

test_bodies_in_tiny_chunks stays red: its memory holds, but sound requests beside it get no answer.

--- a/lupinlink/limits/delivery_progress.py
+++ b/lupinlink/limits/delivery_progress.py
@@ -17,8 +17,8 @@
         """Watch from now on; ``undelivered_bytes``: written, and not received by the client's machine."""
         self._least_bytes, self._since = undelivered_bytes, now
 
-    def is_stalled(self, now: float, undelivered_bytes: float) -> bool:
+    def is_stalled(self, now: float, undelivered_bytes: float, stall_ms: float = DELIVERY_STALL_MS) -> bool:
         """Whether nothing was received for too long; to be asked from time to time."""
         if undelivered_bytes < self._least_bytes:
             self.restart(now, undelivered_bytes)
-        return now - self._since > DELIVERY_STALL_MS
+        return now - self._since > stall_ms
--- a/lupinlink/limits/memory_account.py
+++ b/lupinlink/limits/memory_account.py
@@ -22,6 +22,7 @@
     SENDING = "sending"  # written to an application server and not taken by the kernel
     COLLECTED = "collected"  # of answers that have not come whole
     ANSWERS = "answers"  # written to a client and not taken by the kernel
+    LISTS = "lists"  # entries of discovery's list beyond those at rest
 
 
 class MemoryLevel(IntEnum):
@@ -44,8 +45,11 @@
 HYSTERESIS_SHARE = 0.05
 # Of what is left beside the program at rest: the allocator's rounding, garbage, and the process's own work.
 RESERVE_SHARE = 0.2
-MAX_OVERHEAD = 2.0  # measured memory over counted memory, at most
-MIN_JUDGED_SHARE = 0.25  # of the limit: with less counted, the overhead is not judged
+MIN_OVERHEAD, MAX_OVERHEAD = 1.25, 2.0  # measured memory over counted memory
+MIN_JUDGED_SHARE = 0.25  # of the limit: with less counted, the measured memory is not judged
+OWN_WORK_BYTES = 512 * 1024  # what the process takes itself once it works, such as caches
+FULL_SHARE = 0.95  # of all that is left: with more taken, nothing new is
+PEAK_DECAY = 0.98  # with each measurement; the allocator gives back what was freed with a delay
 
 LevelListener = Callable[[MemoryLevel, MemoryLevel], None]
 
@@ -58,7 +62,8 @@
         self._held: dict[MemoryKind, int] = dict.fromkeys(MemoryKind, 0)
         self._held_bytes = 0
         self._peak_bytes = 0
-        self._overhead = 1.0
+        self._overhead = MIN_OVERHEAD
+        self._is_full = False  # measured memory is near the limit of the process
         self._limit_bytes = limit_bytes
         self._level = MemoryLevel.NORMAL
         self._listeners: list[LevelListener] = []
@@ -82,7 +87,7 @@
 
     @property
     def overhead(self) -> float:
-        """Measured memory over counted memory; 1 unless more was measured."""
+        """Measured memory over counted memory, within bounds."""
         return self._overhead
 
     @property
@@ -113,14 +118,17 @@
     def measured(self, taken_bytes: int) -> None:
         """Compare with the memory that the process takes beyond what it took at rest.
 
-        The allocator keeps what was freed, so the most that was ever counted is compared, not the present.
+        The allocator keeps what was freed for a while, so the most that was held lately is compared.
         """
         if self._limit_bytes is None:
             return
-        self._peak_bytes = max(self._peak_bytes, self._held_bytes)
+        self._peak_bytes = max(int(self._peak_bytes * PEAK_DECAY), self._held_bytes)
         if self._peak_bytes >= MIN_JUDGED_SHARE * self._limit_bytes:
-            self._overhead = min(max(taken_bytes / self._peak_bytes, 1.0), MAX_OVERHEAD)
-            self._update()
+            beyond_own = taken_bytes - OWN_WORK_BYTES
+            self._overhead = min(max(beyond_own / self._peak_bytes, MIN_OVERHEAD), MAX_OVERHEAD)
+        all_bytes = self._limit_bytes / (1.0 - RESERVE_SHARE)
+        self._is_full = taken_bytes >= FULL_SHARE * all_bytes
+        self._update()
 
     def _update(self) -> None:
         """Set the level that follows from what is held, and tell the listeners of a change."""
@@ -139,6 +147,9 @@
                 stays = HYSTERESIS_SHARE if one <= self._level else 0.0
                 if used >= (share - stays) * self._limit_bytes:
                     level = one
+            # Where little is held, what is taken is free memory that the allocator keeps.
+            if self._is_full and self._held_bytes >= MIN_JUDGED_SHARE * self._limit_bytes:
+                level = max(level, MemoryLevel.REFUSE)
         return level
 
     def _place_edges(self) -> None:
@@ -151,6 +162,12 @@
             self._rises_at = LEVEL_SHARES[MemoryLevel(self._level + 1)] * limit
         if self._level > MemoryLevel.NORMAL:
             self._falls_at = (LEVEL_SHARES[self._level] - HYSTERESIS_SHARE) * limit
+        if self._is_full:
+            judged = MIN_JUDGED_SHARE * self._limit_bytes
+            if self._held_bytes < judged:
+                self._rises_at = min(self._rises_at, judged)
+            else:
+                self._falls_at = max(self._falls_at, judged)
 
 
 class Holding:
--- a/lupinlink/net/application_servers/connection.py
+++ b/lupinlink/net/application_servers/connection.py
@@ -9,6 +9,7 @@
 from twisted.python.failure import Failure
 
 from lupinlink.interface import Status
+from lupinlink.limits.memory_sizes import sizes_at
 from lupinlink.net import http1
 from lupinlink.net.application_servers.attempts import ServerPools
 from lupinlink.net.application_servers.kept_connection import ConnectionOpener
@@ -19,12 +20,10 @@
 from lupinlink.net.bodies import ResponseStream
 from lupinlink.net.request_types import AttemptResult, EndReason, Reply
 from lupinlink.net.socket_peek import peek
-from lupinlink.net.twisted_types import READ_BYTES
 
 log = logging.getLogger("lupinlink.net.application_servers")
 STREAM_STALL_MS = 15000.0  # time-out for more data of an answer that is being streamed
 STREAM_CHECK_MS = 1000.0
-STREAM_READ_BYTES = 64 * 1024
 
 
 class Connection(SendingConnection):
@@ -84,6 +83,11 @@
         else:
             self._attempt.answer_goes_on()
 
+    def set_read_size(self) -> None:
+        """Read as much at a time as the level of memory pressure allows."""
+        sizes = sizes_at(self._servers.account.level)
+        self.transport.bufferSize = sizes.read if self._stream is None else sizes.stream_read
+
     def stream_now(self) -> bool:
         """Stream what has come of an answer that is known to be long; False if there is none.
 
@@ -152,7 +156,8 @@
 
         ``least_bytes``: of its body that have to be here, if its length is declared.
         """
-        return is_streamable(self._parser, least_bytes) and not self._is_doubtful(Status.OK)
+        collected = sizes_at(self._servers.account.level).collected
+        return is_streamable(self._parser, least_bytes, collected) and not self._is_doubtful(Status.OK)
 
     def _start_stream(self) -> None:
         """Start to stream the answer. This ends its attempt, while the connection stays busy."""
@@ -165,13 +170,10 @@
         self._attempt, attempt.connection = None, None
         self._last_data_at = self._servers.clock.now()
         self._progress_timer = self._servers.clock.after(STREAM_CHECK_MS, lambda: self._check_stream(stream))
-        self.transport.bufferSize = STREAM_READ_BYTES
+        self.set_read_size()
         report = read_report(head.get("endpoint-load-metrics"))
-        attempt.end(
-            AttemptResult(
-                Status.OK, Reply(forwarded_headers(head), self._parser.take_body(), self._stream), report
-            )
-        )
+        reply = Reply(forwarded_headers(head), self._parser.take_body(), self._stream)
+        attempt.end(AttemptResult(Status.OK, reply, report))
 
     def _stream_more(self, message: http1.Message | None) -> None:
         """Pass on more of the streamed answer, or its end."""
@@ -187,7 +189,7 @@
         stream, self._stream = self._stream, None
         assert stream is not None
         self._cancel_progress_timer()
-        self.transport.bufferSize = READ_BYTES
+        self.set_read_size()
         self._release(why_not_kept)
         if message is None:
             self._servers.counters["flows_broken"] += 1
--- a/lupinlink/net/application_servers/kept_connection.py
+++ b/lupinlink/net/application_servers/kept_connection.py
@@ -19,7 +19,7 @@
 from lupinlink.net.request_types import EndReason
 from lupinlink.net.socket_peek import peek
 from lupinlink.net.timer_wheel import Timer
-from lupinlink.net.twisted_types import READ_BYTES, Transport
+from lupinlink.net.twisted_types import Transport
 
 log = logging.getLogger("lupinlink.net.application_servers")
 LOGGED_BYTES = 24  # of unrequested ones
@@ -57,10 +57,14 @@
 
     def connectionMade(self) -> None:
         self.transport.setTcpNoDelay(True)
-        self.transport.bufferSize = READ_BYTES
+        self.set_read_size()
         self.idle_since = self._servers.clock.now()
         self._dial.connected(self)
 
+    def set_read_size(self) -> None:
+        """Read as much at a time as the level of memory pressure allows."""
+        raise NotImplementedError
+
     def carry(self, attempt: Attempt) -> None:
         """Send an attempt's request, after a last check that it may be sent."""
         raise NotImplementedError
@@ -143,7 +147,7 @@
         Bytes that are seen in the socket may not be returned by a read yet, so the number of tries is
         limited.
         """
-        for _ in range(SMALL_BODY_BYTES // READ_BYTES + 1):
+        for _ in range(SMALL_BODY_BYTES // self.transport.bufferSize + 1):
             if self._attempt is None or not peek(self.transport):
                 break
             self.transport.doRead()
--- a/lupinlink/net/application_servers/pools.py
+++ b/lupinlink/net/application_servers/pools.py
@@ -9,11 +9,12 @@
 
 from lupinlink.interface import Endpoint, EndpointState, Status
 from lupinlink.limits.connection_reuse import MAX_RESTING, ConnectionReuse, patience_ms, wait_ms
-from lupinlink.limits.memory_account import Holding, MemoryAccount, MemoryKind
+from lupinlink.limits.memory_account import Holding, MemoryAccount, MemoryKind, MemoryLevel
 from lupinlink.net import http1
 from lupinlink.net.application_servers.attempts import Attempt
 from lupinlink.net.application_servers.dialling import Dial
 from lupinlink.net.application_servers.idle_connections import IdleConnections, PooledConnection
+from lupinlink.net.application_servers.kept_connection import KeptConnection
 from lupinlink.net.application_servers.outcomes import read_report
 from lupinlink.net.application_servers.pool import Pool
 from lupinlink.net.application_servers.request_encoding import encode_request
@@ -31,6 +32,7 @@
 MAX_OPEN_SHARE = 0.8  # of the limit on connections; above it a new one replaces one that has not rested
 PROBE_TIMEOUT_MS = 1000.0
 CONNECTION_BYTES = 4 * 1024  # memory of the objects of one connection
+ENTRY_BYTES = 2 * 1024  # memory of the objects of one application server, those of the decisions included
 
 
 class ApplicationServers:
@@ -55,10 +57,21 @@
         self.given_up_lines = LineLimit()
         self._reactor = reactor
         self._pools: dict[str, Pool] = {}
+        self._listed, self._listed_at_rest = Holding(self.account, MemoryKind.LISTS), 0
         self._idle = IdleConnections()
         self._idle_ms = settings.idle_close_ms * IDLE_LIMIT_SHARE
+        self.account.listen(self._level_changed)
         clock.after(SWEEP_MS, self._sweep)
 
+    def _level_changed(self, before: MemoryLevel, now: MemoryLevel) -> None:
+        for connection in self.connections:
+            if isinstance(connection, KeptConnection) and connection.connected:
+                connection.set_read_size()
+
+    def measured_at_rest(self) -> None:
+        """Count the present list as part of the process at rest."""
+        self._listed_at_rest = len(self._pools)
+
     def resize(self, cap: int) -> None:
         """Change the limit on connections; idle ones above it are closed at once, busy ones when they end."""
         self.connections.capacity = cap
@@ -87,6 +100,7 @@
             if pool.current:
                 pool.log_out_of_service(self.clock.now())
             pool.retire()
+        self._listed.set(max(0, len(self._pools) - self._listed_at_rest) * ENTRY_BYTES)
 
     def start(
         self,
@@ -99,9 +113,8 @@
         """Start an attempt to send a client's request."""
         pool = self._pools.get(server)
         host = f"{pool.host}:{pool.port}" if pool is not None else server
-        until = self.clock.now() + timeout_ms
+        until, only_head = self.clock.now() + timeout_ms, request.method == "HEAD"
         encode = partial(encode_request, request, host)
-        only_head = request.method == "HEAD"
         attempt = Attempt(self, server, encode, until, arrive_by_ms, wanted, only_head, request.identity)
         return self.send(attempt)
 
@@ -217,8 +230,8 @@
     def busy_servers(self) -> set[str]:
         """Application servers with a request in flight, or a connection being established for one."""
         resting = {id(one) for pool in self._pools.values() for one in pool.idle}
-        pools = (getattr(one, "pool", None) for one in self.connections if id(one) not in resting)
-        return {pool.name for pool in pools if isinstance(pool, Pool)}
+        busy = (getattr(one, "pool", None) for one in self.connections if id(one) not in resting)
+        return {pool.name for pool in busy if isinstance(pool, Pool)}
 
     def is_reachable(self, server: str) -> bool:
         """Whether the last connection to it was established; True before the first."""
--- a/lupinlink/net/application_servers/sending.py
+++ b/lupinlink/net/application_servers/sending.py
@@ -8,6 +8,7 @@
 from zope.interface import implementer  # type: ignore[import-untyped]
 
 from lupinlink.interface import Status
+from lupinlink.limits.memory_sizes import sizes_at
 from lupinlink.net import http1
 from lupinlink.net.application_servers.attempts import Attempt, Carrier, Progress, ServerPools
 from lupinlink.net.application_servers.kept_connection import ConnectionOpener, KeptConnection
@@ -19,7 +20,6 @@
 
 log = logging.getLogger("lupinlink.net.application_servers")
 UPLOAD_STALL_MS = 5000.0  # time-out for an application server to accept more of a body
-WRITE_BYTES = 64 * 1024
 EARLY_READS = 4  # reads of data, such as 1xx answers, that a server may send before its request
 
 
@@ -149,7 +149,7 @@
             self._finish(AttemptResult(Status.NOT_SENT, why=EndReason.BODY_CUT), EndReason.BODY_CUT)
             return
         try:
-            data = body.read(self._sent, WRITE_BYTES)
+            data = body.read(self._sent, sizes_at(self._servers.account.level).write)
         except DiscardedBytesError as exc:
             self._finish_without_body(exc)
             return
--- a/lupinlink/net/bodies.py
+++ b/lupinlink/net/bodies.py
@@ -5,13 +5,16 @@
 from collections import deque
 from collections.abc import Callable
 
+from lupinlink.limits.memory_sizes import NORMAL, SLOW
 from lupinlink.net.body_budget import BodyBudget
 
-REPLAY_LIMIT_BYTES = 256 * 1024  # request bodies up to this size are kept whole, for retries
-SMALL_BODY_BYTES = 64 * 1024
+REPLAY_LIMIT_BYTES = NORMAL.body_kept  # request bodies up to this size are kept whole, for retries
+SMALL_BODY_BYTES = SLOW.body_kept
 # Smaller pieces are put together, so that the number of pieces of a body depends on its size alone.
 MIN_PIECE_BYTES = 8 * 1024
-STREAM_WINDOW_BYTES = 128 * 1024  # buffered of a streamed body before its sender has to wait
+STREAM_WINDOW_BYTES = (
+    NORMAL.body_window - NORMAL.body_kept
+)  # buffered of a streamed body, beyond what is kept
 
 
 class DiscardedBytesError(Exception):
@@ -75,14 +78,12 @@
     @property
     def is_large(self) -> bool:
         """Whether it is sent on before its end, as it is too large to be buffered whole."""
-        return len(self) >= (SMALL_BODY_BYTES if self._budget.under_pressure else REPLAY_LIMIT_BYTES)
+        return len(self) >= self._budget.sizes.body_kept
 
     @property
     def full(self) -> bool:
         """Whether its sender has to wait until some of it has been sent on, or the pressure has ended."""
-        return len(self) >= (
-            SMALL_BODY_BYTES if self._budget.under_pressure else STREAM_WINDOW_BYTES + REPLAY_LIMIT_BYTES
-        )
+        return len(self) >= self._budget.sizes.body_window
 
     def add(self, data: bytes) -> None:
         """Append received bytes."""
--- a/lupinlink/net/body_budget.py
+++ b/lupinlink/net/body_budget.py
@@ -4,7 +4,8 @@
 
 from typing import Protocol
 
-from lupinlink.limits.memory_account import MemoryAccount, MemoryKind
+from lupinlink.limits.memory_account import MemoryAccount, MemoryKind, MemoryLevel
+from lupinlink.limits.memory_sizes import NORMAL, Sizes, sizes_at
 
 PRESSURE_SHARE = 0.5  # above this share of the budget every body that is not small is streamed
 
@@ -28,6 +29,7 @@
         """``account``: of the memory for everything that peers send."""
         self._limit_bytes, self._held_bytes = limit_bytes, 0
         self._account = account or MemoryAccount()
+        self._account.listen(self._level_changed)
         self._waiting: dict[WaitingBody, None] = {}
 
     @property
@@ -48,12 +50,18 @@
     @property
     def under_pressure(self) -> bool:
         """Whether bodies that are not small have to be streamed."""
-        return self._held_bytes > PRESSURE_SHARE * self._limit_bytes
+        own_pressure = self._held_bytes > PRESSURE_SHARE * self._limit_bytes
+        return own_pressure or self._account.level >= MemoryLevel.SLOW
+
+    @property
+    def sizes(self) -> Sizes:
+        """How much of a body may be here at present."""
+        return sizes_at(max(self._account.level, MemoryLevel.SLOW)) if self.under_pressure else NORMAL
 
     @property
     def exceeded(self) -> bool:
         """Whether there is no room for a further body."""
-        return self._held_bytes > self._limit_bytes
+        return self._held_bytes > self._limit_bytes or self._account.level >= MemoryLevel.REFUSE
 
     def hold(self, count: int) -> None:
         """Count bytes that a body has received."""
@@ -76,8 +84,15 @@
 
     def _wake(self) -> None:
         """Wake each waiting body once; one that is full by its own size is resumed as it is sent."""
-        if not self._waiting or self.under_pressure:
-            return
+        if self._waiting and not self.under_pressure:
+            self._wake_all()
+
+    def _level_changed(self, before: MemoryLevel, now: MemoryLevel) -> None:
+        """Wake those that a lower level has room for; the others wait again."""
+        if now < before:
+            self._wake_all()
+
+    def _wake_all(self) -> None:
         waiting, self._waiting = self._waiting, {}
         for body in waiting:
             body.resume_if_room()
--- a/lupinlink/net/clients/connection.py
+++ b/lupinlink/net/clients/connection.py
@@ -1,51 +1,25 @@
-"""A client's connection, whatever it carries: its progress, reading, and closing."""
+"""A client's connection, whatever it carries: its progress, and closing."""
 
 from __future__ import annotations
 
 import math
 
-from twisted.internet.protocol import Protocol as Connection
-
 from lupinlink.limits.body_progress import FIRST_HEAD_TIMEOUT_MS, HEAD_TIMEOUT_MS
-from lupinlink.limits.delivery_progress import DeliveryProgress
-from lupinlink.limits.idle_reuse import IdlePeriod
+from lupinlink.limits.delivery_progress import DELIVERY_STALL_MS
 from lupinlink.net import http1
+from lupinlink.net.clients.buffered_connection import BufferedConnection
 from lupinlink.net.clients.closing import CloseReason
-from lupinlink.net.clients.memory import ConnectionMemory
-from lupinlink.net.clients.owner import ConnectionOwner, IncomingRequest
 from lupinlink.net.clients.phases import Phase
-from lupinlink.net.clients.read_pauses import ReadPauses
+from lupinlink.net.clients.read_pauses import PauseReason
 from lupinlink.net.immediate_write import end_sending_now, write_now
-from lupinlink.net.socket_peek import peek, peer_has_ended, unacknowledged_bytes
-from lupinlink.net.twisted_types import READ_BYTES, Transport, unsent
+from lupinlink.net.socket_peek import peer_has_ended, unacknowledged_bytes
+from lupinlink.net.twisted_types import unsent
 
 MAX_READS = 4  # at most, to find a close behind unread data; other connections wait meanwhile
 
 
-class ClientConnection(Connection):
-    """One connection of a client: when it is closed, and what is read of it."""
-
-    transport: Transport  # type: ignore[assignment]
-
-    def __init__(self, clients: ConnectionOwner) -> None:
-        self._clients = clients
-        self._parser = http1.RequestParser(http1.MAX_MESSAGE)
-        self._incoming: IncomingRequest | None = None
-        self._closing = self._not_reading = False
-        self._close_reason = CloseReason.CLIENT_LEFT  # once it is closing
-        self._pauses = ReadPauses()
-        self._delivery = DeliveryProgress()  # while its client does not read, or the connection closes
-        self._memory = ConnectionMemory(clients.account)
-        self.phase: Phase | None = None
-        self.since = 0.0  # when the phase began
-        self.connected_at = self.last_read_at = clients.clock.now()
-        self.has_requested = False  # a whole request was received on it
-        self.address = ""
-        self.read_bytes = 0  # received so far
-        self.last_identity = ""  # of the last request that was submitted from it
-        self.idle_period: IdlePeriod | None = None  # while it is idle between two requests
-        self.handle = 0
-        self.waited_ms = 0.0  # how long its first request may have waited unread; inf: unknown
+class ClientConnection(BufferedConnection):
+    """One connection of a client: when and how it is closed."""
 
     def bytes_to_go(self) -> tuple[int, int]:
         """The bytes left of the streamed answer and the request body, and how many of them lack a length."""
@@ -59,19 +33,10 @@
         """Drop the open request, its body and its streamed answer."""
         raise NotImplementedError
 
-    def connectionMade(self) -> None:
-        self.transport.setTcpNoDelay(True)
-        self.transport.bufferSize = READ_BYTES
-        self.transport.registerProducer(self, True)
-
-    def _peek(self) -> bool | None:
-        """Whether unread data has arrived; None: the next to read is a close or an error."""
-        byte = peek(self.transport)
-        return None if byte == b"" else byte is not None
-
-    def has_unread(self) -> bool:
-        """Whether unread data has arrived."""
-        return bool(self._peek())
+    def refuse_unfinished(self) -> None:
+        """Refuse the request that has not come whole, as memory is short."""
+        self._clients.counters["refused_unfinished"] += 1
+        self.reject(503, "no memory for this request now")
 
     def has_left(self) -> bool:
         """Whether its client has closed the connection, as far as is known here.
@@ -89,18 +54,9 @@
             self.transport.doRead()
         return self._closing
 
-    def _has_more(self) -> bool:
-        """Whether more has arrived behind the request that is being answered."""
-        return self._parser.started() or self.has_unread()
-
-    @property
-    def begun(self) -> bool:
-        """Whether part of a request has been received."""
-        return self._parser.started()
-
-    def is_stuck(self, now: float) -> bool:
-        """Whether it has received nothing of its streamed answer for too long."""
-        return self._not_reading and self._delivery.is_stalled(now, self._unread_by_client())
+    def is_stuck(self, now: float, stall_ms: float = DELIVERY_STALL_MS) -> bool:
+        """Whether its client has received nothing of its answer for too long."""
+        return self._not_reading and self._delivery.is_stalled(now, self._unread_by_client(), stall_ms)
 
     @property
     def not_reading(self) -> bool:
@@ -138,7 +94,10 @@
             self._clients.set_phase(self, Phase.CLOSING, anew=True)
 
     def _reject_unfinished(self) -> bool:
-        """Answer a request that has not arrived whole; False if more of it has."""
+        """Answer a request that has not arrived whole; False if more of it has, and may be read."""
+        if self._pauses.has(PauseReason.MEMORY):
+            self.refuse_unfinished()
+            return True
         if self.has_unread():
             return False
         self.reject(408, "request did not arrive")
--- a/lupinlink/net/clients/connection_table.py
+++ b/lupinlink/net/clients/connection_table.py
@@ -5,7 +5,7 @@
 from itertools import islice
 
 from lupinlink.limits.idle_reuse import IdleEnd, IdleReuse, keep_threshold
-from lupinlink.limits.memory_account import Holding, MemoryAccount, MemoryKind
+from lupinlink.limits.memory_account import Holding, MemoryAccount, MemoryKind, MemoryLevel
 from lupinlink.net.clients.closing import CloseReason
 from lupinlink.net.clients.connection import ClientConnection
 from lupinlink.net.clients.phases import Phase
@@ -14,6 +14,8 @@
 from lupinlink.net.timer_wheel import ReactorClock
 
 MAX_EVICTION_CHECKS = 8  # connections checked to make room for one
+MAX_REFUSED_AT_ONCE = 64  # unfinished requests that are refused in one sweep, as memory is short
+SHORT_STALL_MS = 5000.0  # while memory is short, for a client that receives nothing of its answer
 CONNECTION_BYTES = 4 * 1024  # memory of the objects of one connection
 
 
@@ -21,7 +23,7 @@
     """All client connections, within one limit; those of each phase are ordered by when it began."""
 
     def __init__(self, cap: int, clock: ReactorClock, counters: Counters, account: MemoryAccount) -> None:
-        self._clock, self._counters = clock, counters
+        self._clock, self._counters, self._account = clock, counters, account
         held = Holding(account, MemoryKind.CLIENTS)
         self.connections: Slots[ClientConnection] = Slots(cap, held, CONNECTION_BYTES)
         self.phases: dict[Phase, dict[ClientConnection, None]] = {phase: {} for phase in Phase}
@@ -142,6 +144,18 @@
             ):
                 self._counters["given_up_resting"] += 1
 
+    def _free_memory(self, now: float) -> None:
+        """Close what is not taken yet, those that hold most first, and answers that no client receives."""
+        unfinished = [*self.phases[Phase.HEAD], *self.phases[Phase.BODY]]
+        unfinished.sort(key=lambda client: client.received_bytes, reverse=True)
+        for client in unfinished[:MAX_REFUSED_AT_ONCE]:
+            if self._account.level < MemoryLevel.CLOSE:
+                return
+            client.refuse_unfinished()
+        for client in [client for client in self.unsent if client.is_stuck(now, SHORT_STALL_MS)]:
+            self._counters["answers_unread"] += 1
+            client.abort(CloseReason.NOT_READ)
+
     def sweep(self, rests: bool) -> None:
         """Close overdue connections; ``rests``: also idle ones whose room is worth more to others."""
         now = self._clock.now()
@@ -161,5 +175,7 @@
         for client in [client for client in self.streaming if client.is_stuck(now)]:
             self._counters["answers_unread"] += 1
             client.abort(CloseReason.NOT_READ)
+        if self._account.level is MemoryLevel.CLOSE:
+            self._free_memory(now)
         if rests:
             self._close_resting(now)
--- a/lupinlink/net/clients/listener.py
+++ b/lupinlink/net/clients/listener.py
@@ -10,7 +10,7 @@
 from twisted.internet.protocol import ServerFactory
 from twisted.internet.tcp import Port as TcpPort
 
-from lupinlink.limits.memory_account import MemoryAccount
+from lupinlink.limits.memory_account import MemoryAccount, MemoryLevel
 from lupinlink.net import http1
 from lupinlink.net.body_budget import BodyBudget
 from lupinlink.net.clients.closing import CloseLog
@@ -114,6 +114,7 @@
         table = self._table = ConnectionTable(cap, clock, counters, self.account)
         self.connections, self.phases, self.set_phase = table.connections, table.phases, table.set_phase
         self.streaming, self.uploading, self.unsent = table.streaming, table.uploading, table.unsent
+        self.account.listen(self._level_changed)
         self.resize(cap, spare_mb)
         clock.after(SWEEP_MS, self._sweep)
 
@@ -160,8 +161,22 @@
         self._table.forget(client)
         self._resume_accepting()
 
+    def _level_changed(self, before: MemoryLevel, now: MemoryLevel) -> None:
+        """Follow the level of memory pressure: how much is read, and whether connections are accepted."""
+        for client in self.connections:
+            if client.connected:
+                client.set_read_size()
+                if now < MemoryLevel.REFUSE:
+                    client.reading_allowed()
+        if now is MemoryLevel.CLOSE:
+            self.accept_paused = True
+            self.listen()
+        else:
+            self._resume_accepting()
+
     def _resume_accepting(self) -> None:
-        if self.accept_paused and not self.connections.full:
+        short = self.account.level is MemoryLevel.CLOSE
+        if self.accept_paused and not self.connections.full and not short:
             self.accept_paused = False
             self.listen()
 
@@ -192,7 +207,7 @@
         """Change the limit on connections; existing ones above it stay until they end."""
         self.connections.capacity = cap
         self.budget.limit_bytes = max(2 * http1.MAX_BODY, int(spare_mb * BODY_MEMORY_SHARE * 1024.0 * 1024.0))
-        self.accept_paused = self.connections.full
+        self.accept_paused = self.connections.full or self.account.level is MemoryLevel.CLOSE
         self.listen()
 
     @property
--- a/lupinlink/net/clients/read_pauses.py
+++ b/lupinlink/net/clients/read_pauses.py
@@ -24,6 +24,10 @@
         """Whether the connection is not read."""
         return bool(self._reasons)
 
+    def has(self, why: PauseReason) -> bool:
+        """Whether it is not read for this reason, among others."""
+        return why in self._reasons
+
     def set(self, transport: Transport, why: PauseReason, on: bool) -> None:
         """Add or remove a reason."""
         before = bool(self._reasons)
--- a/lupinlink/net/clients/requests.py
+++ b/lupinlink/net/clients/requests.py
@@ -7,10 +7,13 @@
 from twisted.internet.protocol import connectionDone
 from twisted.python.failure import Failure as Reason
 
+from lupinlink.limits.memory_account import MemoryLevel
+from lupinlink.limits.memory_sizes import LEAST
 from lupinlink.net import http1
 from lupinlink.net.clients.closing import CloseReason
 from lupinlink.net.clients.owner import ConnectionOwner
 from lupinlink.net.clients.phases import Phase
+from lupinlink.net.clients.read_pauses import PauseReason
 from lupinlink.net.clients.uploads import UploadingConnection
 from lupinlink.net.request_types import FailureReason
 
@@ -39,6 +42,13 @@
         self.read_bytes += len(data)
         self._parser.feed(data)
         self._advance()
+        self._pause_if_memory_is_short()
+
+    def _pause_if_memory_is_short(self) -> None:
+        """Read no more than a little of a head, or behind an open request, until memory is less short."""
+        short = self._clients.account.level >= MemoryLevel.REFUSE
+        if short and self._incoming is None and not self._closing and self.received_bytes >= LEAST.read:
+            self._pauses.set(self.transport, PauseReason.MEMORY, True)
 
     def _discard(self, count: int) -> None:
         """Discard data that follows the last answer, or too many pipelined requests.
--- a/lupinlink/net/handover/capacity.py
+++ b/lupinlink/net/handover/capacity.py
@@ -15,7 +15,7 @@
 MIN_CONNECTIONS = 16  # of a process on its own; with fewer it refuses to start
 MIN_BESIDE = 16  # next to another process, until that one has reported its usage
 MIN_SPARE_MB = 2.0
-GROWTH = 1.5  # how far what an old process holds may still grow, so that its open requests end
+GROWTH = 2.0  # of what an old process holds, so that its open requests end
 
 
 @dataclass(slots=True, frozen=True)
--- a/lupinlink/net/memory_watch.py
+++ b/lupinlink/net/memory_watch.py
@@ -13,6 +13,7 @@
 MEASURE_MS = 100.0
 GIVE_BACK_MS = 500.0  # at least, between two attempts to give free memory back
 GIVE_BACK_BYTES = MIB // 2  # that the process takes beyond what is held
+LEVEL_LINE_MS = 1000.0  # at least, between two log lines unless the later tells of a higher level
 PEAK_STEP_SHARE = 0.05  # of the process's limit: a peak that is higher by this is logged
 
 
@@ -29,8 +30,9 @@
         """``told_mb``: the limit of the whole proxy; ``own_mb``: measures this process's memory."""
         self._account, self._clock, self._told_mb, self._own_mb = account, clock, told_mb, own_mb
         self._rest_mb = self._now_mb = self._logged_peak_mb = 0.0
-        self._given_back_at = 0.0
-        self._logged_level = self._highest_level = MemoryLevel.NORMAL
+        self._given_back_at = self._level_logged_at = 0.0
+        self._changes = 0  # of the level since it was logged
+        self._logged_level = self._highest_level = self._line_highest = MemoryLevel.NORMAL
         account.listen(self._level_changed)
 
     def start(self, rest_mb: float) -> None:
@@ -51,6 +53,7 @@
 
     def _level_changed(self, before: MemoryLevel, now: MemoryLevel) -> None:
         self._highest_level = max(self._highest_level, now)
+        self._changes += 1
 
     def _measure(self) -> None:
         self._now_mb = self._own_mb()
@@ -72,21 +75,25 @@
         self._now_mb = self._own_mb()
 
     def _log_level(self) -> None:
-        """Log a change since the last measurement, with the highest level in between."""
+        """Log a change at once if it is the highest of late, else once a second with the highest between."""
         level, highest = self._account.level, max(self._highest_level, self._account.level)
-        if level is self._logged_level and highest <= self._logged_level:
+        now = self._clock.now()
+        is_due = now >= self._level_logged_at + LEVEL_LINE_MS
+        if not self._changes or not (is_due or highest > self._line_highest):
             return
-        kv = {
+        kv: dict[str, object] = {
             "now": level.name.lower(),
             "was": self._logged_level.name.lower(),
             "highest": highest.name.lower(),
+            "changes": self._changes,
         }
         log.log(
             logging.WARNING if highest >= MemoryLevel.REFUSE else logging.INFO,
             "memory level",
             extra={"kv": {**kv, **self._facts()}},
         )
-        self._logged_level = self._highest_level = level
+        self._line_highest, self._logged_level, self._highest_level = highest, level, level
+        self._level_logged_at, self._changes = now, 0
 
     def _facts(self) -> dict[str, object]:
         account = self._account
--- a/lupinlink/net/open_requests.py
+++ b/lupinlink/net/open_requests.py
@@ -8,7 +8,7 @@
 from lupinlink import interface as api
 from lupinlink.clock import Clock
 from lupinlink.interface import Status
-from lupinlink.limits.memory_account import MemoryAccount, MemoryKind
+from lupinlink.limits.memory_account import MemoryAccount, MemoryKind, MemoryLevel
 from lupinlink.net.counters import Counters
 from lupinlink.net.open_request import UPLOAD_LIMIT_MS, OpenRequest, memory_of, time_left_ms
 from lupinlink.net.request_log import RequestLog
@@ -71,6 +71,11 @@
         if self._requests.full:
             self._answer_refused(request, responder, RefusalReason.TABLE_FULL, 0.0)
             return None
+        if self.account.level >= MemoryLevel.REFUSE:
+            wait_ms = self._settings.classes[request.class_index].target_latency_ms
+            wait_ms = min(self._settings.max_retry_after_ms, wait_ms)
+            self._answer_refused(request, responder, RefusalReason.MEMORY, wait_ms)
+            return None
         if self.quota_check is not None and not self._within_quota(request, responder):
             return None
         self.counters["requests"] += 1
--- a/lupinlink/net/request_types.py
+++ b/lupinlink/net/request_types.py
@@ -29,6 +29,7 @@
     """Why a request is refused; the value is the counter's name after ``refused_``."""
 
     TABLE_FULL = "table_full"
+    MEMORY = "memory"
     MODULE = "module"
     NEVER_RAN = "never_ran"  # application servers refused it, and its body is no longer here for a retry
     QUOTA = "quota"
--- a/lupinlink/net/service.py
+++ b/lupinlink/net/service.py
@@ -139,6 +139,7 @@
         freeze_startup_objects()
         collect_garbage_by_timer(self._components.clock)
         rest_mb = own_mb()
+        self._components.servers.measured_at_rest()
         self._takeover.measured_at_rest(rest_mb)
         self._memory_watch.start(rest_mb)
         measure_iterations(self._reactor, self._components.clock.iterations)
