Drop uploads whose client has left at once, and read little at a time of tiny chunks

Cause: taking 16 KiB of such chunks apart takes milliseconds, times the connections in each turn of the event loop; and after a client had closed its connection, what it had written was still read to its end before the close was seen, so the next clients waited behind bodies that nobody wanted.

--- a/lupinlink/net/clients/buffered_connection.py
+++ b/lupinlink/net/clients/buffered_connection.py
@@ -16,6 +16,9 @@
 from lupinlink.net.socket_peek import peek
 from lupinlink.net.twisted_types import Transport
 
+TINY_CHUNKS_READ_BYTES = 1024
+MIN_BODY_SHARE = 0.5  # of what is received; with less of it a body is in tiny chunks
+
 
 class BufferedConnection(Connection):
     """One connection of a client: its state, its buffers and their part of the account of memory."""
@@ -31,6 +34,8 @@
         self._pauses = ReadPauses()
         self._delivery = DeliveryProgress()  # while its client does not read, or the connection closes
         self._memory = ConnectionMemory(clients.account)
+        self._last_read_bytes = 0  # received in the last read
+        self._sends_tiny_chunks = False
         self.phase: Phase | None = None
         self.since = 0.0  # when the phase began
         self.connected_at = self.last_read_at = clients.clock.now()
@@ -49,7 +54,15 @@
 
     def set_read_size(self) -> None:
         """Read, and keep of an unsent answer, as much as the level of memory pressure allows."""
-        self.transport.bufferSize = sizes_at(self._clients.account.level).read
+        size = sizes_at(self._clients.account.level).read
+        self.transport.bufferSize = min(size, TINY_CHUNKS_READ_BYTES) if self._sends_tiny_chunks else size
+
+    def _note_chunks(self, body_bytes: int) -> None:
+        """Read less at a time of a body in tiny chunks: others wait while they are taken apart."""
+        tiny = body_bytes < MIN_BODY_SHARE * self._last_read_bytes
+        if tiny != self._sends_tiny_chunks:
+            self._sends_tiny_chunks = tiny
+            self.set_read_size()
 
     @property
     def received_bytes(self) -> int:
--- a/lupinlink/net/clients/connection.py
+++ b/lupinlink/net/clients/connection.py
@@ -33,6 +33,11 @@
         """Drop the open request, its body and its streamed answer."""
         raise NotImplementedError
 
+    def drop_if_left(self) -> None:
+        """End an upload whose client has closed its connection, though the close is behind unread data."""
+        if self._incoming is not None and peer_has_ended(self.transport):
+            self.abort(CloseReason.CLIENT_LEFT)
+
     def refuse_unfinished(self) -> None:
         """Refuse the request that has not come whole, as memory is short."""
         self._clients.counters["refused_unfinished"] += 1
--- a/lupinlink/net/clients/connection_table.py
+++ b/lupinlink/net/clients/connection_table.py
@@ -166,6 +166,8 @@
                 if now - client.since < phase.limit_ms:
                     break
                 client.evict()
+        for client in [*self.phases[Phase.BODY], *self.uploading]:
+            client.drop_if_left()
         for client in list(self.uploading):
             client.observe_unread(now)
         slow = [*self.phases[Phase.HEAD], *self.phases[Phase.BODY], *self.uploading]
--- a/lupinlink/net/clients/requests.py
+++ b/lupinlink/net/clients/requests.py
@@ -40,6 +40,7 @@
             self._discard(len(data))
             return
         self.read_bytes += len(data)
+        self._last_read_bytes = len(data)
         self._parser.feed(data)
         self._advance()
         self._pause_if_memory_is_short()
--- a/lupinlink/net/clients/uploads.py
+++ b/lupinlink/net/clients/uploads.py
@@ -58,6 +58,8 @@
                 self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         body, data = incoming.request.body, self._parser.take_body()
         if data:
+            if incoming.request.body.length is None:
+                self._note_chunks(len(data))
             incoming.progress.received(len(data), now)
             body.add(data)
         if not self._waiting:
@@ -83,6 +85,7 @@
 
     def _body_complete(self, incoming: IncomingRequest, data: bytes) -> None:
         """Complete a body with its last bytes."""
+        self._note_chunks(self._last_read_bytes)
         self._incoming = None
         self._clients.uploading.pop(self, None)
         self._pauses.set(self.transport, PauseReason.BODY, False)
