--- a/lupinlink/commands/serve.py
+++ b/lupinlink/commands/serve.py
@@ -26,6 +26,7 @@
 from docopt import docopt
 
 from lupinlink.commands.input_errors import report_input_error
+from lupinlink.lazy_modules import defer_unused_modules
 from lupinlink.settings import Config, load_config
 
 if TYPE_CHECKING:
@@ -36,6 +37,7 @@
     """Serve until a signal ends it; returns the exit code."""
     args = docopt(__doc__ or "", argv=argv)
     file = args["--fleet"] or os.environ.get("LB_FLEET", "")
+    defer_unused_modules()
     try:
         config = load_config(os.environ, args["--config"])
         from lupinlink.net.service import serve
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -27,7 +27,7 @@
     "brain.discovery_outage brain.discovery_schedule brain.discovery_times brain.dispatching brain.health "
     "brain.load_monitoring brain.overdue brain.ready_capacity brain.retry_rules brain.server_selection "
     "brain.server_subset brain.waiting cli clock commands commands.input_errors commands.serve errors "
-    "interface limits limits.body_progress limits.capacity_bound limits.connection_reuse "
+    "interface lazy_modules limits limits.body_progress limits.capacity_bound limits.connection_reuse "
     "limits.delivery_progress limits.identity_memory limits.idle_reuse limits.memory_account "
     "limits.memory_sizes limits.upload_time list_trust lupinlink net net.application_servers "
     "net.application_servers.attempts net.application_servers.connection net.application_servers.dialling "
