--- a/lupinlink/limits/memory_account.py
+++ b/lupinlink/limits/memory_account.py
@@ -51,6 +51,7 @@
 FULL_SHARE = 0.95  # of all that is left: with more taken, nothing new is
 PEAK_DECAY = 0.98  # with each measurement; the allocator gives back what was freed with a delay
 
+POSITIONS = {kind: position for position, kind in enumerate(MemoryKind)}
 LevelListener = Callable[[MemoryLevel, MemoryLevel], None]
 
 
@@ -59,22 +60,17 @@
 
     def __init__(self, limit_bytes: int | None = None) -> None:
         """``limit_bytes``: None for no limit."""
-        self._held: dict[MemoryKind, int] = dict.fromkeys(MemoryKind, 0)
+        self._held = [0] * len(MemoryKind)  # by the position of the kind
         self._held_bytes = 0
         self._peak_bytes = 0
         self._overhead = MIN_OVERHEAD
         self._is_full = False  # measured memory is near the limit of the process
         self._limit_bytes = limit_bytes
-        self._level = MemoryLevel.NORMAL
+        self.level = MemoryLevel.NORMAL  # to be read only
         self._listeners: list[LevelListener] = []
         self._rises_at = self._falls_at = 0.0  # bytes held at which the level changes
         self._place_edges()
 
-    @property
-    def level(self) -> MemoryLevel:
-        """The level at present."""
-        return self._level
-
     @property
     def held_bytes(self) -> int:
         """The sum of all kinds."""
@@ -102,7 +98,7 @@
 
     def held(self, kind: MemoryKind) -> int:
         """What is held of one kind."""
-        return self._held[kind]
+        return self._held[POSITIONS[kind]]
 
     def listen(self, listener: LevelListener) -> None:
         """Call this with the old and the new level at each change."""
@@ -110,7 +106,11 @@
 
     def change(self, kind: MemoryKind, count: int) -> None:
         """Count bytes that were taken, or given back if negative."""
-        self._held[kind] += count
+        self.change_at(POSITIONS[kind], count)
+
+    def change_at(self, position: int, count: int) -> None:
+        """The same by the position of the kind, which is quicker to find."""
+        self._held[position] += count
         self._held_bytes += count
         if not self._falls_at <= self._held_bytes < self._rises_at:
             self._update()
@@ -133,18 +133,18 @@
     def _update(self) -> None:
         """Set the level that follows from what is held, and tell the listeners of a change."""
         self._peak_bytes = max(self._peak_bytes, self._held_bytes)
-        before, self._level = self._level, self._level_now()
+        before, self.level = self.level, self._level_now()
         self._place_edges()
-        if before is not self._level:
+        if before is not self.level:
             for listener in self._listeners:
-                listener(before, self._level)
+                listener(before, self.level)
 
     def _level_now(self) -> MemoryLevel:
         used = self._held_bytes * self._overhead
         level = MemoryLevel.NORMAL
         if self._limit_bytes is not None:
             for one, share in LEVEL_SHARES.items():
-                stays = HYSTERESIS_SHARE if one <= self._level else 0.0
+                stays = HYSTERESIS_SHARE if one <= self.level else 0.0
                 if used >= (share - stays) * self._limit_bytes:
                     level = one
             # Where little is held, what is taken is free memory that the allocator keeps.
@@ -158,10 +158,10 @@
         if self._limit_bytes is None:
             return
         limit = max(self._limit_bytes, 0) / self._overhead
-        if self._level < MemoryLevel.CLOSE:
-            self._rises_at = LEVEL_SHARES[MemoryLevel(self._level + 1)] * limit
-        if self._level > MemoryLevel.NORMAL:
-            self._falls_at = (LEVEL_SHARES[self._level] - HYSTERESIS_SHARE) * limit
+        if self.level < MemoryLevel.CLOSE:
+            self._rises_at = LEVEL_SHARES[MemoryLevel(self.level + 1)] * limit
+        if self.level > MemoryLevel.NORMAL:
+            self._falls_at = (LEVEL_SHARES[self.level] - HYSTERESIS_SHARE) * limit
         if self._is_full:
             judged = MIN_JUDGED_SHARE * self._limit_bytes
             if self._held_bytes < judged:
@@ -173,17 +173,17 @@
 class Holding:
     """What one buffer or table holds; setting it counts the difference."""
 
-    __slots__ = ("_account", "_kind", "bytes")
+    __slots__ = ("_account", "_position", "bytes")
 
     def __init__(self, account: MemoryAccount, kind: MemoryKind) -> None:
-        self._account, self._kind, self.bytes = account, kind, 0
+        self._account, self._position, self.bytes = account, POSITIONS[kind], 0
 
     def set(self, count: int) -> None:
         """Hold this much from now on."""
         difference = count - self.bytes
         if difference:
             self.bytes = count
-            self._account.change(self._kind, difference)
+            self._account.change_at(self._position, difference)
 
 
 def limit_for(spare_mb: float) -> int:
--- a/lupinlink/net/body_budget.py
+++ b/lupinlink/net/body_budget.py
@@ -4,7 +4,7 @@
 
 from typing import Protocol
 
-from lupinlink.limits.memory_account import MemoryAccount, MemoryKind, MemoryLevel
+from lupinlink.limits.memory_account import Holding, MemoryAccount, MemoryKind, MemoryLevel
 from lupinlink.limits.memory_sizes import NORMAL, Sizes, sizes_at
 
 PRESSURE_SHARE = 0.5  # above this share of the budget every body that is not small is streamed
@@ -29,6 +29,7 @@
         """``account``: of the memory for everything that peers send."""
         self._limit_bytes, self._held_bytes = limit_bytes, 0
         self._account = account or MemoryAccount()
+        self._holding = Holding(self._account, MemoryKind.BODIES)
         self._account.listen(self._level_changed)
         self._waiting: dict[WaitingBody, None] = {}
 
@@ -50,8 +51,10 @@
     @property
     def under_pressure(self) -> bool:
         """Whether bodies that are not small have to be streamed."""
-        own_pressure = self._held_bytes > PRESSURE_SHARE * self._limit_bytes
-        return own_pressure or self._account.level >= MemoryLevel.SLOW
+        return (
+            self._held_bytes > PRESSURE_SHARE * self._limit_bytes
+            or self._account.level is not MemoryLevel.NORMAL
+        )
 
     @property
     def sizes(self) -> Sizes:
@@ -66,12 +69,12 @@
     def hold(self, count: int) -> None:
         """Count bytes that a body has received."""
         self._held_bytes += count
-        self._account.change(MemoryKind.BODIES, count)
+        self._holding.set(self._held_bytes)
 
     def release(self, count: int) -> None:
         """Count bytes that a body has dropped."""
         self._held_bytes -= count
-        self._account.change(MemoryKind.BODIES, -count)
+        self._holding.set(self._held_bytes)
         self._wake()
 
     def wait(self, body: WaitingBody) -> None:
--- a/lupinlink/net/process.py
+++ b/lupinlink/net/process.py
@@ -14,7 +14,7 @@
 MIB = 1024 * 1024
 # Parameters of glibc's mallopt, and their values in bytes or arenas.
 M_TRIM_THRESHOLD, M_MMAP_THRESHOLD, M_ARENA_MAX = -1, -3, -8
-TRIM_THRESHOLD_BYTES, MMAP_THRESHOLD_BYTES, ARENAS = 256 * 1024, 128 * 1024, 1
+TRIM_THRESHOLD_BYTES, MMAP_THRESHOLD_BYTES, ARENAS = 1024 * 1024, 128 * 1024, 1
 
 
 def raise_descriptor_limit(sockets: int) -> int:
