Begin the levels earlier, so that what crowds hold leaves room for sound requests

What callers saw: with 32 MB and 341 clients that read long answers slowly the memory held, but 145 of 165 sound requests were refused: by the time senders wait (70%) each answer had 12 KB here, and 300 of them with their connections stand above the level that refuses (85%).

Change: less is read at a time from 40% of the limit on (50%), senders wait from 55% on (70%).

Memory is given back less often where little comes of it.

--- a/lupinlink/limits/memory_account.py
+++ b/lupinlink/limits/memory_account.py
@@ -37,8 +37,8 @@
 
 # Shares of the limit at which a level begins, and how far below that it ends.
 LEVEL_SHARES = {
-    MemoryLevel.SLOW: 0.5,
-    MemoryLevel.PAUSE: 0.7,
+    MemoryLevel.SLOW: 0.4,
+    MemoryLevel.PAUSE: 0.55,
     MemoryLevel.REFUSE: 0.85,
     MemoryLevel.CLOSE: 1.0,
 }
--- a/lupinlink/net/memory_watch.py
+++ b/lupinlink/net/memory_watch.py
@@ -11,7 +11,8 @@
 
 log = logging.getLogger(__name__)
 MEASURE_MS = 100.0
-GIVE_BACK_MS = 500.0  # at least, between two attempts to give free memory back
+# Between two attempts to give free memory back; doubled, up to the second, where little was given back.
+GIVE_BACK_MS, MAX_GIVE_BACK_MS = 500.0, 8000.0
 GIVE_BACK_BYTES = MIB // 2  # that the process takes beyond what is held
 LEVEL_LINE_MS = 1000.0  # at least, between two log lines unless the later tells of a higher level
 PEAK_STEP_SHARE = 0.05  # of the process's limit: a peak that is higher by this is logged
@@ -30,6 +31,7 @@
         """``told_mb``: the limit of the whole proxy; ``own_mb``: measures this process's memory."""
         self._account, self._clock, self._told_mb, self._own_mb = account, clock, told_mb, own_mb
         self._rest_mb = self._now_mb = self._logged_peak_mb = 0.0
+        self._give_back_ms = GIVE_BACK_MS
         self._given_back_at = self._level_logged_at = 0.0
         self._changes = 0  # of the level since it was logged
         self._logged_level = self._highest_level = self._line_highest = MemoryLevel.NORMAL
@@ -68,11 +70,16 @@
     def _give_back(self) -> None:
         """Give memory back that the allocator keeps, which others could use and which counts as taken."""
         now, taken = self._clock.now(), (self._now_mb - self._rest_mb) * MIB
-        if taken < self._account.held_bytes + GIVE_BACK_BYTES or now < self._given_back_at + GIVE_BACK_MS:
+        is_due = now >= self._given_back_at + self._give_back_ms
+        if taken < self._account.held_bytes + GIVE_BACK_BYTES or not is_due:
             return
-        self._given_back_at = now
+        self._given_back_at, before_mb = now, self._now_mb
         give_back_memory()
         self._now_mb = self._own_mb()
+        if (before_mb - self._now_mb) * MIB >= GIVE_BACK_BYTES / 2:
+            self._give_back_ms = GIVE_BACK_MS
+        else:
+            self._give_back_ms = min(2.0 * self._give_back_ms, MAX_GIVE_BACK_MS)
 
     def _log_level(self) -> None:
         """Log a change at once if it is the highest of late, else once a second with the highest between."""
--- a/lupinlink/net/process.py
+++ b/lupinlink/net/process.py
@@ -9,6 +9,7 @@
 from pathlib import Path
 
 from lupinlink.clock import Clock
+from lupinlink.net.handover.capacity import ASSUMED_REST_MB
 
 COLLECT_INTERVAL_MS = 5000.0  # a collection takes a millisecond or two, as startup objects are frozen
 MIB = 1024 * 1024
@@ -39,8 +40,11 @@
 
 
 def own_mb() -> float:
-    """Resident memory that this process shares with no file, in MiB."""
-    resident, shared = _resident_pages()
+    """Resident memory that this process shares with no file, in MiB; an assumption if it is not told."""
+    try:
+        resident, shared = _resident_pages()
+    except OSError:
+        return ASSUMED_REST_MB
     return (resident - shared) * resource.getpagesize() / MIB
 
 
