Let the sound clients of the memory plays look for a close without waiting for one

Seen: a sound client asked once in 2.1 s. Its look whether the proxy had closed the kept connection waited for that close, as Python waits before a read of a socket with a time limit. So the plays judged a few requests only.

Change: the look asks select, which does not wait.

--- a/tests/sound_client.py
+++ b/tests/sound_client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import select
 import socket
 import time
 from collections import Counter
@@ -49,13 +50,7 @@
 
     def _was_closed(self) -> bool:
         """Whether the proxy has closed the connection that is kept, as it may between two requests."""
-        assert self._connection is not None
-        try:
-            return self._connection.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) == b""
-        except BlockingIOError:
-            return False
-        except OSError:
-            return True
+        return bool(select.select([self._connection], [], [], 0.0)[0])
 
     def _read_answer(self) -> str:
         assert self._connection is not None
