Read a client on as soon as what it had sent ahead is used, also while memory is short

What callers would see: a client that had sent requests ahead while memory was short was not read any more after they were answered, for as long as others kept it short: its next request got no answer.

Change: the pause follows from what is held, looked at whenever that changes.

Evidence: test_memory_pauses, its first test failed before ("pause" and no "resume"), both pass now.

--- a/lupinlink/net/clients/requests.py
+++ b/lupinlink/net/clients/requests.py
@@ -43,13 +43,15 @@
         self._last_read_bytes = len(data)
         self._parser.feed(data)
         self._advance()
-        self._pause_if_memory_is_short()
 
-    def _pause_if_memory_is_short(self) -> None:
-        """Read no more than a little of a head, or behind an open request, until memory is less short."""
-        short = self._clients.account.level >= MemoryLevel.REFUSE
-        if short and self._incoming is None and not self._closing and self.received_bytes >= LEAST.read:
-            self._pauses.set(self.transport, PauseReason.MEMORY, True)
+    def _count_received(self) -> None:
+        """Count what is held of requests; while memory is short, read on only once little of them is."""
+        self._memory.holds_received(0 if self._closing else self._parser.held())
+        if self._closing:
+            return
+        short = self._clients.account.level >= MemoryLevel.REFUSE and self._incoming is None
+        pauses = short and self.received_bytes >= LEAST.read
+        self._pauses.set(self.transport, PauseReason.MEMORY, pauses)
 
     def _discard(self, count: int) -> None:
         """Discard data that follows the last answer, or too many pipelined requests.
@@ -133,7 +135,7 @@
             self.reject(500, FailureReason.INTERNAL.value)
         finally:
             self._advancing = False
-            self._memory.holds_received(0 if self._closing else self._parser.held())
+            self._count_received()
         if self._closing:
             return
         if not self._waiting:
