Count a list that was known at the start once, and let entries lessen the room

What callers would see: a process with 3,200 backends in its list and little memory accepted no connection until discovery changed the list: its entries were counted as held beside the memory at rest, which contains them.

Cause: the entries were counted before the memory at rest was measured and not again after it; and what a list keeps for good counted as pressure, which no level can end.

Change: entries beyond those at rest lessen the room of which the levels are shares (kept_bytes, gauge memory_kept_kb), and are counted anew once the rest is measured. The report of a probe is read in outcomes.

--- a/lupinlink/limits/memory_account.py
+++ b/lupinlink/limits/memory_account.py
@@ -22,7 +22,6 @@
     SENDING = "sending"  # written to an application server and not taken by the kernel
     COLLECTED = "collected"  # of answers that have not come whole
     ANSWERS = "answers"  # written to a client and not taken by the kernel
-    LISTS = "lists"  # entries of discovery's list beyond those at rest
 
 
 class MemoryLevel(IntEnum):
@@ -61,7 +60,7 @@
     def __init__(self, limit_bytes: int | None = None) -> None:
         """``limit_bytes``: None for no limit."""
         self._held = [0] * len(MemoryKind)  # by the position of the kind
-        self._held_bytes = 0
+        self._held_bytes = self._kept_bytes = 0
         self._peak_bytes = 0
         self._overhead = MIN_OVERHEAD
         self._is_full = False  # measured memory is near the limit of the process
@@ -96,6 +95,21 @@
         self._limit_bytes = limit_bytes
         self._update()
 
+    @property
+    def kept_bytes(self) -> int:
+        """What the process keeps for good beyond what it took at rest, such as further entries of a list."""
+        return self._kept_bytes
+
+    @kept_bytes.setter
+    def kept_bytes(self, count: int) -> None:
+        self._kept_bytes = count
+        self._update()
+
+    @property
+    def _room_bytes(self) -> int | None:
+        """What is left of the limit beside what is kept; the levels are shares of it."""
+        return None if self._limit_bytes is None else max(0, self._limit_bytes - self._kept_bytes)
+
     def held(self, kind: MemoryKind) -> int:
         """What is held of one kind."""
         return self._held[POSITIONS[kind]]
@@ -120,11 +134,12 @@
 
         The allocator keeps what was freed for a while, so the most that was held lately is compared.
         """
-        if self._limit_bytes is None:
+        room = self._room_bytes
+        if self._limit_bytes is None or room is None:
             return
         self._peak_bytes = max(int(self._peak_bytes * PEAK_DECAY), self._held_bytes)
-        if self._peak_bytes >= MIN_JUDGED_SHARE * self._limit_bytes:
-            beyond_own = taken_bytes - OWN_WORK_BYTES
+        if self._peak_bytes > 0 and self._peak_bytes >= MIN_JUDGED_SHARE * room:
+            beyond_own = taken_bytes - self._kept_bytes - OWN_WORK_BYTES
             self._overhead = min(max(beyond_own / self._peak_bytes, MIN_OVERHEAD), MAX_OVERHEAD)
         all_bytes = self._limit_bytes / (1.0 - RESERVE_SHARE)
         self._is_full = taken_bytes >= FULL_SHARE * all_bytes
@@ -141,29 +156,30 @@
 
     def _level_now(self) -> MemoryLevel:
         used = self._held_bytes * self._overhead
-        level = MemoryLevel.NORMAL
-        if self._limit_bytes is not None:
+        level, room = MemoryLevel.NORMAL, self._room_bytes
+        if room is not None:
             for one, share in LEVEL_SHARES.items():
                 stays = HYSTERESIS_SHARE if one <= self.level else 0.0
-                if used >= (share - stays) * self._limit_bytes:
+                if used >= (share - stays) * room:
                     level = one
             # Where little is held, what is taken is free memory that the allocator keeps.
-            if self._is_full and self._held_bytes >= MIN_JUDGED_SHARE * self._limit_bytes:
+            if self._is_full and self._held_bytes >= MIN_JUDGED_SHARE * room:
                 level = max(level, MemoryLevel.REFUSE)
         return level
 
     def _place_edges(self) -> None:
         """Note between which sums the level stays as it is."""
         self._rises_at, self._falls_at = float("inf"), float("-inf")
-        if self._limit_bytes is None:
+        room = self._room_bytes
+        if room is None:
             return
-        limit = max(self._limit_bytes, 0) / self._overhead
+        limit = room / self._overhead
         if self.level < MemoryLevel.CLOSE:
             self._rises_at = LEVEL_SHARES[MemoryLevel(self.level + 1)] * limit
         if self.level > MemoryLevel.NORMAL:
             self._falls_at = (LEVEL_SHARES[self.level] - HYSTERESIS_SHARE) * limit
         if self._is_full:
-            judged = MIN_JUDGED_SHARE * self._limit_bytes
+            judged = MIN_JUDGED_SHARE * room
             if self._held_bytes < judged:
                 self._rises_at = min(self._rises_at, judged)
             else:
--- a/lupinlink/net/application_servers/outcomes.py
+++ b/lupinlink/net/application_servers/outcomes.py
@@ -46,3 +46,12 @@
     if 400 <= message.status < 500 and message.status not in (408, 429):
         return AttemptResult(Status.REJECTED, None, report)
     return AttemptResult(Status.ERROR, None, report)  # it may have run
+
+
+def probe_result(end: AttemptResult) -> AttemptResult:
+    """The result of a probe, with the report that its answer has as a text."""
+    if end.reply is not None and end.reply.stream is not None:
+        end.reply.stream.stop()
+    if end.reply is not None and end.report is None:
+        end.report = read_report(end.reply.body.decode("latin-1"))
+    return end
--- a/lupinlink/net/application_servers/pools.py
+++ b/lupinlink/net/application_servers/pools.py
@@ -15,7 +15,7 @@
 from lupinlink.net.application_servers.dialling import Dial
 from lupinlink.net.application_servers.idle_connections import IdleConnections, PooledConnection
 from lupinlink.net.application_servers.kept_connection import KeptConnection
-from lupinlink.net.application_servers.outcomes import read_report
+from lupinlink.net.application_servers.outcomes import probe_result
 from lupinlink.net.application_servers.pool import Pool
 from lupinlink.net.application_servers.request_encoding import encode_request
 from lupinlink.net.application_servers.resting import RestingConnection
@@ -57,7 +57,7 @@
         self.given_up_lines = LineLimit()
         self._reactor = reactor
         self._pools: dict[str, Pool] = {}
-        self._listed, self._listed_at_rest = Holding(self.account, MemoryKind.LISTS), 0
+        self._listed_at_rest = 0
         self._idle = IdleConnections()
         self._idle_ms = settings.idle_close_ms * IDLE_LIMIT_SHARE
         self.account.listen(self._level_changed)
@@ -71,6 +71,10 @@
     def measured_at_rest(self) -> None:
         """Count the present list as part of the process at rest."""
         self._listed_at_rest = len(self._pools)
+        self._count_entries()
+
+    def _count_entries(self) -> None:
+        self.account.kept_bytes = max(0, len(self._pools) - self._listed_at_rest) * ENTRY_BYTES
 
     def resize(self, cap: int) -> None:
         """Change the limit on connections; idle ones above it are closed at once, busy ones when they end."""
@@ -100,7 +104,7 @@
             if pool.current:
                 pool.log_out_of_service(self.clock.now())
             pool.retire()
-        self._listed.set(max(0, len(self._pools) - self._listed_at_rest) * ENTRY_BYTES)
+        self._count_entries()
 
     def start(
         self,
@@ -123,15 +127,7 @@
         target = "/metrics/load" if self.settings.reports_in_probes else "/alive"
         data = http1.request("GET", target, [("Host", server)])
         attempt = Attempt(self, server, lambda left: (data, None), self.clock.now() + PROBE_TIMEOUT_MS)
-        return self.send(attempt).ended.addCallback(self._probed)
-
-    @staticmethod
-    def _probed(end: AttemptResult) -> AttemptResult:
-        if end.reply is not None and end.reply.stream is not None:
-            end.reply.stream.stop()
-        if end.reply is not None and end.report is None:
-            end.report = read_report(end.reply.body.decode("latin-1"))
-        return end
+        return self.send(attempt).ended.addCallback(probe_result)
 
     def _rest_needed_ms(self, connection: PooledConnection, attempt: Attempt, now: float) -> float | None:
         """How long an attempt waits for this connection, which is out of its pool; None: open another."""
--- a/lupinlink/net/memory_watch.py
+++ b/lupinlink/net/memory_watch.py
@@ -50,6 +50,7 @@
             "memory_own_mb": int(self._own_mb()),
             "memory_used_kb": self._account.used_bytes // 1024,
             "memory_limit_kb": (self._account.limit_bytes or 0) // 1024,
+            "memory_kept_kb": self._account.kept_bytes // 1024,
             **{f"memory_{kind.value}_kb": self._account.held(kind) // 1024 for kind in MemoryKind},
         }
 
@@ -114,6 +115,7 @@
             "rest_mb": round(self._rest_mb, 2),
             "used_kb": account.used_bytes // 1024,
             "limit_kb": (account.limit_bytes or 0) // 1024,
+            "kept_kb": account.kept_bytes // 1024,
             "overhead": round(account.overhead, 2),
             **kinds,
         }
--- a/tests/test_memory_account.py
+++ b/tests/test_memory_account.py
@@ -97,6 +97,17 @@
         account.measured(720_000 + OWN_WORK_BYTES)
         self.assertEqual((account.level, account.used_bytes), (MemoryLevel.NORMAL, 0))
 
+    # Guards against: what is kept for good counts as if it were held, and refuses requests for ever.
+    def test_what_is_kept_lessens_the_room_and_is_no_pressure_of_its_own(self) -> None:
+        account = MemoryAccount(LIMIT)
+        account.kept_bytes = 9 * LIMIT // 10
+        self.assertEqual(account.level, MemoryLevel.NORMAL)
+        holding = Holding(account, MemoryKind.BODIES)
+        holding.set(int(LIMIT / 10 / MIN_OVERHEAD))
+        self.assertEqual(account.level, MemoryLevel.CLOSE)
+        account.kept_bytes = 0
+        self.assertEqual(account.level, MemoryLevel.NORMAL)
+
     def test_a_lower_limit_raises_the_level_at_once(self) -> None:
         account = MemoryAccount(LIMIT)
         Holding(account, MemoryKind.BODIES).set(400_000)
--- a/tests/test_memory_told.py
+++ b/tests/test_memory_told.py
@@ -17,6 +17,8 @@
 from tests.loopback_servers import WAIT
 from tests.proxy_process import ApplicationServer, ProxyProcessTest, row
 
+LARGE_LIST, LARGE_LIST_SPARE_MB = 3200, 14.0  # entries (STANDING); it takes some 5 MB of that
+
 
 class Watch(unittest.TestCase):
     # Guards against: a log that cannot tell why a process was killed.
@@ -74,6 +76,15 @@
             got += piece
         return got
 
+    # Guards against: a list that was known at the start is counted again beside the memory at rest.
+    def test_a_process_with_a_large_list_and_little_memory_serves(self) -> None:
+        server = self.peer(ApplicationServer())
+        self.spare_mb = LARGE_LIST_SPARE_MB  # type: ignore[misc]
+        self.start(*(row(f"s-{number}", server) for number in range(LARGE_LIST)))
+        self.await_up()
+        self.assertEqual((self.gauges()["memory_level"], self.gauges()["memory_kept_kb"]), (0, 0))
+        self.assertEqual(self.ask().status, 200)
+
     def test_gauges_tell_what_is_held(self) -> None:
         self.start(row("s-1", self.peer(ApplicationServer(None))))
         self.await_up()
