Memory plays: refuse wrong figures in one line, end the log reader before its pipe

A negative size ended memory_crowds in a traceback, and memory_soak 3 1 told of -1 seeds; both print their usage and exit 2 now. A parameter that nothing used is gone.

--- a/tests/memory_crowds.py
+++ b/tests/memory_crowds.py
@@ -32,6 +32,7 @@
 SOUND_CLIENTS, SOUND_PAUSE_S = 6, 0.05
 MEASURE_S = 0.02
 READY_S = 15.0
+MIN_SOCKETS = 64  # fewer are no valid configuration
 DEFAULTS = [32.0, 1024.0, 0.0, 8.0, 1.0]  # MB, descriptors, clients (0: a third of those), seconds, seed
 CLIENT_SHARE = 1 / 3  # LATER: clients hold at most a third of the descriptors with requests
 SETTINGS: dict[str, Any] = {
@@ -90,10 +91,9 @@
 class Play:
     """One play: a proxy by the deploy file, its servers and its clients."""
 
-    def __init__(self, memory_mb: float, sockets: int, python: str = "") -> None:
-        """``python``: the interpreter that runs the proxy; empty: the run line of the deploy file."""
+    def __init__(self, memory_mb: float, sockets: int) -> None:
         self._limits = {"cores": 1.0, "memory_mb": memory_mb, "sockets": sockets}
-        self._python = python
+        self._log_reader: threading.Thread | None = None
         self._over = threading.Event()
         self.seen = Seen(memory_mb)
 
@@ -114,6 +114,9 @@
             try:
                 self._play(proxy, kind, clients, seconds, seed)
             finally:
+                proxy.kill()
+                if self._log_reader is not None:
+                    self._log_reader.join()  # before its pipe is closed
                 for process in (proxy, servers):
                     process.kill()
                     process.communicate()
@@ -131,10 +134,9 @@
                   "settings": SETTINGS}  # fmt: skip
         file = folder / "config.json"
         file.write_text(json.dumps(config))
-        line = f"exec {self._python} -m lupinlink" if self._python else run_line()
         kept = {n: v for n, v in os.environ.items() if n not in ENVIRONMENT_VARIABLES}
         return subprocess.Popen(
-            ["/bin/sh", "-c", line], cwd=ROOT, env={**kept, "LB_CONFIG": str(file)},
+            ["/bin/sh", "-c", run_line()], cwd=ROOT, env={**kept, "LB_CONFIG": str(file)},
             stdout=subprocess.DEVNULL, stderr=subprocess.PIPE, text=True,
         )  # fmt: skip
 
@@ -145,11 +147,12 @@
             lines.append(line.rstrip())
             port = int(line.rsplit("port=", 1)[1]) if "msg=serving" in line else 0
         assert port, lines
-        threads = [threading.Thread(target=lambda: lines.extend(map(str.rstrip, proxy.stderr or [])))]
+        reader = threading.Thread(target=lambda: lines.extend(map(str.rstrip, proxy.stderr or [])))
+        self._log_reader = reader
         await_up(port)
         self.seen.rest_mb = own_mb(proxy.pid)
-        threads += [threading.Thread(target=self._be_sound, args=(port, n)) for n in range(SOUND_CLIENTS)]
-        for thread in threads:
+        sound = [threading.Thread(target=self._be_sound, args=(port, n)) for n in range(SOUND_CLIENTS)]
+        for thread in (reader, *sound):
             thread.daemon = True
             thread.start()
         words = [str(port), kind, str(clients), str(seconds), str(seed)]
@@ -162,7 +165,7 @@
                 break
             time.sleep(MEASURE_S)
         self._over.set()
-        for thread in threads[1:]:
+        for thread in sound:
             thread.join(SOUND_WAIT_S + 1.0)
         self.seen.end_mb, self.seen.exit_code = own_mb(proxy.pid), proxy.poll()
         if self.seen.exit_code is None:
@@ -200,6 +203,8 @@
         kind, *figures = words
         told = [float(figure) for figure in figures]
         memory_mb, sockets, clients, seconds, seed = told + DEFAULTS[len(told) :]
+        if min(memory_mb, sockets, clients + 1.0, seconds, seed + 1.0) <= 0.0 or sockets < MIN_SOCKETS:
+            raise ValueError(words)
         if kind not in {*KINDS, "mixed"}:
             raise ValueError(kind)
     except ValueError:
--- a/tests/memory_soak.py
+++ b/tests/memory_soak.py
@@ -47,6 +47,8 @@
     """The command."""
     try:
         first, last = map(int, words)
+        if last < first:
+            raise ValueError(words)
     except ValueError:
         print("usage: python -m tests.memory_soak FIRST LAST", file=sys.stderr)
         return 2
